--- a/garnetsaddle/benchlink.py
+++ b/carthinge/benchlink.py
@@ -1,4 +1,4 @@
-"""Hosts dispatchers on the bench's wire: ``python -m garnetsaddle.benchlink``.
+"""Hosts dispatchers on the bench's wire: ``python -m carthinge.benchlink``.
 
 It translates between wire records and the types of interface.py and decides
 nothing.  Instances share only decoded worker lists, which nobody changes.
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO, Final, TypeVar
 
-from garnetsaddle import wire
-from garnetsaddle.interface import (
+from carthinge import wire
+from carthinge.interface import (
     Abandoned,
     Arrival,
     Cancel,
@@ -44,8 +44,8 @@
     WorkerEntry,
     WorkerList,
 )
-from garnetsaddle.policy import Dispatcher
-from garnetsaddle.wire import ACTIONS, Act, Ev, Fields, WireError
+from carthinge.policy import Dispatcher
+from carthinge.wire import ACTIONS, Act, Ev, Fields, WireError
 
 T = TypeVar("T")
 RESULTS: Final = {200: Result.OK, 502: Result.ERROR, 429: Result.FULL, 408: Result.TIMEOUT,
--- a/garnetsaddle/policy.py
+++ b/carthinge/policy.py
@@ -15,8 +15,8 @@
 from random import Random
 from typing import Final
 
-from garnetsaddle import interface as io
-from garnetsaddle.records import Attempt, Bucket, Fleet, Job, Loads, Rate, TenantQueue, Timers, Worker
+from carthinge import interface as io
+from carthinge.records import Attempt, Bucket, Fleet, Job, Loads, Rate, TenantQueue, Timers, Worker
 
 SAMPLE: Final = 16  # workers looked at for a pick: near the best of all, at a cost that does not grow
 SAMPLE_LEAST: Final = 3  # with many gateways on the same late news, more would herd to the best
--- a/garnetsaddle/records.py
+++ b/carthinge/records.py
@@ -10,7 +10,7 @@
 from struct import Struct
 from typing import Final
 
-from garnetsaddle import interface as io
+from carthinge import interface as io
 
 HASH_STEP: Final = 0x9E3779B97F4A7C15
 MASK: Final = (1 << 64) - 1
--- a/garnetsaddle/__init__.py
+++ /dev/null
@@ -1,6 +0,0 @@
-"""garnetsaddle: the decisions of a dispatcher that pushes jobs to workers."""
-
-from garnetsaddle.policy import Dispatcher
-
-__version__ = "0.1.0"
-__all__ = ["Dispatcher", "__version__"]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 import subprocess
 import sys
 
-from garnetsaddle import Dispatcher
-from garnetsaddle import interface as io
+from carthinge import Dispatcher
+from carthinge import interface as io
 
 SAFE = io.JobClass(objective=100_000, deadline=5_000_000, late_worth=0.5, stretch=2.0)
 KEYED = io.JobClass(objective=100_000, deadline=5_000_000, late_worth=0.5, effect=io.Effect.KEYED,
@@ -55,5 +55,5 @@
 
 def run_adapter(data, hash_seed="0"):
     """The adapter process on these bytes of input."""
-    return subprocess.run([sys.executable, "-m", "garnetsaddle.benchlink"], input=data, capture_output=True,
+    return subprocess.run([sys.executable, "-m", "carthinge.benchlink"], input=data, capture_output=True,
                           timeout=60, check=False, env={**os.environ, "PYTHONHASHSEED": hash_seed})
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -5,8 +5,8 @@
 import pytest
 from helpers import run_adapter
 
-from garnetsaddle import wire
-from garnetsaddle.wire import Act, Ev
+from carthinge import wire
+from carthinge.wire import Act, Ev
 
 FACTS = """instances=3
 position=1
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -15,8 +15,8 @@
     started,
 )
 
-from garnetsaddle import Dispatcher
-from garnetsaddle import interface as io
+from carthinge import Dispatcher
+from carthinge import interface as io
 
 R = io.Result
 
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from garnetsaddle.policy import DeficitRing
+from carthinge.policy import DeficitRing
 
 
 @dataclass
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 from hypothesis import settings as example_settings
 from hypothesis import strategies as st
 
-from garnetsaddle import Dispatcher
-from garnetsaddle import interface as io
+from carthinge import Dispatcher
+from carthinge import interface as io
 
 DEADLINE = 3_000_000
 CLASSES = tuple(
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,8 +3,8 @@
 import pytest
 from helpers import run_adapter
 
-from garnetsaddle import wire
-from garnetsaddle.wire import ACTIONS, EVENTS, WireError, decode_records, encode_record
+from carthinge import wire
+from carthinge.wire import ACTIONS, EVENTS, WireError, decode_records, encode_record
 
 EXAMPLES = {
     "ISSUE": ("0a 03000000 c4913a5d 0a124a07 5b1b 80380100", ACTIONS),
