Give the module the load reports that it was missing on sockets

Ruled out: parsing of the reports themselves, names of fields, retries (1.00 tries a request).

Settings.word now reads a phrase as one word; a test holds JSON and lines to the same result.

--- a/carthinge/settings.py
+++ b/carthinge/settings.py
@@ -57,6 +57,11 @@
             raise ValueError(f"{path}: missing")
         return str(value)
 
+    def word(self, path: str) -> str:
+        """A phrase as one word.  The lines have it so; left as it is in JSON ("free slots"), it would not
+        be known, and the module would go without load reports."""
+        return self.text(path, "").replace(" ", "_")
+
     def number(self, path: str, default: float | None = None) -> float:
         raw = self.text(path, None if default is None else str(default))
         try:
@@ -121,7 +126,7 @@
 
 def read_settings(facts: Facts) -> Settings:
     """The settings of one instance; keys this reader does not know are ignored."""
-    names = {"rif": "held", "x0": facts.text("extra.report_x0", ""), "x1": facts.text("extra.report_x1", "")}
+    names = {"rif": "held", "x0": facts.word("extra.report_x0"), "x1": facts.word("extra.report_x1")}
     fields = tuple(names.get(field, field) for field in facts.listed("load_info.fields"))
     return Settings(
         classes=tuple(_read_class(facts, i) for i in range(facts.whole("services.count"))),
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,7 +19,7 @@
         {"name": "query", "effect": "read_like", "objective": 300000, "hard_limit": 5000000, "value": 1.0},
         {"name": "reindex", "effect": "idempotency_key", "group": "all", "objective": 600000,
          "hard_limit": 10000000, "late_worth": 0.5, "value": 10.0, "window": 15000000}],
-    "extra": {"class_kind": [-1, -1], "class_stretch": [2.5, 1.75], "report_x0": "free_slots",
+    "extra": {"class_kind": [-1, -1], "class_stretch": [2.5, 1.75], "report_x0": "free slots",
               "tells_start": True, "progress": 0},
     "load_info": {"how": "inline", "fields": ["util", "qps", "x0"]},
     "tenants": [{"name": "acme", "share": 0.5, "quota_per_s": 50.0},
