Let a worker be busy by its slots: known free ones count, and the cap stops at them

A report is made up to a second and a half before it comes, with the end of the very job whose slot it still counts as taken, so a free worker was held to be busy (Dispatcher._estimate). Without a fresh report the cap had grown far past the slots, and what was poured in there waited out of reach of worth.

Now a slot that this gateway knows to be free counts beside a fresh report, the cap stops at the reported slots, and the wait is estimated in both cases.

--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -420,17 +420,19 @@
         pool = worker.pool
         pace = worker.pace or pool.pace
         if worker.free_at >= 0 and self.now - worker.free_at < self.mean_work * pace / max(1.0, pool.slots):
-            if worker.free < job.slots + (self.asks and -job.rank < SPARE_WORTH * self.top_worth):
+            # A report is older than the outcome it came with: a slot that is free from here counts too.
+            free = worker.free if self.asks else max(worker.free, pool.slots - worker.slots_out)
+            if free < job.slots + (self.asks and -job.rank < SPARE_WORTH * self.top_worth):
                 return None  # cheap work leaves a slot for dear work
-            wait = 0.0
         else:
-            if worker.slots_out and worker.slots_out + worker.peer_slots + job.slots > worker.cap:
+            cap = min(worker.cap, pool.slots or worker.cap)  # more would wait there, out of reach of worth
+            if worker.slots_out and worker.slots_out + worker.peer_slots + job.slots > cap:
                 return None
             if self.asks and self.now < job.queued + job.spec.objective * PROBE_WAIT:
                 return None  # its probes are on their way
-            wait = self._wait(worker, job, pace)
-            if wait > job.bearable:
-                return None  # it would only come late, and make others late
+        wait = self._wait(worker, job, pace)
+        if wait > job.bearable:
+            return None  # it would only come late, and make others late
         if worker.entry.zone != settings.zone:
             wait += settings.price_cross_zone * self.mean_work
         # Its own run counts only beyond what its aim grants for it; else all would crowd the fast workers.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -404,3 +404,28 @@
     gateway.handle(2, [arrival()])
     looked_at = gateway._candidates(gateway.jobs[1], [gateway.workers[50]] * 17, [])
     assert {worker.id for worker in looked_at} <= {8, 50}
+
+
+def reporting(*workers, **more):
+    """A gateway whose worker 1 has reported two free slots, on an earlier job."""
+    gateway = started(settings(reports=io.Reports.ANSWERS, report_fields=("free_slots",), **more), *workers)
+    gateway.handle(1, [arrival(90)])
+    gateway.handle(2, [outcome(90, 0, 1, R.OK, report=(2.0,))])
+    return gateway
+
+
+def test_a_slot_known_free_from_here_counts_beside_a_late_report():
+    """Its report was made before that job ended, and said that no slot was free."""
+    gateway = reporting(1)
+    gateway.handle(3, [arrival(1)])
+    gateway.handle(4, [outcome(1, 0, 1, R.OK, report=(0.0,))])
+    assert of(io.Send, gateway.handle(5, [arrival(2)]))
+
+
+def test_a_worker_gets_no_more_than_its_slots_however_well_it_has_served():
+    gateway = reporting(1)
+    gateway.workers[1].cap = 50.0
+    late = 2_000_000  # the report is old by then
+    assert of(io.Send, gateway.handle(late, [arrival(1, now=late), arrival(2, now=late)]))
+    assert not of(io.Send, gateway.handle(late + 1, [arrival(3, now=late)]))
+    assert of(io.Send, gateway.handle(late + 2, [outcome(1, 0, 1, R.OK)]))
