Say with every refusal when to come back

A client that is refused at once, for want of any listed worker, came back as soon as it liked.

The book now logs every end of an attempt other than done, time-outs included, at debug level.

--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -10,7 +10,6 @@
 from typing import Final
 
 from carthinge.interface import Result
-from carthinge.net import log
 from carthinge.net.counters import Counters
 from carthinge.net.exchange import Attempt, Book
 from carthinge.net.http import Address, Answer, Caller, call_bytes
@@ -75,9 +74,7 @@
 
     def ended(self, attempt: Attempt, result: Result, answer: Answer | None, why: str) -> None:
         """The call of an attempt has told its end."""
-        log.logger().debug("attempt_ended", id=attempt.exchange.job.id, worker=attempt.target.id,
-                           result=result.name, why=why)
-        self._book.end(attempt, result, self._report_of(answer))
+        self._book.end(attempt, result, self._report_of(answer), why=why)
 
     def over(self, attempt: Attempt) -> None:
         """The call of an attempt is over, whether or not the attempt is."""
--- a/carthinge/net/exchange.py
+++ b/carthinge/net/exchange.py
@@ -143,7 +143,7 @@
             self.events.append(io.Note(attempt.exchange.number, attempt.number, attempt.target.number, done))
 
     def end(self, attempt: Attempt, result: io.Result, report: tuple[float, ...] = (),
-            answer: bytes = b"") -> None:
+            answer: bytes = b"", why: str = "") -> None:
         """An attempt has ended; only its first end counts."""
         if not attempt.open:
             return
@@ -153,7 +153,10 @@
         exchange = attempt.exchange
         name = f"attempt_{result.name.lower()}"
         setattr(self._counters, name, getattr(self._counters, name) + 1)
-        if result is io.Result.OK and exchange.owed:
+        if result is not io.Result.OK:
+            log.logger().debug("attempt_ended", id=exchange.job.id, worker=attempt.target.id,
+                               result=result.name, why=why)
+        elif exchange.owed:
             exchange.owed = False
             self._counters.served += 1
             exchange.client.serve(answer)
--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -283,7 +283,7 @@
         spec = job.spec
         everywhere = spec.effect is io.Effect.KEYED and spec.scope is io.Scope.ALL
         harmless = spec.effect is io.Effect.SAFE or everywhere or job.never_ran()
-        away = self.settings.max_retry_after if self.settings.may_advise and spec.late_worth <= 0 else 0
+        away = self.settings.max_retry_after if self.settings.may_advise else 0
         self.actions.append(io.Refuse(job.id, away) if harmless else io.Fail(job.id))
 
     def _abandon(self, event: io.Abandoned) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -429,3 +429,9 @@
     assert of(io.Send, gateway.handle(late, [arrival(1, now=late), arrival(2, now=late)]))
     assert not of(io.Send, gateway.handle(late + 1, [arrival(3, now=late)]))
     assert of(io.Send, gateway.handle(late + 2, [outcome(1, 0, 1, R.OK)]))
+
+
+@pytest.mark.parametrize("job_class", [SAFE, WORTHLESS_LATE])
+def test_a_refusal_says_when_to_come_back(job_class):
+    gateway = started(settings(job_class, may_advise=True, max_retry_after=2_000_000))
+    assert gateway.handle(1, [arrival(1)])[0] == io.Refuse(1, 2_000_000)
