Call off an attempt at a silent worker and try the job elsewhere

Now such an attempt is called off where the class permits another try at another worker; its end sends the job back to its heap.

For the sockets that means attempts after a DELETE, on another connection. The end of the first is told once its worker has answered the DELETE, or 100 ms after it was written, so that the next attempt cannot overtake it (egress._Withdrawal); a second Cancel sends no second DELETE.

--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -17,6 +17,7 @@
 from carthinge.settings import Site
 
 IDLE_MARGIN: Final = timedelta(milliseconds=300)  # idle connections are closed so long before workers do
+ARRIVES_WITHIN: Final = timedelta(milliseconds=100)  # a DELETE, once it is written
 LATE_ANSWER: Final = timedelta(seconds=2)  # for an answer on which nothing depends any more
 
 
@@ -67,7 +68,7 @@
         except OSError:
             gone()
             return
-        withdrawal = _Withdrawal(self, caller, gone)
+        withdrawal = _Withdrawal(self._loop, self, caller, gone)
         self._loop.call_after(LATE_ANSWER, withdrawal.cut)
         path = f"/jobs/{attempt.exchange.job.id}".encode()
         caller.start(withdrawal, call_bytes("DELETE", path, str(address)))
@@ -186,15 +187,18 @@
 class _Withdrawal:
     """A DELETE; what the worker answers does not matter."""
 
-    def __init__(self, egress: Egress, caller: Caller, gone: Callable[[], None]) -> None:
+    def __init__(self, loop: Loop, egress: Egress, caller: Caller, gone: Callable[[], None]) -> None:
+        self._loop = loop
         self._egress = egress
         self._caller = caller
         self._gone = gone
 
     def written(self) -> None:
-        self._gone()
+        """On its way, on a connection of its own: it must not be overtaken by an attempt elsewhere."""
+        self._loop.call_after(ARRIVES_WITHIN, self._gone)
 
     def answered(self, answer: Answer) -> None:
+        self._gone()
         self._egress.free(self._caller)
 
     def broken(self, written: bool, why: str) -> None:
--- a/carthinge/net/exchange.py
+++ b/carthinge/net/exchange.py
@@ -72,6 +72,7 @@
     sent: timedelta
     due: timedelta
     open: bool = True
+    leaving: bool = False  # given up, but its worker may not know yet
     arrived: bool = False  # its last byte is written: what the worker says may be about it
     timer: Timer | None = None
 
@@ -192,17 +193,21 @@
 
     def _time_out(self, attempt: Attempt) -> None:
         """At the client's deadline no other attempt can follow: the answer must not wait for the worker."""
+        self._withdraw(attempt, io.Result.TIMEOUT)
         if attempt.due >= attempt.exchange.give_up:
-            self.target.withdraw(attempt, lambda: None)
             self.end(attempt, io.Result.TIMEOUT)
-        else:
-            self.target.withdraw(attempt, lambda: self.end(attempt, io.Result.TIMEOUT))
+
+    def _withdraw(self, attempt: Attempt, result: io.Result) -> None:
+        """The end is told once the worker knows: the module may send the next attempt at once."""
+        if not attempt.leaving:
+            attempt.leaving = True
+            self.target.withdraw(attempt, lambda: self.end(attempt, result))
 
     def _cancel(self, action: io.Cancel) -> None:
         exchange = self.exchanges.get(action.request)
         attempt = exchange.attempts[action.attempt] if exchange else None
         if attempt is not None and attempt.open:
-            self.target.withdraw(attempt, lambda: self.end(attempt, io.Result.CANCELLED))
+            self._withdraw(attempt, io.Result.CANCELLED)
 
     def _shed(self, action: io.Refuse) -> None:
         exchange = self.exchanges.get(action.request)
--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -562,10 +562,20 @@
                 self._after(due, self._check, attempt)
             return
         self._doubt(attempt.worker)
+        if attempt.worker.strikes and not self.settings.may_copy:
+            self._move_on(attempt)
         if self.settings.may_copy and not job.answered and job.open < 2 and self.copies >= 1:
             self.copies -= 1
             self._copy(job)
 
+    def _move_on(self, attempt: Attempt) -> None:
+        """Where no second copy may be out, a silent attempt is called off; its end sends the job back."""
+        job = attempt.job
+        if not self.settings.may_cancel or not attempt.open or job.answered:
+            return
+        if any(self._may_repeat(worker, job) for worker in self._eligible(job)):
+            self.actions.append(io.Cancel(job.id, attempt.number))
+
     def _doubt(self, worker: Worker, certain: bool = False) -> None:
         """Leave a worker alone for a while, longer at each strike, unless the whole fleet looks ill.
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -435,3 +435,18 @@
 def test_a_refusal_says_when_to_come_back(job_class):
     gateway = started(settings(job_class, may_advise=True, max_retry_after=2_000_000))
     assert gateway.handle(1, [arrival(1)])[0] == io.Refuse(1, 2_000_000)
+
+
+def test_a_silent_attempt_is_called_off_and_the_job_tried_elsewhere():
+    gateway = started(settings(may_copy=False), 1, 2, 3, 4)
+    sent = of(io.Send, gateway.handle(1, [arrival(1)]))[0]
+    assert of(io.Cancel, gateway.handle(2_000_000, [io.Timer(0)])) == [io.Cancel(1, 0)]
+    again = of(io.Send, gateway.handle(2_000_001, [outcome(1, 0, sent.worker, R.CANCELLED)]))
+    assert len(again) == 1 and again[0].worker != sent.worker
+
+
+@pytest.mark.parametrize(("job_class", "workers"), [(UNSAFE, (1, 2, 3, 4)), (SAFE, (1,))])
+def test_a_silent_attempt_stays_out_where_no_other_may_follow(job_class, workers):
+    gateway = started(settings(job_class, may_copy=False), *workers)
+    gateway.handle(1, [arrival(1)])
+    assert not of(io.Cancel, gateway.handle(2_000_000, [io.Timer(0)]))
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -264,6 +264,19 @@
     assert (counted["client_gone"], counted["withdrawn"], counted["attempt_cancelled"]) == (1, 1, 1)
 
 
+def test_a_job_at_a_silent_worker_is_withdrawn_there_before_it_goes_elsewhere(world):
+    client = world.submit("a1")
+    first, peer, _ = world.take()
+    peer.answer(202)
+    assert peer.read()[0] == "DELETE /jobs/a1 HTTP/1.1"
+    peer.answer(204)
+    second, peer, _ = world.take()
+    assert second != first
+    peer.answer(202)
+    world.tell("a1", "done", second)
+    assert client.status() == 200 and world.counters()["attempt_cancelled"] == 1
+
+
 def test_before_the_202_a_job_is_withdrawn_by_closing_its_connection(world):
     client = world.submit("a1")
     _, peer, _ = world.take()
