--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -249,7 +249,7 @@
 
     def idle(self) -> bool:
         """Nothing under way: it may be closed at any time."""
-        return self._current is None and not self._reader.under_way and not self._finished
+        return not (self._current or self._waiting or self._reader.under_way or self._finished)
 
     def close(self) -> None:
         self._stream.close()
