Read the configuration again on SIGHUP and move the watch to its discovery

Program._take_signals named SIGTERM, SIGINT and SIGUSR1 only, so that the system's own handling of SIGHUP ended the process. Also found by reading: RELAY_DISCOVERY goes before the file, and in a running process it is as old as the start; a reload that honoured it would have stayed at the old address. A revision of the old discovery used at the new one would let a watch wait in vain, so the whole list is asked for first, once.

Changed: SIGHUP is a signal like the others; the file's discovery holds from then on; what is known holds until the new discovery has given its list; a file that cannot be used is logged and changes nothing.

--- a/carthinge/__main__.py
+++ b/carthinge/__main__.py
@@ -9,7 +9,7 @@
 
 from carthinge import __version__
 from carthinge.net import log
-from carthinge.net.config import Config, ConfigError, load
+from carthinge.net.config import Config, ConfigError, load, reload
 from carthinge.net.program import Program
 
 BAD_CONFIG = 2
@@ -62,7 +62,7 @@
     config = _load()
     log.set_up(log_level, config.name)
     try:
-        Program(config).run()
+        Program(config, lambda: reload(os.environ)).run()
     except OSError as fault:
         log.logger().error("cannot_listen", listen=str(config.listen), why=str(fault))
         raise typer.Exit(CANNOT_LISTEN) from None
--- a/carthinge/net/config.py
+++ b/carthinge/net/config.py
@@ -52,6 +52,15 @@
     site: Site
 
 
+def reload(environment: Mapping[str, str]) -> Config:
+    """The configuration as the file has it now.
+
+    Discovery is taken from the file: a running program's environment cannot be replaced, so that what it
+    says of discovery is as old as the start.
+    """
+    return load({name: value for name, value in environment.items() if name != "RELAY_DISCOVERY"})
+
+
 def load(environment: Mapping[str, str]) -> Config:
     """The configuration; addresses and name in the environment go before those in the file."""
     path = environment.get("RELAY_CONFIG")
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -4,13 +4,15 @@
 
 import signal
 import socket
+from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from types import FrameType
 from typing import Final
 
 from carthinge.interface import Listing
 from carthinge.net import log
-from carthinge.net.config import Config
+from carthinge.net.config import Config, ConfigError
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
 from carthinge.net.exchange import Book
@@ -28,8 +30,9 @@
 class Program:
     """One scheduler from its start to its end."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, reload: Callable[[], Config]) -> None:
         self.config = config
+        self._reload_config = reload
         self.loop = Loop()
         self.counters = Counters()
         self.table = RouteTable(config.site, self.loop.clock)
@@ -55,7 +58,8 @@
         self.book.decide()
         self.ingress.listen(self.config.listen)
         log.logger().info("serving", listen=str(self.config.listen),
-                          workers=len(self.table.ready), revision=self.table.revision)
+                          workers=len(self.table.ready), revision=self.table.revision,
+                          discovery=str(self.config.discovery))
         while not self._over:
             self.loop.turn(idle=not self.book.events)
             self.book.decide()
@@ -72,16 +76,29 @@
         wake_out.setblocking(False)
         signal.set_wakeup_fd(wake_out.fileno())
         self._wake = (wake_in, wake_out)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
             signal.signal(number, _ignore)
         self.loop.register(wake_in, READ, lambda _: self._signalled(wake_in.recv(64)))
 
     def _signalled(self, numbers: bytes) -> None:
         if signal.SIGUSR1 in numbers:
             log.logger().info("counters", **self.counters.as_dict())
+        if signal.SIGHUP in numbers:
+            self._reload()
         if signal.SIGTERM in numbers or signal.SIGINT in numbers:
             self._drain()
 
+    def _reload(self) -> None:
+        """Discovery may move while the program runs; all else in the file is for the next start."""
+        try:
+            config = self._reload_config()
+        except ConfigError as fault:
+            log.logger().error("reload_failed", why=str(fault), discovery=str(self.config.discovery))
+            return
+        log.logger().info("reloaded", discovery=str(config.discovery), before=str(self.config.discovery))
+        self.config = replace(self.config, discovery=config.discovery)
+        self.watch.move(config.discovery)
+
     def _drain(self) -> None:
         if self._stop_from is not None:
             return
--- a/carthinge/net/route_table.py
+++ b/carthinge/net/route_table.py
@@ -22,6 +22,7 @@
 PATH: Final = "/discovery/hosts"
 WAIT: Final = timedelta(seconds=20)  # of a watch that has nothing to tell
 OVERDUE: Final = timedelta(seconds=2)  # past its wait a watch is taken for lost
+LIST_OVERDUE: Final = timedelta(seconds=3)  # for the whole list, which does not wait for news
 LIST_LIMIT: Final = 16 * 1024 * 1024
 
 
@@ -68,7 +69,7 @@
 
     def __init__(self, site: Site, clock: Clock) -> None:
         self.targets: dict[int, EgressTarget] = {}
-        self.revision = 0
+        self.revision: int | None = None  # none that the present discovery has given
         self.ready: set[str] = set()
         self._zones = {name: index for index, name in enumerate(site.zones)}
         self._kinds = {name: index for index, name in enumerate(site.kinds)}
@@ -122,6 +123,20 @@
         if self._call is None:
             self._ask()
 
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere from now on.  What is known holds until the new one has spoken.
+
+        It is asked for its whole list: its revisions are its own, so that a watch from one of the old
+        discovery's could wait in vain, or miss what came before it.
+        """
+        if address == self._address:
+            return
+        self._address = address
+        self._table.revision = None
+        self.stop()
+        self._caller = None
+        self._ask()
+
     def stop(self) -> None:
         if self._call is not None:
             self._call.dropped = True
@@ -139,10 +154,11 @@
             self._caller = None
             self._loop.soon(lambda: self.failed(why))
             return
-        target = f"{PATH}?index={self._table.revision}&wait={WAIT // MILLISECOND}".encode()
+        revision = self._table.revision
+        query = "" if revision is None else f"?index={revision}&wait={WAIT // MILLISECOND}"
         call = self._call = _WatchCall(self)
-        self._loop.call_after(WAIT + OVERDUE, call.overdue)
-        self._caller.start(call, call_bytes("GET", target, str(self._address)))
+        self._loop.call_after(LIST_OVERDUE if revision is None else WAIT + OVERDUE, call.overdue)
+        self._caller.start(call, call_bytes("GET", (PATH + query).encode(), str(self._address)))
 
     def answered(self, answer: Answer) -> None:
         self._call = None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,7 +3,7 @@
 import json
 
 import pytest
-from world import World, member
+from world import Listener, World, member
 
 
 @pytest.fixture
@@ -61,6 +61,39 @@
     assert world.counters()["watch_failures"] == 1 and "discovery_failed" in world.log()
 
 
+def test_sighup_moves_the_watch_and_the_old_list_holds_until_the_new_discovery_has_spoken(world):
+    old, _ = world.watched()
+    moved = Listener()
+    world.reload(moved)
+    peer = world.accept(moved)
+    assert old.ended()
+    assert peer.read()[0] == "GET /discovery/hosts HTTP/1.1"  # all of it: its revisions are its own
+    world.submit("a1")
+    assert world.take()[2][1]["req-id"] == "a1"
+    peer.answer(200, told(3, member("s-0", world.workers[0].port, phase="Terminating"), complete=True))
+    assert peer.read()[0].startswith("GET /discovery/hosts?index=3&wait=")
+    assert world.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n")[0].endswith("503 Service Unavailable")
+    peer.close()
+    world.reload(world.discovery)  # and back
+    assert world.watched()[1] == "GET /discovery/hosts HTTP/1.1"
+
+
+def test_the_whole_list_is_asked_for_until_the_new_discovery_has_given_it(world):
+    world.watched()
+    moved = Listener()
+    world.reload(moved)
+    world.accept(moved).answer(503)
+    assert world.accept(moved).read()[0] == "GET /discovery/hosts HTTP/1.1"
+
+
+def test_a_file_that_cannot_be_read_changes_nothing(world):
+    peer, _ = world.watched()
+    world.reload('{"name": "n0"')
+    world.wait_for_log("reload_failed")
+    peer.answer(200, told(9))
+    assert peer.read()[0].startswith("GET /discovery/hosts?index=9&wait=")
+
+
 def test_not_up_without_a_worker(tmp_path):
     with World(tmp_path, known=False) as world:
         assert world.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n")[0].endswith("503 Service Unavailable")
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -319,9 +319,7 @@
     _, most = resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE)
     resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE, (8, most))
     late = world.submit("late")
-    until = time.monotonic() + WAIT
-    while "accept_paused" not in world.log() and time.monotonic() < until:
-        time.sleep(0.01)  # a log line is all that can be seen from here
+    world.wait_for_log("accept_paused")
     resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE, (most, most))
     serve_next(world, "late")
     assert late.status() == 200 and len(held) == 20
@@ -336,9 +334,7 @@
     _, peer, _ = world.take()
     peer.answer(202)
     world.terminate()
-    until = time.monotonic() + WAIT
-    while "draining" not in world.log() and time.monotonic() < until:
-        time.sleep(0.01)
+    world.wait_for_log("draining")
     assert world.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n")[0].endswith("503 Service Unavailable")
     second = kept.send(job("a2"))
     other, _ = serve_next(world, "a2")
@@ -352,9 +348,7 @@
 
 def test_counters_are_printed_on_request(world):
     world.process.send_signal(signal.SIGUSR1)
-    until = time.monotonic() + WAIT
-    while "event=counters" not in world.log() and time.monotonic() < until:
-        time.sleep(0.01)
+    world.wait_for_log("event=counters")
     line = next(line for line in world.log().splitlines() if "event=counters" in line)
     assert all(f"{name}=" in line for name in world.counters())
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -121,12 +121,13 @@
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
                   "known": {"revision": 7, "complete": True, "members": members if known else []},
                   "settings": settings or SETTINGS}
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps(config))
+        self.config_path = tmp_path / "config.json"
+        self.config_path.write_text(json.dumps(config))
         self.log_path = tmp_path / "log"
         with self.log_path.open("wb") as log:
             command = [sys.executable, "-m", "carthinge", "serve", "--log-level", "debug"]
-            environment = {**os.environ, "RELAY_CONFIG": str(path)}
+            environment = {**os.environ, "RELAY_CONFIG": str(self.config_path),
+                           "RELAY_DISCOVERY": config["discovery"]}
             self.process = subprocess.Popen(command, env=environment, stderr=log)
         self.wait_until_up()
 
@@ -195,6 +196,22 @@
     def counters(self):
         return json.loads(self.ask("GET /counters HTTP/1.1\r\nHost: x\r\n\r\n")[2])
 
+    def reload(self, discovery):
+        """Replaces the configuration's discovery (or all of it, by a text) and sends SIGHUP."""
+        text = discovery
+        if not isinstance(discovery, str):
+            config = json.loads(self.config_path.read_text())
+            text = json.dumps({**config, "discovery": f"127.0.0.1:{discovery.port}"})
+        self.config_path.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
+    def wait_for_log(self, text):
+        """Where a log line is all that can be seen from outside."""
+        until = time.monotonic() + WAIT
+        while text not in self.log():
+            assert time.monotonic() < until, f"no {text!r} in {self.log()}"
+            time.sleep(0.01)
+
     def terminate(self):
         self.process.send_signal(signal.SIGTERM)
 
