Serve on as a lone scheduler in a drain; notice silent watches and broken-off lists

Lines at fault: Ingress._answer (close while draining) and the fixed second in Program._drain. Late answers and the pool of workers were ruled out (nothing unanswered, one shed). With every list logged, lists turned out to stop short on a connection that stays open; they were only noticed by the call's own time limit. Discovery's queue was ruled out: calls without news are answered in 1.00 s.

Changed: a lone scheduler keeps connections and serves until 0.3 s before SIGKILL may come; what arrives more than 0.7 s after SIGTERM is answered by then. Calls of a watch wait 1 s, are lost 1 s later (doubling, if discovery is slow), and an answer that stops for 0.3 s has broken off. The module asks again four times sooner after a failure, so that two lists lost in a row do not miss the 2.5 s for a drain.

--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -200,10 +200,11 @@
     address: Address
     connect_timeout: timedelta
     body_limit: int = BODY_LIMIT
+    broken_off: timedelta | None = None  # so long after a part of an answer the rest does not come any more
     call: Call | None = None
     _stream: Stream | None = None
     _reader: AnswerReader = field(init=False)
-    _timer: Timer | None = None
+    _timer: Timer | None = None  # for the connection to come up, later for the rest of an answer
 
     def __post_init__(self) -> None:
         self._reader = AnswerReader(self.body_limit)
@@ -256,6 +257,10 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
             self._break(f"not HTTP: {fault}")
             return
+        if self._timer is not None:
+            self._timer.cancel()
+        if not answers and self.broken_off is not None:
+            self._timer = self.loop.call_after(self.broken_off, lambda: self._break("the answer broke off"))
         for answer in answers:
             call, self.call = self.call, None
             if not answer.keep_alive or call is None or stream.unsent:  # out of step: of no further use
--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -7,6 +7,7 @@
 import socket
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from hashlib import blake2b
 from http import HTTPStatus
@@ -114,6 +115,15 @@
     return int.from_bytes(blake2b(last, digest_size=8).digest(), "little") if last else 0
 
 
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """Up to when what is done, once the program is to end."""
+
+    arriving_until: timedelta  #: clients may still be sent here; what they send has its whole time
+    answered_by: timedelta  #: the last answer to what comes after that
+    kept_until: timedelta  #: from then on every answer ends its connection, so that clients turn elsewhere
+
+
 class Ingress:
     """The listening socket and the connections that came in on it."""
 
@@ -125,7 +135,7 @@
         self.translator = Translator(site)
         self.max_retry_after = site.max_retry_after
         self.ready = ready
-        self.draining = False
+        self.draining: Drain | None = None
         self.connections: OrderedDict[IngressConnection, None] = OrderedDict()  # the longest unused first
         self._egress = egress
         self._most = most
@@ -147,9 +157,13 @@
         self._listener = listener
         self.loop.register(listener, READ, self._accept)
 
-    def drain(self) -> None:
-        """From now on every answer ends its connection, so that clients turn to other schedulers."""
-        self.draining = True
+    def keeps_connections(self) -> bool:
+        return self.draining is None or self.loop.now < self.draining.kept_until
+
+    def patience(self, asked: timedelta) -> timedelta:
+        """Guards against SIGKILL, which would find unanswered what came late in a drain."""
+        drain, now = self.draining, self.loop.now
+        return asked if drain is None or now < drain.arriving_until else min(asked, drain.answered_by - now)
 
     def close_idle(self) -> None:
         """Ends the connections on which nothing is under way."""
@@ -317,7 +331,7 @@
         elif request.method == b"POST" and (path == JOBS or path.startswith(JOBS + b"/")):
             self._take(request)
         elif request.method == b"GET" and path == b"/up":
-            up = self._ingress.ready() and not self._ingress.draining
+            up = self._ingress.ready() and self._ingress.draining is None
             self._answer(HTTPStatus.OK if up else HTTPStatus.SERVICE_UNAVAILABLE)
         elif request.method == b"GET" and path == b"/counters":
             self._answer(HTTPStatus.OK, msgspec.json.encode(self._ingress.counters),
@@ -329,6 +343,7 @@
         job, terms = self._ingress.translator.read(request)
         if job.id in self._ingress.book.by_id:  # its call-backs could not be told from the other's
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Id: in use by another request")
+        terms = replace(terms, patience=self._ingress.patience(terms.patience))
         self._exchange = self._ingress.book.take(job, terms, self)
 
     def _refuse(self, fault: BadRequestError, keep_alive: bool = True) -> None:
@@ -354,7 +369,7 @@
         request, self._current, self._exchange = self._current, None, None
         if request is not None and request.method == b"HEAD":
             body = b""
-        keep_alive &= not self._ingress.draining and (request is None or request.keep_alive)
+        keep_alive &= self._ingress.keeps_connections() and (request is None or request.keep_alive)
         self._stream.write(answer_bytes(status, body, headers or (), keep_alive))
         if not keep_alive:
             self._finished = True
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -16,14 +16,16 @@
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
 from carthinge.net.exchange import Book
-from carthinge.net.ingress import Ingress
-from carthinge.net.loop import READ, Loop
+from carthinge.net.ingress import Drain, Ingress
+from carthinge.net.loop import MICROSECOND, READ, Loop
 from carthinge.net.route_table import RouteTable, RouteWatch
 from carthinge.policy import Dispatcher
 
 SPARE_SOCKETS: Final = 48  # of the limit: for the listener, discovery, the log and what the runtime holds
 EGRESS_SHARE: Final = 0.4  # of the rest: a call holds its connection only until the 202
-STILL_ARRIVING: Final = timedelta(seconds=1)  # after SIGTERM clients are sent here for up to 0.4 s
+STILL_ARRIVING: Final = timedelta(milliseconds=700)  # after SIGTERM clients are sent here for up to 0.4 s
+LONGEST_GRACE: Final = timedelta(seconds=3)  # SIGKILL may come so long after that, or a deadline if shorter
+LAST_ANSWERS: Final = timedelta(milliseconds=300)  # before SIGKILL may come
 QUIET: Final = timedelta(milliseconds=300)  # with nothing owed, before the program ends
 
 
@@ -44,11 +46,10 @@
         self.ingress = Ingress(self.loop, config.site, self.book, egress, self.counters, rest - out,
                                lambda: bool(self.table.ready))
         self.watch = RouteWatch(self.loop, config.discovery, self.table, config.site.connect_timeout,
-                                self.counters, self.book.tell)
+                                config.site.decisions.instances, self.counters, self.book.tell)
         self.book.target = egress
         self.book.watch = self.watch.start
         self._quiet_since: timedelta | None = None
-        self._stop_from: timedelta | None = None
         self._over = False
 
     def run(self) -> None:
@@ -100,12 +101,18 @@
         self.watch.move(config.discovery)
 
     def _drain(self) -> None:
-        if self._stop_from is not None:
+        if self.ingress.draining is not None:
             return
         log.logger().info("draining", owed=len(self.book.exchanges))
-        self.ingress.drain()
-        self._stop_from = self.loop.now + STILL_ARRIVING
-        self.loop.call_at(self._stop_from, self._check_over)
+        decisions = self.config.site.decisions
+        longest = max(spec.deadline for spec in decisions.classes) * MICROSECOND
+        now = self.loop.now
+        arriving_until = now + STILL_ARRIVING
+        last = arriving_until + min(longest, LONGEST_GRACE) - LAST_ANSWERS
+        # A lone scheduler's clients have nobody else to turn to: they are served while there is time.
+        alone = decisions.instances == 1
+        self.ingress.draining = Drain(arriving_until, last, kept_until=last if alone else now)
+        self.loop.call_at(last if alone else arriving_until, self._check_over)
 
     def _check_over(self) -> None:
         """Ends once nothing has been under way for a little while: what is on its way here is taken still."""
--- a/carthinge/net/route_table.py
+++ b/carthinge/net/route_table.py
@@ -20,9 +20,11 @@
 
 STATES: Final = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 PATH: Final = "/discovery/hosts"
-WAIT: Final = timedelta(seconds=20)  # of a watch that has nothing to tell
-OVERDUE: Final = timedelta(seconds=2)  # past its wait a watch is taken for lost
-LIST_OVERDUE: Final = timedelta(seconds=3)  # for the whole list, which does not wait for news
+WAIT: Final = timedelta(seconds=1)  # of a watch that has nothing to tell: a silent one is noticed soon after
+WAIT_EACH: Final = timedelta(milliseconds=50)  # at the least, for each scheduler: they share one discovery
+OVERDUE: Final = timedelta(seconds=1)  # past its wait a call is taken for lost
+OVERDUE_MOST: Final = timedelta(seconds=8)  # after several in a row: discovery may be slow, and not gone
+BROKEN_OFF: Final = timedelta(milliseconds=300)  # between two parts of an answer
 LIST_LIMIT: Final = 16 * 1024 * 1024
 
 
@@ -108,11 +110,13 @@
     """Calls discovery again at once after each answer; after a failure only when it is told to."""
 
     def __init__(self, loop: Loop, address: Address, table: RouteTable, connect_timeout: timedelta,
-                 counters: Counters, tell: Callable[[WorkerList], None]) -> None:
+                 instances: int, counters: Counters, tell: Callable[[WorkerList], None]) -> None:
         self._loop = loop
         self._address = address
         self._table = table
         self._connect_timeout = connect_timeout
+        self._overdue = OVERDUE
+        self._wait = max(WAIT, WAIT_EACH * instances)
         self._counters = counters
         self._tell = tell
         self._caller: Caller | None = None
@@ -147,7 +151,8 @@
     def _ask(self) -> None:
         try:
             if self._caller is None or not self._caller.usable():
-                self._caller = Caller(self._loop, self._address, self._connect_timeout, LIST_LIMIT)
+                self._caller = Caller(self._loop, self._address, self._connect_timeout, LIST_LIMIT,
+                                      BROKEN_OFF)
                 self._caller.open()
         except OSError as fault:
             why = str(fault)
@@ -155,13 +160,14 @@
             self._loop.soon(lambda: self.failed(why))
             return
         revision = self._table.revision
-        query = "" if revision is None else f"?index={revision}&wait={WAIT // MILLISECOND}"
+        query = "" if revision is None else f"?index={revision}&wait={self._wait // MILLISECOND}"
         call = self._call = _WatchCall(self)
-        self._loop.call_after(LIST_OVERDUE if revision is None else WAIT + OVERDUE, call.overdue)
+        self._loop.call_after(self._wait + self._overdue, call.overdue)
         self._caller.start(call, call_bytes("GET", (PATH + query).encode(), str(self._address)))
 
     def answered(self, answer: Answer) -> None:
         self._call = None
+        self._overdue = OVERDUE
         if answer.status != HTTPStatus.OK:
             self.failed(f"status {answer.status}")
             return
@@ -171,11 +177,18 @@
         except (msgspec.MsgspecError, ValueError, OverflowError) as fault:
             self.failed(f"unreadable: {fault}")
             return
+        log.logger().debug("list_taken", revision=listed.revision, complete=listed.complete,
+                           members=",".join(f"{member.id}={member.phase}" for member in listed.members))
         self._counters.watch_answers += 1
         self._counters.list_lines += len(listed.members)
         self._ask()  # first: a watch goes on only if the next call comes soon after the answer
         self._tell(told)
 
+    def overdue(self) -> None:
+        """Waits longer for the next one: if discovery is slow, it would never get to say anything."""
+        self._overdue = min(self._overdue * 2, OVERDUE_MOST)
+        self.failed("no answer in time")
+
     def failed(self, why: str) -> None:
         self.stop()
         self._caller = None
@@ -204,6 +217,9 @@
             self._watch.failed(why)
 
     def overdue(self) -> None:
-        """Guards against a discovery whose machine has vanished: nothing would ever be said."""
+        """Guards against a watch that has fallen silent, as when discovery's machine vanishes.
+
+        Nothing would ever be said on it, and meanwhile jobs would go to workers that have left.
+        """
         if not self.dropped:
-            self._watch.failed("no answer in time")
+            self._watch.overdue()
--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -41,6 +41,7 @@
 OVER_YIELD: Final = 2.5  # times its worth, of the objective: the wait that work beyond its share may add to
 PROBE_SPEND: Final = 0.008  # points of service spent on probes for each job
 PROBE_WAIT: Final = 1 / 16  # of the objective: how long a head waits for probes it caused
+WATCH_AGAIN: Final = 0.0125  # of the span to ask within: two lists lost in a row may not miss a drain
 TELL_SPEND: Final = 0.02  # points of service spent on messages for each job
 TELL_LEAST: Final = 50_000
 FETCH_WORK: Final = 1.0  # of a mean job: what a worker that does not keep the key is taken to fetch
@@ -172,7 +173,7 @@
         settings = self.settings
         if event.listing is io.Listing.FAILED:
             self.watch_tries += 1
-            spread = settings.ask_within * min(1.0, 0.05 * 2**self.watch_tries)
+            spread = settings.ask_within * min(1.0, WATCH_AGAIN * 2**self.watch_tries)
             self._after(self.now + int(self.rng.uniform(0.3, 1.0) * spread), self._watch)
             return
         if event.listing is io.Listing.CACHED:
