Leave workers alone that fail all at once; keep clients in a drain while others restart

Drain, cause: the schedulers are told to end 3.0 s apart and take 5 s each to serve again (log lines draining at 13.87 and 16.86 s, serving at 18.91). The second ended its clients' connections with the next answers, at 16.9 s, when the first was not back. Line at fault: kept_until = now where there are other schedulers. Now connections are kept for 2.4 s: the clients of the first move to the second in time, those of the second stay until the first is back. Errors, cause: _learn left an erring worker alone only if the result was not ERROR; always free, it had the least work and was picked again and again. It tells of starts, which count as signs of life, so the doubt of silence would not have held. Now two errors in a row pause it, longer each time, and it is tried with one job at a time until it serves one. Jobs as the cause were ruled out: the same jobs are served elsewhere at once.

Looked into with every connection logged: after SIGTERM no new connection comes; where the clients run out of kept ones, they stop sending here 1.4 s after SIGTERM though 14 are open and idle, else they go on until these are closed at 3.4 s. That is chance, from here: the program keeps all of them open.

--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -26,6 +26,7 @@
 STILL_ARRIVING: Final = timedelta(milliseconds=700)  # after SIGTERM clients are sent here for up to 0.4 s
 LONGEST_GRACE: Final = timedelta(seconds=3)  # SIGKILL may come so long after that, or a deadline if shorter
 LAST_ANSWERS: Final = timedelta(milliseconds=300)  # before SIGKILL may come
+LAST_MOVES: Final = timedelta(seconds=1)  # before that: clients turn to other schedulers, if there are any
 QUIET: Final = timedelta(milliseconds=300)  # with nothing owed, before the program ends
 
 
@@ -106,13 +107,13 @@
         log.logger().info("draining", owed=len(self.book.exchanges))
         decisions = self.config.site.decisions
         longest = max(spec.deadline for spec in decisions.classes) * MICROSECOND
-        now = self.loop.now
-        arriving_until = now + STILL_ARRIVING
+        arriving_until = self.loop.now + STILL_ARRIVING
         last = arriving_until + min(longest, LONGEST_GRACE) - LAST_ANSWERS
-        # A lone scheduler's clients have nobody else to turn to: they are served while there is time.
-        alone = decisions.instances == 1
-        self.ingress.draining = Drain(arriving_until, last, kept_until=last if alone else now)
-        self.loop.call_at(last if alone else arriving_until, self._check_over)
+        # Guards against clients with nobody to turn to: a lone scheduler's have none, and in a rolling
+        # restart the scheduler before this one may not serve again yet.
+        kept_until = last if decisions.instances == 1 else max(arriving_until, last - LAST_MOVES)
+        self.ingress.draining = Drain(arriving_until, last, kept_until)
+        self.loop.call_at(kept_until, self._check_over)
 
     def _check_over(self) -> None:
         """Ends once nothing has been under way for a little while: what is on its way here is taken still."""
--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -33,6 +33,7 @@
 SIGN_LEAST: Final = 0.25  # of the objective: no sign is expected sooner
 NOTE_PATIENCE: Final = 2.5  # of the interval of progress notes
 DOUBT_LIMIT: Final = 0.4  # of the fleet: if more is silent, it is not the workers that are ill
+ERRORS_ILL: Final = 2  # in a row: a worker that fails all at once is always free, and would be picked again
 WARM_LEAST: Final = 0.5  # of the fleet: with all cold at once, what was served before says too much
 COLD_SPREAD: Final = 2.0  # half the deviations of chance that keep a cold worker from being pushed over
 SPARE_WORTH: Final = 0.5  # of the dearest work: what is worth less leaves one reported slot free
@@ -201,7 +202,7 @@
         if entry.started != worker.started:  # a restart: nothing learned of its state holds
             worker.started = entry.started
             worker.free_at = worker.cold_slot = -1
-            worker.avoid_until = worker.strikes = worker.refusals = 0
+            worker.avoid_until = worker.strikes = worker.refusals = worker.errors = 0
             return True
         return entry.state is not old.state or entry.zone != old.zone
 
@@ -393,6 +394,8 @@
         spec = job.spec
         if not worker.ready or worker.avoid_until > self.now or spec.kind not in (-1, worker.entry.kind):
             return False
+        if worker.errors >= ERRORS_ILL and worker.slots_out:
+            return False  # one at a time, to see whether it serves again
         if job.attempts and not self._may_repeat(worker, job):
             return False
         return not self._is_cold(worker) or job.work <= min(self.mean_work, self._cold_allowance(worker))
@@ -577,6 +580,23 @@
         if any(self._may_repeat(worker, job) for worker in self._eligible(job)):
             self.actions.append(io.Cancel(job.id, attempt.number))
 
+    def _errs(self, worker: Worker) -> None:
+        """Errors in a row: left alone as in doubt, though it tells of starts, until it has served a job.
+
+        Unless much of the fleet errs: then it is the jobs, and there is nowhere else to go.
+        """
+        worker.errors += 1
+        pool = self.fleet.pool(-1)
+        ill = sum(1 for other in pool if other.errors >= ERRORS_ILL and other is not worker)
+        if worker.errors >= ERRORS_ILL and ill < max(1.0, DOUBT_LIMIT * len(pool)):
+            worker.avoid_until = max(worker.avoid_until, self.now + self._pause(worker.errors - ERRORS_ILL))
+
+    def _pause(self, times: int) -> int:
+        """How long to leave a worker alone after so many earlier times."""
+        base = 4 * min(spec.objective for spec in self.settings.classes)
+        longest = max(base, self.settings.cold_time)
+        return int(min(base * 2.0 ** min(times, 16), longest) * self.rng.uniform(0.75, 1.25))
+
     def _doubt(self, worker: Worker, certain: bool = False) -> None:
         """Leave a worker alone for a while, longer at each strike, unless the whole fleet looks ill.
 
@@ -587,9 +607,7 @@
         if not worker.strikes and doubted >= max(1.0, DOUBT_LIMIT * len(pool)):
             return
         worker.strikes += 1
-        base = 4 * min(spec.objective for spec in self.settings.classes)
-        pause = min(base * 2 ** (worker.strikes - 1), max(base, self.settings.cold_time))
-        worker.avoid_until = self.now + int(pause * self.rng.uniform(0.75, 1.25))
+        worker.avoid_until = self.now + self._pause(worker.strikes - 1)
 
     def _heard(self, worker: Worker) -> None:
         """A sign of life: an answer, a start or progress; not a report, which a hung worker sends too."""
@@ -643,7 +661,7 @@
         job, worker, result = attempt.job, attempt.worker, event.result
         if result is io.Result.OK:
             self._heard(worker)
-            worker.refusals = 0
+            worker.refusals = worker.errors = 0
             self.served.add(job.work, self.now)
             if not attempt.begun:
                 self._learn_patience(attempt)
@@ -661,6 +679,8 @@
                 worker.free_at = -1
             elif result is not io.Result.ERROR:
                 self._doubt(worker, result is io.Result.CONNECT_FAILED)
+            else:
+                self._errs(worker)
 
     def _learn_pace(self, worker: Worker, sample: float) -> None:
         old = worker.known_pace()
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -55,6 +55,7 @@
     avoid_until: int = 0
     strikes: int = 0  # doubts since the last sign of it
     refusals: int = 0  # in a row
+    errors: int = 0  # in a row
     heard_at: int = 0
     cold_slot: int = -1  # while cold: the span of time that the allowance is for
     cold_left: float = 0.0  # work it may still get from here in that span
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -213,6 +213,38 @@
     assert pauses[2] > 1.3 * pauses[0]
 
 
+def test_a_worker_that_fails_all_at_once_is_left_alone_until_it_serves_again():
+    """Always free, it was picked again and again; that it tells of starts proved nothing."""
+    gateway = started(settings(), 1, 2, 3)
+
+    def submit(request, now):
+        return of(io.Send, gateway.handle(now, [arrival(request, now=now)]))[0].worker
+
+    def ends(request, now, worker, result):
+        gateway.handle(now, [io.Note(request, 0, worker), outcome(request, 0, worker, result),
+                             io.Abandoned(request)])
+
+    sent, now = [], 0
+    for request in range(40):
+        now += 10_000
+        sent.append(submit(request, now))
+        ends(request, now + 1, sent[-1], R.ERROR if sent[-1] == 1 else R.OK)
+    assert sent.count(1) == 2
+    now = gateway.workers[1].avoid_until + 1  # then one job at a time, until one is served
+    at_once = [submit(request, now) for request in range(50, 62)]
+    assert at_once.count(1) == 1
+    ends(50 + at_once.index(1), now + 1, 1, R.OK)
+    assert [submit(request, now + 2) for request in range(70, 74)].count(1) > 1
+
+
+def test_errors_everywhere_stop_no_worker():
+    gateway = started(settings(), 1, 2, 3, 4)
+    for request in range(40):
+        sent = of(io.Send, gateway.handle(request, [arrival(request)]))
+        gateway.handle(request, [outcome(request, 0, sent[0].worker, R.ERROR), io.Abandoned(request)])
+    assert sum(worker.avoid_until > 40 for worker in gateway.workers.values()) < 4
+
+
 def test_one_huge_job_does_not_distort_a_learned_pace():
     gateway = started(settings(), 1)
     gateway.handle(1, [arrival(1, hint=1000)])
