Judge a begun job's silence at a well worker by what such jobs turned out to be

Cause: _patience gave every begun attempt 4 times (run + aim), whatever its worker said meanwhile (_check took no sign for it). Ruled out: placing long jobs on fast workers by their hints, as the hints of long ones are ordinary (0.66 s for a job of over 9 s); a shorter time for all: at 2 to 4 times, 2 to 9 % of the runs that ended well would have been called off.

Changed: a worker that gave no sign since the job began has 4 times, as before; a well one has 8 at first, half as much again for each job that proves long (ends after more than 4), less for each that ends soon elsewhere (lost).

--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -29,6 +29,8 @@
 COPY_SHARE: Final = 0.1  # second copies as a share of arrivals, so that trouble everywhere starts no storm
 HEDGE_AFTER: Final = 3.0  # times the usual time to a start: what has not begun by then waits in a queue
 PATIENCE_START: Final = 4.0  # of the expected time to a sign, until a better one is learned
+RUN_PATIENCE: Final = (3.0, 8.0, 30.0)  # times a run's span: the least, at the start, the most
+RUN_LESSON: Final = 1.5  # by how much one job that was lost, or only long, changes it
 PATIENCE_SHARE: Final = 0.03  # of attempts on well workers that may outlast the learned patience
 SIGN_LEAST: Final = 0.25  # of the objective: no sign is expected sooner
 NOTE_PATIENCE: Final = 2.5  # of the interval of progress notes
@@ -127,6 +129,7 @@
         self.top_worth = max(spec.worth for spec in settings.classes)
         self.spans = [0] * len(settings.classes)
         self.patience = PATIENCE_START
+        self.run_patience = RUN_PATIENCE[1]
         self.prompt = self.mean_work / 16  # the median time from a send to its start
         self.hedges = settings.tells_start and settings.may_copy and settings.may_cancel
         self.reported: deque[Worker] = deque(maxlen=SAMPLE // 2)
@@ -545,8 +548,25 @@
             return int(max(attempt.expected * self.patience, least))  # a queue is not silence
         if self.settings.progress:
             return int(self.settings.progress * NOTE_PATIENCE)
-        run = attempt.job.work * attempt.worker.known_pace()
-        return int((run + attempt.job.spec.objective) * PATIENCE_START)
+        # A worker that gives other signs is well: there a silent job is more likely long than lost.
+        well = attempt.worker.heard_at > attempt.begun
+        return int(self._run_span(attempt) * (self.run_patience if well else PATIENCE_START))
+
+    def _run_span(self, attempt: Attempt) -> float:
+        """What a run takes by its hint, and its aim on top, for what the hint may be off."""
+        return attempt.job.work * attempt.worker.known_pace() + attempt.job.spec.objective
+
+    def _learn_run_patience(self, attempt: Attempt) -> None:
+        """Whether jobs that were silent at well workers are lost or only long shows when they end elsewhere.
+
+        To start a long one over throws its work away; one that is lost is the later the longer it is left.
+        """
+        spans = (self.now - attempt.begun) / self._run_span(attempt)
+        least, _, most = RUN_PATIENCE
+        if spans > PATIENCE_START:
+            self.run_patience = min(most, self.run_patience * RUN_LESSON)
+        elif attempt.job.silent and spans < PATIENCE_START / 2:
+            self.run_patience = max(least, self.run_patience / RUN_LESSON)
 
     def _learn_patience(self, attempt: Attempt) -> None:
         """A running quantile: hints may be far off, and slowness everywhere must not look like silence."""
@@ -578,6 +598,7 @@
         if not self.settings.may_cancel or not attempt.open or job.answered:
             return
         if any(self._may_repeat(worker, job) for worker in self._eligible(job)):
+            job.silent = attempt.begun > 0
             self.actions.append(io.Cancel(job.id, attempt.number))
 
     def _errs(self, worker: Worker) -> None:
@@ -665,6 +686,8 @@
             self.served.add(job.work, self.now)
             if not attempt.begun:
                 self._learn_patience(attempt)
+            else:
+                self._learn_run_patience(attempt)
             worker.cap += 1.0 / max(1.0, worker.cap)
             if attempt.begun or attempt.alone:
                 self._learn_pace(worker, (self.now - (attempt.begun or attempt.sent)) / max(1.0, job.work))
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -110,6 +110,7 @@
     answered: bool = False
     waiting: bool = False
     streaming: bool = False
+    silent: bool = False  # called off at a worker where it had begun and gave no sign
     hedged: bool = False  # a copy may be sent as soon as it seems to wait in a queue
     bearable: float = 0.0  # the wait at a worker beyond which it counts as busy for this job
     choice: Worker | None = None  # the pick for it, made when its head was found dispatchable
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -237,6 +237,40 @@
     assert [submit(request, now + 2) for request in range(70, 74)].count(1) > 1
 
 
+def silent_for(gateway, request, worker, now, well):
+    """How long a job that has begun at ``worker`` and stays silent is left there."""
+    gateway.handle(now, [io.Note(request, 0, worker)])
+    for step in range(1, 300):
+        then = now + step * 20_000
+        if well:  # other jobs begin there meanwhile
+            gateway.workers[worker].heard_at = then
+        if io.Cancel(request, 0) in gateway.handle(then, [io.Timer(0)]):
+            return step * 20_000
+    raise AssertionError("never called off")
+
+
+def begun_alone(well):
+    gateway = started(settings(may_copy=False), 1, 2)
+    worker = of(io.Send, gateway.handle(1, [arrival(1000, hint=50_000)]))[0].worker
+    return gateway, worker, silent_for(gateway, 1000, worker, 2, well)
+
+
+def test_a_begun_job_is_left_longer_at_a_worker_that_gives_other_signs():
+    """A long one that is started over loses its work; at a worker that says nothing at all it has no hope."""
+    assert 500_000 < begun_alone(well=False)[2] < 700_000 < 1_000_000 < begun_alone(well=True)[2] < 1_400_000
+
+
+@pytest.mark.parametrize(("run", "compare"), [(50_000, float.__lt__), (2_000_000, float.__gt__)])
+def test_what_silent_jobs_turned_out_to_be_is_learned(run, compare):
+    """Lost ones end soon elsewhere, long ones take as long there."""
+    gateway, first, left = begun_alone(well=True)
+    now, before = left + 10, gateway.run_patience
+    gateway.handle(now, [outcome(1000, 0, first, R.CANCELLED)])
+    gateway.handle(now + 1, [io.Note(1000, 1, 3 - first)])
+    gateway.handle(now + run, [outcome(1000, 1, 3 - first, R.OK)])
+    assert compare(gateway.run_patience, before)
+
+
 def test_errors_everywhere_stop_no_worker():
     gateway = started(settings(), 1, 2, 3, 4)
     for request in range(40):
