Leave a silent job longer only where others have just ended in their usual span

Cause: a worker that gives signs counted as well, and a slow one gives them too (starts, late ends); its jobs were left there for 8 spans that another worker would have ended sooner. Now a worker counts as well if another job has ended there within its usual span since, in the last two spans; and only at such a worker does a long run teach that jobs are long.

--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -548,9 +548,12 @@
             return int(max(attempt.expected * self.patience, least))  # a queue is not silence
         if self.settings.progress:
             return int(self.settings.progress * NOTE_PATIENCE)
-        # A worker that gives other signs is well: there a silent job is more likely long than lost.
-        well = attempt.worker.heard_at > attempt.begun
-        return int(self._run_span(attempt) * (self.run_patience if well else PATIENCE_START))
+        span = self._run_span(attempt)
+        return int(span * (self.run_patience if self._runs_well(attempt, span) else PATIENCE_START))
+
+    def _runs_well(self, attempt: Attempt, span: float) -> bool:
+        """Others end there as they should: one that is silent is long or lost, and its worker not slow."""
+        return attempt.worker.well_at > max(attempt.begun, self.now - 2 * span)
 
     def _run_span(self, attempt: Attempt) -> float:
         """What a run takes by its hint, and its aim on top, for what the hint may be off."""
@@ -561,9 +564,12 @@
 
         To start a long one over throws its work away; one that is lost is the later the longer it is left.
         """
-        spans = (self.now - attempt.begun) / self._run_span(attempt)
+        span = self._run_span(attempt)
+        spans = (self.now - attempt.begun) / span
         least, _, most = RUN_PATIENCE
-        if spans > PATIENCE_START:
+        if spans <= 1:
+            attempt.worker.well_at = self.now
+        if spans > PATIENCE_START and self._runs_well(attempt, span):
             self.run_patience = min(most, self.run_patience * RUN_LESSON)
         elif attempt.job.silent and spans < PATIENCE_START / 2:
             self.run_patience = max(least, self.run_patience / RUN_LESSON)
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -57,6 +57,7 @@
     refusals: int = 0  # in a row
     errors: int = 0  # in a row
     heard_at: int = 0
+    well_at: int = 0  # when a job last ended there within its usual span
     cold_slot: int = -1  # while cold: the span of time that the allowance is for
     cold_left: float = 0.0  # work it may still get from here in that span
     point: int = field(init=False)  # its place on the hash ring, mixed once
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -242,8 +242,9 @@
     gateway.handle(now, [io.Note(request, 0, worker)])
     for step in range(1, 300):
         then = now + step * 20_000
-        if well:  # other jobs begin there meanwhile
-            gateway.workers[worker].heard_at = then
+        gateway.workers[worker].heard_at = then  # other jobs begin there meanwhile
+        if well:  # and end within their usual span
+            gateway.workers[worker].well_at = then
         if io.Cancel(request, 0) in gateway.handle(then, [io.Timer(0)]):
             return step * 20_000
     raise AssertionError("never called off")
@@ -255,8 +256,8 @@
     return gateway, worker, silent_for(gateway, 1000, worker, 2, well)
 
 
-def test_a_begun_job_is_left_longer_at_a_worker_that_gives_other_signs():
-    """A long one that is started over loses its work; at a worker that says nothing at all it has no hope."""
+def test_a_begun_job_is_left_longer_at_a_worker_where_others_end_as_they_should():
+    """A long one that is started over loses its work; at a slow worker it would have had no hope (big-1)."""
     assert 500_000 < begun_alone(well=False)[2] < 700_000 < 1_000_000 < begun_alone(well=True)[2] < 1_400_000
 
 
@@ -267,6 +268,7 @@
     now, before = left + 10, gateway.run_patience
     gateway.handle(now, [outcome(1000, 0, first, R.CANCELLED)])
     gateway.handle(now + 1, [io.Note(1000, 1, 3 - first)])
+    gateway.workers[3 - first].well_at = now + run - 1
     gateway.handle(now + run, [outcome(1000, 1, 3 - first, R.OK)])
     assert compare(gateway.run_patience, before)
 
