Take a worker's 400 or 404 as the request's fault: try it nowhere else, blame no worker

Cause: _AttemptCall.answered took any answer but 202 and a declined 503 or 504 as ERROR.

Changed: 400 and 404 end the exchange with 400 at once (Book.reject); the module is told of an attempt that never ran.

The gain is that bad clients cannot make workers look ill.

--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -18,6 +18,7 @@
 
 IDLE_MARGIN: Final = timedelta(milliseconds=300)  # idle connections are closed so long before workers do
 ARRIVES_WITHIN: Final = timedelta(milliseconds=100)  # a DELETE, once it is written
+UNUSABLE: Final = (HTTPStatus.BAD_REQUEST, HTTPStatus.NOT_FOUND)  # the request's fault, not the worker's
 LATE_ANSWER: Final = timedelta(seconds=2)  # for an answer on which nothing depends any more
 
 
@@ -77,6 +78,9 @@
         """The call of an attempt has told its end."""
         self._book.end(attempt, result, self._report_of(answer), why=why)
 
+    def unusable(self, attempt: Attempt, why: str) -> None:
+        self._book.reject(attempt, why)
+
     def over(self, attempt: Attempt) -> None:
         """The call of an attempt is over, whether or not the attempt is."""
         self._calls.pop(attempt, None)
@@ -166,6 +170,9 @@
         self._egress.free(self.caller)
         if answer.status == HTTPStatus.ACCEPTED:
             return
+        if answer.status in UNUSABLE:
+            self._egress.unusable(self._attempt, f"status {answer.status}")
+            return
         declined = answer.headers.get(b"srv-declined") == b"1"
         unstarted = declined and answer.status in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT)
         result = Result.FULL if unstarted else Result.ERROR
--- a/carthinge/net/exchange.py
+++ b/carthinge/net/exchange.py
@@ -51,6 +51,9 @@
 
     def fail(self, timed_out: bool) -> None: ...
 
+    def reject(self) -> None:
+        """No worker could use the request."""
+
 
 class Target(Protocol):
     """Egress side of all exchanges."""
@@ -166,6 +169,18 @@
                                       latency // MICROSECOND, not exchange.owed, report))
         self._forget_if_over(exchange)
 
+    def reject(self, attempt: Attempt, why: str) -> None:
+        """The worker has turned the request away as unusable, as any other would.
+
+        Guards against bad requests that are tried at one worker after the other and count against each.
+        """
+        exchange = attempt.exchange
+        if attempt.open and exchange.owed:
+            exchange.owed = False
+            self._counters.failed += 1
+            exchange.client.reject()
+        self.end(attempt, io.Result.MOOT, why=why)
+
     # ---- what is decided ------------------------------------------------------------------
 
     def decide(self) -> None:
--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -391,6 +391,10 @@
     def fail(self, timed_out: bool) -> None:
         self._answer(HTTPStatus.GATEWAY_TIMEOUT if timed_out else HTTPStatus.BAD_GATEWAY)
 
+    def reject(self) -> None:
+        self._answer(HTTPStatus.BAD_REQUEST, b"no worker can use this request\n")
+        self._ingress.places.misused(self)
+
     def _answer(self, status: int, body: bytes = b"", headers: list[tuple[str, str]] | None = None,
                 keep_alive: bool = True) -> None:
         request, self._current, self._exchange = self._current, None, None
