Take a hint of over ten deadlines as ten, so that one absurd hint does not move the mean

Seen by reading: _arrive takes a client's Req-Cost as it comes, and mean_work, on which caps, reports and allowances rest, moves by a fiftieth of it; a hint of 10^15 us from one bad client would hold for hundreds of jobs.

--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -39,6 +39,7 @@
 WARM_LEAST: Final = 0.5  # of the fleet: with all cold at once, what was served before says too much
 COLD_SPREAD: Final = 2.0  # half the deviations of chance that keep a cold worker from being pushed over
 SPARE_WORTH: Final = 0.5  # of the dearest work: what is worth less leaves one reported slot free
+HINT_MOST: Final = 10.0  # times a class's deadline: long jobs are hinted at several times that
 QUOTA_DEPTH: Final = 5.0  # requests a tenant may be ahead of its quota here, for chance
 QUOTA_SECONDS: Final = 3.0  # or so many seconds of its quota, if that is more
 OVER_YIELD: Final = 2.5  # times its worth, of the objective: the wait that work beyond its share may add to
@@ -227,6 +228,8 @@
     def _arrive(self, event: io.Arrival) -> None:
         spec = self.settings.classes[event.job_class]
         work = float(event.hint) if event.hint is not None else self.mean_work
+        if spec.deadline > 0:  # one absurd hint must not distort the mean of all
+            work = min(work, HINT_MOST * spec.deadline)
         queue = self.ring.queues[event.tenant if event.tenant < len(self.ring.queues) else 0]
         cost = max(1.0, work * event.slots)
         rank = -spec.worth / (1.0 if self.settings.worth_by_work else cost)  # WSPT: worth for its work
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -281,6 +281,12 @@
     assert sum(worker.avoid_until > 40 for worker in gateway.workers.values()) < 4
 
 
+def test_an_absurd_hint_does_not_distort_the_mean_of_the_work():
+    gateway = started(settings(), 1)
+    gateway.handle(1, [arrival(1, hint=10**15)])
+    assert gateway.mean_work < 2 * SAFE.deadline
+
+
 def test_one_huge_job_does_not_distort_a_learned_pace():
     gateway = started(settings(), 1)
     gateway.handle(1, [arrival(1, hint=1000)])
