--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -190,6 +190,14 @@
     entries: Sequence[WorkerEntry] = ()
 
 
+@dataclass(slots=True)
+class ByHand:
+    """Operators take a worker out, or put it back; no list undoes that."""
+
+    worker: int
+    out: bool
+
+
 @dataclass(slots=True)
 class Arrival:
     """A client's job; one final answer is now owed."""
@@ -269,7 +277,8 @@
     token: int
 
 
-Event = WorkerList | Arrival | StreamStarted | Outcome | Abandoned | Note | ProbeResult | Message | Timer
+Event = (WorkerList | ByHand | Arrival | StreamStarted | Outcome | Abandoned | Note | ProbeResult | Message
+         | Timer)
 
 
 # ---- actions ----------------------------------------------------------------------------------
--- a/carthinge/net/config.py
+++ b/carthinge/net/config.py
@@ -32,6 +32,7 @@
     discovery: str
     seed: str
     settings: dict[str, Any]
+    operator: str | None = None
     limits: Limits = Limits()
     known: Listed = Listed()
 
@@ -45,6 +46,7 @@
 
     name: str
     listen: Address
+    operator: Address | None  #: where operators call, if anywhere
     discovery: Address
     seed: int
     limits: Limits
@@ -75,9 +77,11 @@
     try:
         for member in file.known.members:
             Address.parse(member.host_port)
+        operator = environment.get("RELAY_OPERATOR") or file.operator
         return Config(
             name=environment.get("RELAY_NAME") or file.name,
             listen=Address.parse(environment.get("RELAY_LISTEN") or file.listen),
+            operator=Address.parse(operator) if operator else None,
             discovery=Address.parse(environment.get("RELAY_DISCOVERY") or file.discovery),
             seed=int(file.seed, 16),
             limits=file.limits,
--- a/carthinge/net/counters.py
+++ b/carthinge/net/counters.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass
+from collections import Counter
+from dataclasses import asdict, dataclass, field
 
 
 @dataclass(slots=True)
@@ -15,7 +16,8 @@
     failed: int = 0
     client_gone: int = 0  #: closed by the client before its answer
     bad_input: int = 0  #: refused with 400, 404 or 413, never taken
-    attempts: int = 0
+    attempts: int = 0  #: begun
+    attempts_written: int = 0  #: of these, written whole to a worker
     attempt_ok: int = 0
     attempt_error: int = 0
     attempt_full: int = 0
@@ -35,6 +37,24 @@
     watch_answers: int = 0
     watch_failures: int = 0
     list_lines: int = 0  #: entries that discovery has sent
+    reloads_ok: int = 0  #: files taken at SIGHUP
+    reloads_failed: int = 0  #: files turned down then
+    operator_calls: int = 0
+    operator_silent: int = 0  #: callers at the operators' address that were cut off without a whole call
 
     def as_dict(self) -> dict[str, int]:
         return asdict(self)
+
+
+@dataclass(slots=True)
+class ByClass:
+    """How jobs ended since the start, by the names of their classes; one that is dropped keeps its counts."""
+
+    served: Counter[str] = field(default_factory=Counter)
+    refused: Counter[str] = field(default_factory=Counter)
+    failed: Counter[str] = field(default_factory=Counter)
+
+    def name(self, classes: tuple[str, ...]) -> None:
+        """Shows these from now on, with zero until they have counts."""
+        for counts in (self.served, self.refused, self.failed):
+            counts.update(dict.fromkeys(classes, 0))
--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -81,6 +81,9 @@
     def unusable(self, attempt: Attempt, why: str) -> None:
         self._book.reject(attempt, why)
 
+    def arrived(self, attempt: Attempt) -> None:
+        self._book.arrived(attempt)
+
     def over(self, attempt: Attempt) -> None:
         """The call of an attempt is over, whether or not the attempt is."""
         self._calls.pop(attempt, None)
@@ -124,6 +127,11 @@
         self._counters.connections_out += 1
         return caller
 
+    def close_idle(self, address: Address) -> None:
+        """Guards against connections to a worker that is restarted by hand: what is sent on them is lost."""
+        for caller in [caller for caller in self._idle if caller.address == address]:
+            self._drop(caller)
+
     def free(self, caller: Caller) -> None:
         """A call is over: its connection is kept for the next one, if it still stands."""
         if caller.closed:
@@ -163,7 +171,7 @@
         self._attempt = attempt
 
     def written(self) -> None:
-        self._attempt.arrived = True
+        self._egress.arrived(self._attempt)
 
     def answered(self, answer: Answer) -> None:
         self._egress.over(self._attempt)
--- a/carthinge/net/exchange.py
+++ b/carthinge/net/exchange.py
@@ -9,7 +9,7 @@
 
 from carthinge import interface as io
 from carthinge.net import log
-from carthinge.net.counters import Counters
+from carthinge.net.counters import ByClass, Counters
 from carthinge.net.loop import MICROSECOND, Loop, Timer
 from carthinge.net.route_table import EgressTarget
 from carthinge.policy import Dispatcher
@@ -33,6 +33,7 @@
     """How a job counts for the decisions."""
 
     job_class: int
+    class_name: str
     tenant: int
     patience: timedelta  #: how long its client waits from now
     key: int = 0
@@ -86,6 +87,7 @@
 
     number: int
     job: Job
+    class_name: str
     client: Client
     give_up: timedelta
     owed: bool = True
@@ -106,6 +108,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self.by_id: dict[str, Exchange] = {}
         self.events: list[io.Event] = []
+        self.ended = ByClass()
         self._loop = loop
         self._dispatcher = dispatcher
         self._targets = targets
@@ -125,7 +128,7 @@
         """A whole request has come: one final answer is owed from now on."""
         self._count += 1
         give_up = self._loop.now + terms.patience - ANSWER_MARGIN
-        exchange = Exchange(self._count, job, client, give_up)
+        exchange = Exchange(self._count, job, terms.class_name, client, give_up)
         self.exchanges[exchange.number] = self.by_id[job.id] = exchange
         self._counters.taken += 1
         hint = None if terms.hint is None else terms.hint // MICROSECOND
@@ -141,6 +144,16 @@
             self.events.append(io.Abandoned(exchange.number))
             self._forget_if_over(exchange)
 
+    def arrived(self, attempt: Attempt) -> None:
+        """The last byte of an attempt is written."""
+        if not attempt.arrived:
+            attempt.arrived = True
+            self._counters.attempts_written += 1
+
+    def in_flight(self) -> int:
+        """How many are owed an answer."""
+        return sum(exchange.owed for exchange in self.exchanges.values())
+
     def note(self, attempt: Attempt, done: float | None) -> None:
         """News of an attempt that is out."""
         if attempt.open:
@@ -163,6 +176,7 @@
         elif exchange.owed:
             exchange.owed = False
             self._counters.served += 1
+            self.ended.served[exchange.class_name] += 1
             exchange.client.serve(answer)
         latency = max(timedelta(), self._loop.now - attempt.sent)
         self.events.append(io.Outcome(exchange.number, attempt.number, attempt.target.number, result,
@@ -176,8 +190,7 @@
         """
         exchange = attempt.exchange
         if attempt.open and exchange.owed:
-            exchange.owed = False
-            self._counters.failed += 1
+            self._count_failed(exchange)
             exchange.client.reject()
         self.end(attempt, io.Result.MOOT, why=why)
 
@@ -229,17 +242,22 @@
         if exchange is not None and exchange.owed:
             exchange.owed = False
             self._counters.shed += 1
+            self.ended.refused[exchange.class_name] += 1
             exchange.client.shed(action.stay_away * MICROSECOND)
             self._forget_if_over(exchange)
 
     def _fail(self, action: io.Fail) -> None:
         exchange = self.exchanges.get(action.request)
         if exchange is not None and exchange.owed:
-            exchange.owed = False
-            self._counters.failed += 1
+            self._count_failed(exchange)
             exchange.client.fail(timed_out=self._loop.now >= exchange.give_up)
             self._forget_if_over(exchange)
 
+    def _count_failed(self, exchange: Exchange) -> None:
+        exchange.owed = False
+        self._counters.failed += 1
+        self.ended.failed[exchange.class_name] += 1
+
     def _set_timer(self, action: io.SetTimer) -> None:
         token = action.token
         self._loop.call_at(action.due * MICROSECOND, lambda: self.tell(io.Timer(token)))
--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import re
 import socket
 from collections import deque
@@ -20,18 +19,16 @@
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
 from carthinge.net.exchange import Attempt, Book, Exchange, Job, Terms
-from carthinge.net.http import GO_AHEAD, Address, BadRequestError, Request, RequestReader, answer_bytes
-from carthinge.net.loop import MICROSECOND, MILLISECOND, READ, Loop, Timer
+from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes
+from carthinge.net.listener import Listener
+from carthinge.net.loop import MICROSECOND, MILLISECOND, Loop, Timer
 from carthinge.net.places import Places
 from carthinge.net.stream import Stream
 from carthinge.settings import Site
 
 CALL_BACK: Final = b"/v1/job-events"
 JOBS: Final = b"/api"  # a further part, where there is one, is the key
-BACKLOG: Final = 1024
 PIPELINED: Final = 8  # requests that may wait on one connection; clients of this protocol send one at a time
-ACCEPTED_AT_ONCE: Final = 16  # few: what was accepted before is read in between, and not pushed out unread
-ACCEPT_PAUSE: Final = timedelta(milliseconds=50)
 PAUSE_TOLD: Final = timedelta(seconds=10)  # pauses that follow on one another are logged once in a while
 FIRST_REQUEST: Final = timedelta(milliseconds=2500)  # from connecting to the last byte of a first request
 FRESH_CHECKED: Final = timedelta(milliseconds=200)  # how often that is looked at
@@ -70,7 +67,8 @@
         job_id = _text(headers, b"req-id")
         if not REQUEST_ID.fullmatch(job_id):  # it becomes part of a path
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Id: missing or malformed")
-        job_class = self._classes.get(_text(headers, b"req-kind"))
+        class_name = _text(headers, b"req-kind")
+        job_class = self._classes.get(class_name)
         if job_class is None:
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Kind: not a class of this site")
         tenant = self._tenants.get(_text(headers, b"req-owner")) if self._tenants else 0
@@ -84,8 +82,9 @@
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Cost: not a number") from None
         if cost is not None and cost < timedelta():
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Cost: negative")
-        terms = Terms(job_class, tenant, _span(_text(headers, b"req-deadline")), _key(request.target), cost,
-                      extra.get("slots", 1.0), extra.get("memory", 0.0), headers.get(b"req-retry") == b"1")
+        terms = Terms(job_class, class_name, tenant, _span(_text(headers, b"req-deadline")),
+                      _key(request.target), cost, extra.get("slots", 1.0), extra.get("memory", 0.0),
+                      headers.get(b"req-retry") == b"1")
         passed = tuple((name.decode().title(), headers[name]) for name in PASSED_ON if name in headers)
         return Job(job_id, request.target, request.body, passed), terms
 
@@ -141,24 +140,12 @@
         self.draining: Drain | None = None
         self.places = Places(most)
         self._egress = egress
-        self._listener: socket.socket | None = None
+        self._listener: Listener | None = None
         self._checking = False
-        self._paused = False
         self._pause_told = timedelta()
 
-    def listen(self, address: Address) -> None:
-        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        try:
-            listener.bind((address.host, address.port))
-            listener.listen(BACKLOG)
-        except OSError:
-            listener.close()
-            raise
-        self._listener = listener
-        self.loop.register(listener, READ, self._accept)
+    def listen(self, sock: socket.socket) -> None:
+        self._listener = Listener(self.loop, sock, self)
 
     def keeps_connections(self) -> bool:
         return self.draining is None or self.loop.now < self.draining.kept_until
@@ -176,10 +163,7 @@
 
     def close(self) -> None:
         if self._listener is not None:
-            if not self._paused:
-                self.loop.forget(self._listener)
             self._listener.close()
-            self._listener = None
         for connection in self.places.all():
             connection.close()
 
@@ -205,36 +189,31 @@
         self._egress.forsake(attempt)
         self.book.end(attempt, result, self._egress.report(event.load), event.result.encode())
 
-    def _accept(self, _: int) -> None:
-        for _ in range(ACCEPTED_AT_ONCE):
-            if self._listener is None or not self._has_room():
-                return
-            try:
-                sock, _ = self._listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as fault:
-                if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self._pause(str(fault))
-                    return
-                continue  # that client was gone before it was accepted
-            self.counters.connections_in += 1
-            self.places.enter(IngressConnection(self, sock), self.loop.now)
-            if not self._checking:
-                self._checking = True
-                self.loop.call_after(FRESH_CHECKED, self._check_fresh)
-
-    def _has_room(self) -> bool:
+    # ---- the listener ---------------------------------------------------------------------
+
+    def room(self) -> str | None:
         """Makes room, where all places are taken, by closing a connection."""
         if len(self.places) < self.places.most:
-            return True
+            return None
         holder = self.places.make_room()
         if holder is None:
-            self._pause("every connection has a request under way")
-            return False
+            return "every connection has a request under way"
         self.counters.connections_in_closed_early += 1
         holder.close()
-        return True
+        return None
+
+    def enter(self, sock: socket.socket) -> None:
+        self.counters.connections_in += 1
+        self.places.enter(IngressConnection(self, sock), self.loop.now)
+        if not self._checking:
+            self._checking = True
+            self.loop.call_after(FRESH_CHECKED, self._check_fresh)
+
+    def resting(self, why: str) -> None:
+        self.counters.accept_pauses += 1
+        if self.loop.now >= self._pause_told + PAUSE_TOLD:
+            self._pause_told = self.loop.now
+            log.logger().warning("accept_paused", why=why, connections=len(self.places))
 
     def _check_fresh(self) -> None:
         """Guards against clients that connect and say nothing, or never end their first request."""
@@ -245,22 +224,6 @@
         if self._checking:
             self.loop.call_after(FRESH_CHECKED, self._check_fresh)
 
-    def _pause(self, why: str) -> None:
-        """Guards against spinning on a listener that stays ready while no descriptor is left."""
-        assert self._listener is not None
-        self.counters.accept_pauses += 1
-        if self.loop.now >= self._pause_told + PAUSE_TOLD:
-            self._pause_told = self.loop.now
-            log.logger().warning("accept_paused", why=why, connections=len(self.places))
-        self._paused = True
-        self.loop.forget(self._listener)
-        self.loop.call_after(ACCEPT_PAUSE, self._resume)
-
-    def _resume(self) -> None:
-        if self._listener is not None and self._paused:
-            self._paused = False
-            self.loop.register(self._listener, READ, self._accept)
-
 
 class IngressConnection:
     """One connection of a client or of a worker that calls back.  Answers go out in the order of requests."""
--- /dev/null
+++ b/carthinge/net/listener.py
@@ -0,0 +1,93 @@
+"""A listening socket in the loop, which rests for a while when nothing more can be taken in."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from datetime import timedelta
+from typing import Final, Protocol
+
+from carthinge.net.http import Address
+from carthinge.net.loop import READ, Loop
+
+ACCEPTED_AT_ONCE: Final = 16  # few: what was accepted before is read in between, and not pushed out unread
+ACCEPT_PAUSE: Final = timedelta(milliseconds=50)
+NO_DESCRIPTOR: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class ListenerOwner(Protocol):
+    """Who takes connections in."""
+
+    def room(self) -> str | None:
+        """Makes room for one connection; where that is not possible, says why."""
+
+    def enter(self, sock: socket.socket) -> None:
+        """A connection has come in."""
+
+    def resting(self, why: str) -> None:
+        """Nothing is taken in for a while."""
+
+
+def bind(address: Address, backlog: int) -> socket.socket:
+    """A socket that listens; raises OSError where it cannot."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((address.host, address.port))
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class Listener:
+    """Accepts in the loop until it is closed."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, owner: ListenerOwner) -> None:
+        self._loop = loop
+        self._sock = sock
+        self._owner = owner
+        self._resting = False
+        self._closed = False
+        sock.setblocking(False)
+        loop.register(sock, READ, self._accept)
+
+    def close(self) -> None:
+        """Ends only this process's hold of the socket: another that holds it goes on to accept."""
+        if not self._closed:
+            self._closed = True
+            if not self._resting:
+                self._loop.forget(self._sock)
+            self._sock.close()
+
+    def _accept(self, _: int) -> None:
+        for _ in range(ACCEPTED_AT_ONCE):
+            if self._closed:
+                return
+            why = self._owner.room()
+            if why is not None:
+                self._rest(why)
+                return
+            try:
+                sock, _ = self._sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as fault:
+                if fault.errno in NO_DESCRIPTOR:
+                    self._rest(str(fault))
+                    return
+                continue  # that one was gone before it was accepted
+            self._owner.enter(sock)
+
+    def _rest(self, why: str) -> None:
+        """Guards against spinning on a listener that stays ready while no descriptor is left."""
+        self._owner.resting(why)
+        self._resting = True
+        self._loop.forget(self._sock)
+        self._loop.call_after(ACCEPT_PAUSE, self._resume)
+
+    def _resume(self) -> None:
+        if not self._closed:
+            self._resting = False
+            self._loop.register(self._sock, READ, self._accept)
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -8,20 +8,23 @@
 from dataclasses import replace
 from datetime import timedelta
 from types import FrameType
-from typing import Final
+from typing import Any, Final
 
-from carthinge.interface import Listing
+from carthinge.interface import ByHand, Listing
 from carthinge.net import log
 from carthinge.net.config import Config, ConfigError
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
 from carthinge.net.exchange import Book
 from carthinge.net.ingress import Drain, Ingress
+from carthinge.net.listener import bind
 from carthinge.net.loop import MICROSECOND, READ, Loop
-from carthinge.net.route_table import RouteTable, RouteWatch
+from carthinge.net.operator import PLACES, Operator
+from carthinge.net.route_table import RouteTable, RouteWatch, number_of
 from carthinge.policy import Dispatcher
 
 SPARE_SOCKETS: Final = 48  # of the limit: for the listener, discovery, the log and what the runtime holds
+BACKLOG: Final = 1024
 EGRESS_SHARE: Final = 0.4  # of the rest: a call holds its connection only until the 202
 STILL_ARRIVING: Final = timedelta(milliseconds=700)  # after SIGTERM clients are sent here for up to 0.4 s
 LONGEST_GRACE: Final = timedelta(seconds=3)  # SIGKILL may come so long after that, or a deadline if shorter
@@ -39,17 +42,19 @@
         self.loop = Loop()
         self.counters = Counters()
         self.table = RouteTable(config.site, self.loop.clock)
-        dispatcher = Dispatcher(config.site.decisions, config.seed)
-        self.book = Book(self.loop, dispatcher, self.table.targets, self.counters)
-        rest = max(16, config.limits.sockets - SPARE_SOCKETS)
+        self.dispatcher = Dispatcher(config.site.decisions, config.seed)
+        self.book = Book(self.loop, self.dispatcher, self.table.targets, self.counters)
+        self.book.ended.name(config.site.classes)
+        rest = max(16, config.limits.sockets - SPARE_SOCKETS - (PLACES if config.operator else 0))
         out = int(rest * EGRESS_SHARE)
-        egress = Egress(self.loop, config.site, self.book, self.counters, out)
-        self.ingress = Ingress(self.loop, config.site, self.book, egress, self.counters, rest - out,
+        self.egress = Egress(self.loop, config.site, self.book, self.counters, out)
+        self.ingress = Ingress(self.loop, config.site, self.book, self.egress, self.counters, rest - out,
                                lambda: bool(self.table.ready))
         self.watch = RouteWatch(self.loop, config.discovery, self.table, config.site.connect_timeout,
                                 config.site.decisions.instances, self.counters, self.book.tell)
-        self.book.target = egress
+        self.book.target = self.egress
         self.book.watch = self.watch.start
+        self.operator: Operator | None = None
         self._quiet_since: timedelta | None = None
         self._over = False
 
@@ -58,7 +63,9 @@
         self._take_signals()
         self.book.tell(self.table.take(self.config.known, Listing.CACHED))
         self.book.decide()
-        self.ingress.listen(self.config.listen)
+        self.ingress.listen(bind(self.config.listen, BACKLOG))
+        if self.config.operator is not None:
+            self.operator = Operator(self.loop, self.config.operator, self, self.counters)
         log.logger().info("serving", listen=str(self.config.listen),
                           workers=len(self.table.ready), revision=self.table.revision,
                           discovery=str(self.config.discovery))
@@ -67,10 +74,38 @@
             self.book.decide()
         self.watch.stop()
         self.ingress.close()
+        if self.operator is not None:
+            self.operator.close()
         self.loop.close()
         log.logger().info("stopped", unanswered=sum(e.owed for e in self.book.exchanges.values()),
                           **self.counters.as_dict())
 
+    # ---- what operators ask for -----------------------------------------------------------
+
+    def serving(self) -> bool:
+        return bool(self.table.ready) and self.ingress.draining is None
+
+    def figures(self) -> dict[str, Any]:
+        ended, counters = self.book.ended, self.counters
+        return {"served": ended.served, "refused": ended.refused, "failed": ended.failed,
+                "attempts": counters.attempts_written, "in_flight": self.book.in_flight(),
+                "workers_known": len(self.table.listed),
+                "workers_excluded": self.dispatcher.excluded(self.loop.now // MICROSECOND),
+                "reloads_ok": counters.reloads_ok, "reloads_failed": counters.reloads_failed}
+
+    def by_hand(self, worker: str, out: bool, done: Callable[[bool], None]) -> None:
+        """The module hears of it in this turn, before it decides on anything else."""
+        number = number_of(worker)
+        known = worker in self.table.listed or number in self.dispatcher.out
+        if known:
+            log.logger().info("worker_out" if out else "worker_back", worker=worker)
+            self.book.tell(ByHand(number, out))
+            if number in self.table.targets:
+                self.egress.close_idle(self.table.targets[number].address)
+        done(known)
+
+    # ---- signals --------------------------------------------------------------------------
+
     def _take_signals(self) -> None:
         """Signals come as bytes on a socket, so that they are handled in a turn like all else."""
         wake_in, wake_out = socket.socketpair()
@@ -95,8 +130,10 @@
         try:
             config = self._reload_config()
         except ConfigError as fault:
+            self.counters.reloads_failed += 1
             log.logger().error("reload_failed", why=str(fault), discovery=str(self.config.discovery))
             return
+        self.counters.reloads_ok += 1
         log.logger().info("reloaded", discovery=str(config.discovery), before=str(self.config.discovery))
         self.config = replace(self.config, discovery=config.discovery)
         self.watch.move(config.discovery)
--- a/carthinge/net/route_table.py
+++ b/carthinge/net/route_table.py
@@ -73,6 +73,7 @@
         self.targets: dict[int, EgressTarget] = {}
         self.revision: int | None = None  # none that the present discovery has given
         self.ready: set[str] = set()
+        self.listed: set[str] = set()  # ready or not
         self._zones = {name: index for index, name in enumerate(site.zones)}
         self._kinds = {name: index for index, name in enumerate(site.kinds)}
         self._clock = clock
@@ -86,6 +87,7 @@
         entries = tuple(self._entry(member) for member in listed.members)
         if listing is not Listing.CHANGES:
             self.ready.clear()
+            self.listed.clear()
         for member, entry, address in zip(listed.members, entries, addresses, strict=True):
             self._hold(member, entry.worker, address)
         self.revision = listed.revision
@@ -94,10 +96,8 @@
     def _hold(self, member: Member, number: int, address: Address) -> None:
         target = self.targets.setdefault(number, EgressTarget(member.id, number, address))
         target.address = address
-        if member.phase == "Ready":
-            self.ready.add(member.id)
-        else:
-            self.ready.discard(member.id)
+        (self.ready.add if member.phase == "Ready" else self.ready.discard)(member.id)
+        (self.listed.add if member.phase != "Gone" else self.listed.discard)(member.id)
 
     def _entry(self, member: Member) -> WorkerEntry:
         number = number_of(member.id)
--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -119,6 +119,7 @@
         self.jobs: dict[int, Job] = {}
         self.fleet = Fleet(settings.price_connection > 0 and settings.price_fetch <= 0, self._near)
         self.workers = self.fleet.workers
+        self.out: set[int] = set()  # by hand: ids, since discovery may drop a worker and list it again
         self.kinds = self.fleet.kinds
         self.ring = DeficitRing(self._quanta())
         self.timers = Timers()
@@ -141,7 +142,7 @@
         self.handlers: dict[type, Callable[..., None]] = {
             io.Arrival: self._arrive, io.Outcome: self._end, io.Note: self._hear, io.Timer: self._nothing,
             io.WorkerList: self._list, io.ProbeResult: self._probed, io.Message: self._told,
-            io.Abandoned: self._abandon, io.StreamStarted: self._stream}
+            io.Abandoned: self._abandon, io.StreamStarted: self._stream, io.ByHand: self._by_hand}
 
     def handle(self, now: int, events: Sequence[io.Event]) -> list[io.Action]:
         """What to do about ``events``, which all happened at ``now``."""
@@ -188,7 +189,7 @@
         changed = event.listing is not io.Listing.CHANGES
         if changed:
             for worker in self.workers.values():
-                worker.ready = False  # unless it is named below
+                worker.ready = worker.listed = False  # unless it is named below
         for entry in event.entries:
             known = self.workers.get(entry.worker)
             if known is None:
@@ -201,15 +202,33 @@
     def _renew(self, worker: Worker, entry: io.WorkerEntry) -> bool:
         """Takes in what the list says; tells whether more than the rating has changed."""
         old, worker.entry = worker.entry, entry
-        worker.ready = entry.state is io.State.READY
+        worker.listed = entry.state is not io.State.GONE
+        worker.ready = entry.state is io.State.READY and worker.id not in self.out
         worker.pool.size = max(worker.pool.size, entry.rating)
-        if entry.started != worker.started:  # a restart: nothing learned of its state holds
-            worker.started = entry.started
+        started = max(entry.started, worker.back)
+        if started != worker.started:  # a restart: nothing learned of its state holds
+            worker.started = started
             worker.free_at = worker.cold_slot = -1
             worker.avoid_until = worker.strikes = worker.refusals = worker.errors = 0
             return True
         return entry.state is not old.state or entry.zone != old.zone
 
+    def _by_hand(self, event: io.ByHand) -> None:
+        """Out until it is put back, whatever is listed; then it is cold, and nothing learned of it holds."""
+        worker = self.workers.get(event.worker)
+        if worker and not event.out and event.worker in self.out:
+            worker = self.fleet.anew(worker, CAP_START, self.now)
+        (self.out.add if event.out else self.out.discard)(event.worker)
+        if worker:
+            worker.ready = worker.listed and worker.entry.state is io.State.READY and not event.out
+            self.fleet.renew()
+            self.list_version += 1
+
+    def excluded(self, now: int) -> int:
+        """How many of the listed workers get nothing just now, by hand or by choice."""
+        return sum(worker.listed and (worker.id in self.out or worker.avoid_until > now)
+                   for worker in self.workers.values())
+
     def _begin(self) -> None:
         """Watches of hundreds of gateways are spread so that a list of fixed capacity can answer."""
         settings = self.settings
@@ -412,7 +431,7 @@
         for attempt in job.attempts:
             if not attempt.may_have_run:
                 continue
-            if attempt.worker is worker or spec.effect is io.Effect.UNSAFE:
+            if attempt.worker.id == worker.id or spec.effect is io.Effect.UNSAFE:
                 return False
             if spec.effect is io.Effect.KEYED:
                 there, here = attempt.entry, worker.entry
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -42,8 +42,10 @@
     id: int
     pool: Kind
     cap: float  # outstanding slots beyond which it counts as busy
-    started: int = -1
-    ready: bool = False
+    started: int = -1  # when it last started, or was put back by hand
+    back: int = 0  # when it was put back by hand
+    listed: bool = False  # in any state but gone
+    ready: bool = False  # listed so, and not taken out by hand
     near: bool = False  # in this gateway's part of the fleet
     slots_out: float = 0.0
     work_out: float = 0.0
@@ -235,6 +237,15 @@
         self.tags.setdefault(worker.tag, worker)
         return worker
 
+    def anew(self, old: Worker, cap: float, now: int) -> Worker:
+        """Forgets a worker's past; attempts from before go on counting on the old record."""
+        old.ready = False
+        worker = self.add(old.entry, cap)
+        worker.listed = old.listed
+        worker.started = worker.back = now
+        self.tags[worker.tag] = worker
+        return worker
+
     def renew(self) -> None:
         """To be called when the list has changed."""
         self._pools.clear()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -524,3 +524,56 @@
     gateway = started(settings(job_class, may_copy=False), *workers)
     gateway.handle(1, [arrival(1)])
     assert not of(io.Cancel, gateway.handle(2_000_000, [io.Timer(0)]))
+
+
+# ---- workers out by hand ------------------------------------------------------------------------
+
+
+def test_a_worker_out_by_hand_is_not_picked_whatever_is_listed_and_others_are():
+    gateway = started(settings(), 1, 2)
+    gateway.handle(1, [io.ByHand(1, True)])
+    restarted = listing(io.WorkerEntry(1, started=5), 2, kind=io.Listing.WHOLE)
+    for now, event in enumerate([listing(1, kind=io.Listing.CHANGES), restarted], 10):
+        sends = of(io.Send, gateway.handle(now, [event, arrival(now, now=now)]))
+        assert [send.worker for send in sends] == [2]
+    assert gateway.excluded(20) == 1
+    gateway.handle(21, [listing(2, kind=io.Listing.WHOLE)])  # what is not listed is not counted
+    assert gateway.excluded(22) == 0
+
+
+def test_a_job_that_arrives_with_the_call_is_not_sent_there_any_more():
+    gateway = started(settings(), 1)
+    assert not of(io.Send, gateway.handle(1, [arrival(1, now=1), io.ByHand(1, True)]))
+
+
+def test_a_worker_put_back_is_cold_and_its_past_is_forgotten():
+    """Discovery tells late of the restart; until then its old start would let a warm one's load through."""
+    gateway = started(settings(), 1, 2)
+    serve(gateway, 400, 20_000)
+    now = 8_000_000
+    gateway.workers[1].avoid_until, gateway.workers[1].slots_out = now + 10**9, 50.0
+    gateway.handle(now, [io.ByHand(1, True)])
+    gateway.handle(now + 1, [io.ByHand(1, False)])
+    gateway.handle(now + 2, [listing(1, 2, kind=io.Listing.WHOLE)])  # as it was listed before
+    sent = [send.worker for step in range(100) for send in of(io.Send, gateway.handle(
+        now + 3 + step * 20_000, [arrival(1000 + step, now=now + 3 + step * 20_000, hint=20_000)]))]
+    cold = settings().cold_start_share
+    assert sent.count(1) and sent.count(1) * 20_000 < 2_000_000 * cold * settings().fall_multiple
+
+
+def test_an_attempt_from_before_does_not_count_against_a_worker_put_back():
+    gateway = started(settings(), 1)
+    gateway.handle(1, [arrival(1, now=1)])
+    for out in (True, False):
+        gateway.handle(2, [io.ByHand(1, out)])
+    assert gateway.workers[1].slots_out == 0
+    gateway.handle(3, [outcome(1, 0, 1, io.Result.OK)])
+    assert gateway.workers[1].slots_out == 0
+
+
+def test_what_may_have_run_at_a_worker_is_not_repeated_there_once_it_is_back():
+    gateway = started(settings(UNSAFE, try_limit=3, cold_time=0), 1)
+    gateway.handle(1, [arrival(1, now=1)])
+    for out in (True, False):
+        gateway.handle(2, [io.ByHand(1, out)])
+    assert not of(io.Send, gateway.handle(3, [outcome(1, 0, 1, io.Result.RESET)]))
--- a/tests/world.py
+++ b/tests/world.py
@@ -109,8 +109,9 @@
     """A started scheduler with stub workers and a stub discovery."""
 
     def __init__(self, tmp_path, workers=1, settings=None, sockets=1024, known=True, extra_ports=()):
-        with socket.create_server((HOST, 0)) as free:
+        with socket.create_server((HOST, 0)) as free, socket.create_server((HOST, 0)) as other:
             self.port = free.getsockname()[1]
+            self.operator = other.getsockname()[1]
         self.discovery = Listener()
         self.workers = [Listener() for _ in range(workers)]
         self.names = [f"s-{number}" for number in range(workers)]
@@ -119,7 +120,7 @@
         members = [member(name, worker.port) for name, worker in zip(self.names, self.workers, strict=True)]
         members += [member(f"s-extra-{port}", port) for port in extra_ports]
         config = {"name": "n0", "listen": f"{HOST}:{self.port}", "seed": "8c1f",
-                  "discovery": f"127.0.0.1:{self.discovery.port}",
+                  "discovery": f"127.0.0.1:{self.discovery.port}", "operator": f"{HOST}:{self.operator}",
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
                   "known": {"revision": 7, "complete": True, "members": members if known else []},
                   "settings": settings or SETTINGS}
@@ -198,6 +199,23 @@
     def counters(self):
         return json.loads(self.ask("GET /counters HTTP/1.1\r\nHost: x\r\n\r\n")[2])
 
+    def call(self):
+        """A connection to the operators' address."""
+        peer = Peer(socket.create_connection((HOST, self.operator), WAIT))
+        self.opened.append(peer)
+        return peer
+
+    def operate(self, path, method="GET"):
+        """One call of an operator: its status and its body."""
+        first, _, body = self.call().send(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()).read()
+        return int(first.split()[1]), body
+
+    def by_hand(self, verb, who):
+        return self.operate(f"/workers/{verb}?who={who}", "POST")[0]
+
+    def metrics(self):
+        return json.loads(self.operate("/metrics")[1])
+
     def reload(self, discovery):
         """Replaces the configuration's discovery (or all of it, by a text) and sends SIGHUP."""
         text = discovery
