--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -191,6 +191,9 @@
 
     # ---- the listener ---------------------------------------------------------------------
 
+    def free(self) -> int:
+        return self.places.most - len(self.places)
+
     def room(self) -> str | None:
         """Makes room, where all places are taken, by closing a connection."""
         if len(self.places) < self.places.most:
--- a/carthinge/net/listener.py
+++ b/carthinge/net/listener.py
@@ -18,6 +18,9 @@
 class ListenerOwner(Protocol):
     """Who takes connections in."""
 
+    def free(self) -> int:
+        """How many connections can be taken in without making room."""
+
     def room(self) -> str | None:
         """Makes room for one connection; where that is not possible, says why."""
 
@@ -62,7 +65,8 @@
             self._sock.close()
 
     def _accept(self, _: int) -> None:
-        for _ in range(ACCEPTED_AT_ONCE):
+        # Guards against room made for a connection that is not there: only the first is known to wait.
+        for _ in range(min(ACCEPTED_AT_ONCE, max(1, self._owner.free()))):
             if self._closed:
                 return
             why = self._owner.room()
--- a/carthinge/net/operator.py
+++ b/carthinge/net/operator.py
@@ -54,10 +54,12 @@
 
     # ---- the listener ---------------------------------------------------------------------
 
+    def free(self) -> int:
+        return PLACES - len(self.calls)
+
     def room(self) -> str | None:
         """Whoever is open still has sent no whole call, or has its answer: the first makes room."""
-        if len(self.calls) >= PLACES:
-            self.counters.operator_silent += 1
+        if not self.free():
             next(iter(self.calls)).close()
         return None
 
@@ -76,9 +78,11 @@
         self._reader = RequestReader()
         self._asked = False
         self._stream = Stream(operator.loop, sock, self)
-        self._patience: Timer = operator.loop.call_after(WHOLE_CALL, self._cut_off)
+        # Guards against callers that connect and say nothing, or stop in the middle.
+        self._patience: Timer = operator.loop.call_after(WHOLE_CALL, self.close)
 
     def close(self) -> None:
+        self._operator.counters.operator_silent += not self._asked
         self._stream.close()
         self.ended("closed here")
 
@@ -103,11 +107,6 @@
         self._patience.cancel()
         self._operator.calls.pop(self, None)
 
-    def _cut_off(self) -> None:
-        """Guards against callers that connect and say nothing, or stop in the middle."""
-        self._operator.counters.operator_silent += 1
-        self.close()
-
     def _handle(self, request: Request) -> None:
         path, _, query = request.target.partition(b"?")
         method = CALLS.get(path)
