Take changed settings at SIGHUP by name, whole or not at all

Now the file is checked whole, types, spans and attempts included, against the keys that the settings in force have, and the module gets one event. Open jobs keep their class and never get more attempts than either settings allow.

--- a/carthinge/__main__.py
+++ b/carthinge/__main__.py
@@ -62,7 +62,7 @@
     config = _load()
     log.set_up(log_level, config.name)
     try:
-        Program(config, lambda: reload(os.environ)).run()
+        Program(config, lambda before: reload(os.environ, before)).run()
     except OSError as fault:
         log.logger().error("cannot_listen", listen=str(config.listen), why=str(fault))
         raise typer.Exit(CANNOT_LISTEN) from None
--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -198,6 +198,15 @@
     out: bool
 
 
+@dataclass(slots=True)
+class Retune:
+    """Other settings hold for what comes from now on; jobs that are open keep the class they came with."""
+
+    settings: Settings
+    classes: Sequence[int]  #: for each class its position before, -1 for a new one
+    tenants: Sequence[int]  #: the same for the tenants
+
+
 @dataclass(slots=True)
 class Arrival:
     """A client's job; one final answer is now owed."""
@@ -277,8 +286,8 @@
     token: int
 
 
-Event = (WorkerList | ByHand | Arrival | StreamStarted | Outcome | Abandoned | Note | ProbeResult | Message
-         | Timer)
+Event = (WorkerList | ByHand | Retune | Arrival | StreamStarted | Outcome | Abandoned | Note | ProbeResult
+         | Message | Timer)
 
 
 # ---- actions ----------------------------------------------------------------------------------
--- a/carthinge/net/config.py
+++ b/carthinge/net/config.py
@@ -11,7 +11,7 @@
 
 from carthinge.net.http import Address
 from carthinge.net.route_table import Listed
-from carthinge.settings import Facts, Site, read_site
+from carthinge.settings import Facts, Site, read_site, shape_of
 
 
 class ConfigError(Exception):
@@ -52,15 +52,20 @@
     limits: Limits
     known: Listed
     site: Site
+    shape: frozenset[str]  #: the keys that the settings have
 
 
-def reload(environment: Mapping[str, str]) -> Config:
-    """The configuration as the file has it now.
+def reload(environment: Mapping[str, str], before: Config) -> Config:
+    """The configuration as the file has it now; ConfigError where it lacks what the one before had.
 
     Discovery is taken from the file: a running program's environment cannot be replaced, so that what it
     says of discovery is as old as the start.
     """
-    return load({name: value for name, value in environment.items() if name != "RELAY_DISCOVERY"})
+    config = load({name: value for name, value in environment.items() if name != "RELAY_DISCOVERY"})
+    missing = sorted(before.shape - config.shape)
+    if missing:
+        raise ConfigError(f"settings: {missing[0]}: missing, though the settings in force have it")
+    return config
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -78,6 +83,10 @@
         for member in file.known.members:
             Address.parse(member.host_port)
         operator = environment.get("RELAY_OPERATOR") or file.operator
+        site = read_site(Facts.from_nested(file.settings))
+        for name, spec in zip(site.classes, site.decisions.classes, strict=True):
+            if spec.deadline <= 0:
+                raise ValueError(f"services: {name}: hard_limit: must be over 0")
         return Config(
             name=environment.get("RELAY_NAME") or file.name,
             listen=Address.parse(environment.get("RELAY_LISTEN") or file.listen),
@@ -86,7 +95,8 @@
             seed=int(file.seed, 16),
             limits=file.limits,
             known=file.known,
-            site=read_site(Facts.from_nested(file.settings)),
+            site=site,
+            shape=frozenset(shape_of(file.settings)),
         )
-    except ValueError as fault:
+    except (ValueError, OverflowError) as fault:
         raise ConfigError(f"{path}: {fault}") from None
--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -36,6 +36,9 @@
         self._calls: dict[Attempt, _AttemptCall] = {}
         self._sweeping = False
 
+    def retune(self, site: Site) -> None:
+        self._site = site
+
     def report(self, values: dict[str, float]) -> tuple[float, ...]:
         """A load report in the module's order; none unless it is whole."""
         fields = self._site.report_fields
--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -147,6 +147,11 @@
     def listen(self, sock: socket.socket) -> None:
         self._listener = Listener(self.loop, sock, self)
 
+    def retune(self, site: Site) -> None:
+        """Requests that are read from now on are meant by this site's names."""
+        self.translator = Translator(site)
+        self.max_retry_after = site.max_retry_after
+
     def keeps_connections(self) -> bool:
         return self.draining is None or self.loop.now < self.draining.kept_until
 
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -10,7 +10,7 @@
 from types import FrameType
 from typing import Any, Final
 
-from carthinge.interface import ByHand, Listing
+from carthinge.interface import ByHand, Listing, Retune
 from carthinge.net import log
 from carthinge.net.config import Config, ConfigError
 from carthinge.net.counters import Counters
@@ -36,7 +36,7 @@
 class Program:
     """One scheduler from its start to its end."""
 
-    def __init__(self, config: Config, reload: Callable[[], Config]) -> None:
+    def __init__(self, config: Config, reload: Callable[[Config], Config]) -> None:
         self.config = config
         self._reload_config = reload
         self.loop = Loop()
@@ -126,16 +126,27 @@
             self._drain()
 
     def _reload(self) -> None:
-        """Discovery may move while the program runs; all else in the file is for the next start."""
+        """Discovery may move and the settings may change while the program runs; the rest waits for a start.
+
+        The file is read and checked whole before anything of it is applied.
+        """
         try:
-            config = self._reload_config()
+            config = self._reload_config(self.config)
         except ConfigError as fault:
             self.counters.reloads_failed += 1
             log.logger().error("reload_failed", why=str(fault), discovery=str(self.config.discovery))
             return
         self.counters.reloads_ok += 1
-        log.logger().info("reloaded", discovery=str(config.discovery), before=str(self.config.discovery))
-        self.config = replace(self.config, discovery=config.discovery)
+        log.logger().info("reloaded", discovery=str(config.discovery), before=str(self.config.discovery),
+                          classes=",".join(config.site.classes),
+                          attempts=config.site.decisions.try_limit)
+        before, site = self.config.site, config.site
+        self.config = replace(self.config, discovery=config.discovery, site=site, shape=config.shape)
+        self.book.tell(Retune(site.decisions, _positions(site.classes, before.classes),
+                              _positions(site.tenants, before.tenants)))
+        self.book.ended.name(site.classes)
+        self.ingress.retune(site)
+        self.egress.retune(site)
         self.watch.move(config.discovery)
 
     def _drain(self) -> None:
@@ -165,5 +176,10 @@
         self.loop.call_after(timedelta(milliseconds=50), self._check_over)
 
 
+def _positions(names: tuple[str, ...], before: tuple[str, ...]) -> list[int]:
+    """Where each of these names stood before, -1 where it did not."""
+    return [before.index(name) if name in before else -1 for name in names]
+
+
 def _ignore(number: int, frame: FrameType | None) -> None:
     """The wake-up socket has the signal already."""
--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -63,6 +63,14 @@
         self.queues = [TenantQueue(quantum) for quantum in quanta]
         self.cursor = 0
 
+    def retune(self, quanta: Sequence[float], before: Sequence[int]) -> None:
+        """Classes go on with heap and credit; one that is dropped stays while its jobs wait."""
+        kept = [self.queues[was] if was >= 0 else TenantQueue(0.0) for was in before]
+        for queue, quantum in zip(kept, quanta, strict=True):
+            queue.quantum = quantum
+        self.queues = kept + [queue for queue in self.queues if queue not in kept and queue.head()]
+        self.cursor %= len(self.queues)
+
     def select(self, dispatchable: Callable[[Job], bool]) -> TenantQueue | None:
         """The class whose head leaves next; None when no head can."""
         ready: dict[int, Job] = {}
@@ -111,7 +119,6 @@
     """One gateway.  ``handle`` takes the time and what happened, and returns what to do."""
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
-        self.settings = settings
         self.rng = Random(seed)
         self.now = self.sequence = self.wake_at = self.watch_tries = self.list_version = self.warm_until = 0
         self.served, self.arrivals, self.probes = Rate(), Rate(), 0.0
@@ -121,28 +128,25 @@
         self.workers = self.fleet.workers
         self.out: set[int] = set()  # by hand: ids, since discovery may drop a worker and list it again
         self.kinds = self.fleet.kinds
-        self.ring = DeficitRing(self._quanta())
+        self.ring = DeficitRing(())
+        self.spans: list[int] = []
+        self.quotas: list[Bucket] = []
+        self._adopt(io.Retune(settings, [-1] * len(settings.classes), [-1] * len(settings.tenants)))
         self.timers = Timers()
         self._after = self.timers.add
         self.mean_work = float(min(spec.objective for spec in settings.classes))
         self.copies = self.warm_part = 1.0
-        self.asks = settings.reports is io.Reports.PROBES and settings.may_probe
-        self.draws = max(SAMPLE_LEAST, min(SAMPLE, 3 * SAMPLE // settings.instances))
-        self.top_worth = max(spec.worth for spec in settings.classes)
-        self.spans = [0] * len(settings.classes)
         self.patience = PATIENCE_START
         self.run_patience = RUN_PATIENCE[1]
         self.prompt = self.mean_work / 16  # the median time from a send to its start
-        self.hedges = settings.tells_start and settings.may_copy and settings.may_cancel
         self.reported: deque[Worker] = deque(maxlen=SAMPLE // 2)
         self.peer_loads: dict[int, list[tuple[Worker, float, float]]] = {}
-        quotas = [tenant.quota_per_s / settings.instances for tenant in settings.tenants]
-        self.quotas = [Bucket(part, max(QUOTA_DEPTH, QUOTA_SECONDS * part), QUOTA_DEPTH) for part in quotas]
         self.freed: list[Worker] = []
         self.handlers: dict[type, Callable[..., None]] = {
             io.Arrival: self._arrive, io.Outcome: self._end, io.Note: self._hear, io.Timer: self._nothing,
             io.WorkerList: self._list, io.ProbeResult: self._probed, io.Message: self._told,
-            io.Abandoned: self._abandon, io.StreamStarted: self._stream, io.ByHand: self._by_hand}
+            io.Abandoned: self._abandon, io.StreamStarted: self._stream, io.ByHand: self._by_hand,
+            io.Retune: self._adopt}
 
     def handle(self, now: int, events: Sequence[io.Event]) -> list[io.Action]:
         """What to do about ``events``, which all happened at ``now``."""
@@ -156,6 +160,20 @@
         self._set_wake()
         return self.actions
 
+    def _adopt(self, event: io.Retune) -> None:
+        """Settings for what comes from now on; what was learned of classes and tenants holds."""
+        settings = self.settings = event.settings
+        self.ring.retune(self._quanta(), event.tenants or [min(len(self.ring.queues), 1) - 1])
+        quotas = [tenant.quota_per_s / settings.instances for tenant in settings.tenants]
+        levels = [self.quotas[was].level if was >= 0 else QUOTA_DEPTH for was in event.tenants]
+        self.quotas = [Bucket(part, max(QUOTA_DEPTH, QUOTA_SECONDS * part), level, self.now)
+                       for part, level in zip(quotas, levels, strict=True)]
+        self.spans = [self.spans[was] if was >= 0 else 0 for was in event.classes]
+        self.asks = settings.reports is io.Reports.PROBES and settings.may_probe
+        self.draws = max(SAMPLE_LEAST, min(SAMPLE, 3 * SAMPLE // settings.instances))
+        self.top_worth = max(spec.worth for spec in settings.classes)
+        self.hedges = settings.tells_start and settings.may_copy and settings.may_cancel
+
     def _quanta(self) -> list[float]:
         """Quanta follow the shares; a tenant without one still gets a hundredth of the mean."""
         shares = [tenant.share for tenant in self.settings.tenants] or [1.0]
@@ -256,7 +274,7 @@
         left = event.give_up - self.now
         span = self.spans[event.job_class] = max(self.spans[event.job_class], left)
         job = Job(event.request, spec, queue, event.key, event.give_up, self.now - span + left, work,
-                  event.slots, cost, rank)
+                  event.slots, cost, rank, self.settings.try_limit)
         job.hedged = self.hedges and spec.late_worth <= 0
         job.bearable = math.inf if spec.late_worth > 0 else float(spec.objective)
         fresh = left > 0.99 * span and event.tenant < len(self.quotas)
@@ -362,11 +380,15 @@
 
     def _eligible(self, job: Job) -> list[Worker]:
         """The listed workers where a further attempt is allowed at all."""
-        if len(job.attempts) >= self.settings.try_limit:
+        if self._spent(job):
             return []
         pool = self.fleet.pool(job.spec.kind)
         return pool if job.never_ran() else [worker for worker in pool if self._may_repeat(worker, job)]
 
+    def _spent(self, job: Job) -> bool:
+        """It has had all its attempts, by the settings that it came under and by those of now."""
+        return len(job.attempts) >= min(job.tries, self.settings.try_limit)
+
     def _pick(self, job: Job, pool: list[Worker]) -> Worker | None:
         """The eligible worker with the least estimated outstanding work, None where all are busy."""
         near = self.fleet.near if job.spec.kind == -1 and job.never_ran() else pool
@@ -743,8 +765,7 @@
         """Back to its heap where another try is allowed; else the final answer, once nothing is out."""
         if job.open or job.streaming or job.waiting:
             return
-        spent = len(job.attempts) >= self.settings.try_limit
-        spent |= self.now >= job.give_up - self.settings.answer_grace
+        spent = self._spent(job) or self.now >= job.give_up - self.settings.answer_grace
         if spent or (job.spec.effect is io.Effect.UNSAFE and not job.never_ran()):
             self._conclude(job)
             return
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -107,6 +107,7 @@
     slots: float
     cost: float  # fixed on arrival, whatever is learned later
     rank: float
+    tries: int  # attempts it may have at the most, by the settings it came under
     attempts: list[Attempt] = field(default_factory=list)
     open: int = 0
     queued: int = 0  # when it last joined its heap
--- a/carthinge/settings.py
+++ b/carthinge/settings.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -36,10 +37,11 @@
 
 
 class Facts:
-    """Settings by path, read with the fault named."""
+    """Settings by path, read with the fault named; ``typed`` ones must be of the right JSON type."""
 
-    def __init__(self, values: Mapping[str, object]) -> None:
+    def __init__(self, values: Mapping[str, object], typed: bool = False) -> None:
         self.values = values
+        self._typed = typed
 
     @classmethod
     def from_lines(cls, text: str) -> Facts:
@@ -49,12 +51,13 @@
     @classmethod
     def from_nested(cls, nested: Mapping[str, Any]) -> Facts:
         """From nested JSON; a list of objects gets a count, as it has in the lines."""
-        return cls(dict(_flatten(nested)))
+        return cls(dict(_flatten(nested)), typed=True)
 
     def text(self, path: str, default: str | None = None) -> str:
         value = self.values.get(path, default)
         if value is None:
             raise ValueError(f"{path}: missing")
+        self._check(path, value, str)
         return str(value)
 
     def word(self, path: str) -> str:
@@ -63,23 +66,37 @@
         return self.text(path, "").replace(" ", "_")
 
     def number(self, path: str, default: float | None = None) -> float:
-        raw = self.text(path, None if default is None else str(default))
+        raw = self.values.get(path, default)
+        if raw is None:
+            raise ValueError(f"{path}: missing")
+        self._check(path, raw, int, float)
         try:
-            return float(raw)
+            figure = float(str(raw))
         except ValueError:
             raise ValueError(f"{path}: not a number: {raw!r}") from None
+        if not math.isfinite(figure):
+            raise ValueError(f"{path}: not finite: {raw!r}")
+        return figure
 
     def whole(self, path: str, default: int | None = None) -> int:
         return int(self.number(path, default))
 
+    def _check(self, path: str, value: object, *kinds: type) -> None:
+        """Guards against JSON that would pass for what it is not: "5" for a number, or 1 for a flag."""
+        if self._typed and (not isinstance(value, kinds) or isinstance(value, bool) and bool not in kinds):
+            raise ValueError(f"{path}: of the wrong type: {value!r}")
+
     def span(self, path: str, default: timedelta) -> timedelta:
         return timedelta(microseconds=self.number(path, default / timedelta(microseconds=1)))
 
     def flag(self, path: str) -> bool:
-        return self.values.get(path) in ("true", True)
+        value = self.values.get(path, False)
+        self._check(path, value, bool)
+        return value in ("true", True)
 
     def listed(self, path: str) -> list[str]:
         raw = self.values.get(path) or []
+        self._check(path, raw, list)
         return [str(item) for item in (raw.split(",") if isinstance(raw, str) else _items(raw))]
 
     def choice(self, path: str, choices: dict[str, T], default: str) -> T:
@@ -89,6 +106,18 @@
         return choices[raw]
 
 
+def shape_of(nested: Mapping[str, Any], prefix: str = "") -> set[str]:
+    """Which keys there are, by path; of a list of objects those that all of them have."""
+    paths = set()
+    for name, value in nested.items():
+        paths.add(path := prefix + name)
+        if isinstance(value, Mapping):
+            paths |= shape_of(value, path + ".")
+        elif isinstance(value, list) and value and all(isinstance(item, Mapping) for item in value):
+            paths |= set.intersection(*(shape_of(item, path + ".*.") for item in value))
+    return paths
+
+
 def _items(raw: object) -> list[object]:
     return raw if isinstance(raw, list) else [raw]
 
@@ -121,7 +150,10 @@
 
 
 def _names(facts: Facts, path: str) -> tuple[str, ...]:
-    return tuple(facts.text(f"{path}.{i}.name") for i in range(facts.whole(f"{path}.count", 0)))
+    names = tuple(facts.text(f"{path}.{i}.name") for i in range(facts.whole(f"{path}.count", 0)))
+    if len(set(names)) < len(names):
+        raise ValueError(f"{path}: a name comes twice")
+    return names
 
 
 def read_settings(facts: Facts) -> Settings:
@@ -174,12 +206,13 @@
         return float(listed[index]) if index < len(listed) else default
 
     at = f"services.{index}."
+    effect = facts.choice(at + "effect", EFFECTS, "")
     return JobClass(
         objective=facts.whole(at + "objective"),
         deadline=facts.whole(at + "hard_limit"),
-        effect=facts.choice(at + "effect", EFFECTS, ""),
+        effect=effect,
         scope=facts.choice(at + "group", SCOPES, "all"),
-        window=facts.whole(at + "window", 0),
+        window=facts.whole(at + "window", None if effect is Effect.KEYED else 0),
         worth=facts.number(at + "value", 1),
         late_worth=facts.number(at + "late_worth", 0),
         stretch=extra("class_stretch", 0),
--- a/tests/world.py
+++ b/tests/world.py
@@ -124,6 +124,7 @@
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
                   "known": {"revision": 7, "complete": True, "members": members if known else []},
                   "settings": settings or SETTINGS}
+        self.config = config
         self.config_path = tmp_path / "config.json"
         self.config_path.write_text(json.dumps(config))
         self.log_path = tmp_path / "log"
@@ -217,11 +218,12 @@
         return json.loads(self.operate("/metrics")[1])
 
     def reload(self, discovery):
-        """Replaces the configuration's discovery (or all of it, by a text) and sends SIGHUP."""
+        """Replaces the configuration's discovery (or its settings, or all of it by a text); sends SIGHUP."""
         text = discovery
-        if not isinstance(discovery, str):
-            config = json.loads(self.config_path.read_text())
-            text = json.dumps({**config, "discovery": f"127.0.0.1:{discovery.port}"})
+        if isinstance(discovery, dict):
+            text = json.dumps({**self.config, "settings": discovery})
+        elif not isinstance(discovery, str):
+            text = json.dumps({**self.config, "discovery": f"127.0.0.1:{discovery.port}"})
         self.config_path.write_text(text)
         self.process.send_signal(signal.SIGHUP)
 
