Tell the slots of a kind that is never seen free by its size and what another kind showed

The module's picture, logged each second: one scheduler held the medium workers for having one slot until 27 s, the other knew of two from 3 s on; the first had 8 to 31 jobs waiting, the second 0 to 12. At fault: Dispatcher._report learns a kind's slots from free ones only, and the other scheduler kept those filled. Ruled out: the two workers out by hand (their return was used at once), operators' calls (none late or wrong), a broken list. Ratings say the sizes of workers, so what one kind has shown tells the others'.

--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -370,8 +370,7 @@
                     job.choice = worker
                     return True
             return False
-        pool = self._eligible(job)
-        job.choice = self._pick(job, pool)
+        job.choice = self._pick(job, pool := self._eligible(job))
         if job.choice or not pool:
             return True
         job.list_seen = self.list_version
@@ -785,7 +784,8 @@
             return
         free = values["free_slots"]
         held = values.get("held", 0.0) if free > 0.5 else 0.0
-        worker.pool.slots = max(worker.pool.slots, round(free + held))
+        rated = self.settings.weights in (io.Weights.NOMINAL, io.Weights.ROUGH)
+        self.fleet.shown(worker.pool, round(free + held), rated)
         worker.free = round(free)
         if worker.free_at < 0 or worker not in self.reported:
             self.reported.append(worker)
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -262,6 +262,18 @@
         return sum(worker.listed and (worker.id in out or worker.avoid_until > now)
                    for worker in self.workers.values())
 
+    def shown(self, kind: Kind, slots: float, rated: bool) -> None:
+        """A worker of a kind has shown so many slots; where ratings tell sizes, others have theirs by size.
+
+        Guards against a kind that is never seen with its slots free, since another dispatcher fills them:
+        this one would leave it to the other, and its own jobs would wait.
+        """
+        if slots <= kind.slots:
+            return
+        kind.slots = slots
+        for other in self.kinds.values() if rated and kind.size > 0 else ():
+            other.slots = max(other.slots, round(slots * other.size / kind.size))
+
     def renew(self) -> None:
         """To be called when the list has changed."""
         self._pools.clear()
