Open exchanges at rest follow to the new process with their clients

Guarded by tests: long jobs outlive the old process, keep their class and attempts; a waiting job is sent by the new one; a call-back that crosses its exchange is looked up again.

--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -241,6 +241,56 @@
     memory: Memory
 
 
+@dataclass(slots=True)
+class AttemptMemory:
+    """One send of a job that is handed over."""
+
+    worker: int
+    entry: WorkerEntry
+    sent: int
+    expected: float
+    begun: int
+    open: bool
+    alone: bool
+    may_have_run: bool
+
+
+@dataclass(slots=True)
+class JobMemory:
+    """A job that is handed over; its tenant goes by name, outside."""
+
+    spec: JobClass
+    key: int
+    give_up: int
+    came: int
+    work: float
+    slots: float
+    cost: float
+    rank: float
+    tries: int
+    waiting: bool
+    silent: bool
+    hedged: bool
+    bearable: float
+    attempts: list[AttemptMemory]
+
+
+@dataclass(slots=True)
+class TakeOver:
+    """A job that another dispatcher took, with what that knew of it; its answer is now owed here."""
+
+    request: int
+    tenant: int
+    memory: JobMemory
+
+
+@dataclass(slots=True)
+class GiveAway:
+    """Another dispatcher has taken a job over: nothing of it is this one's any more."""
+
+    request: int
+
+
 @dataclass(slots=True)
 class Leave:
     """Another dispatcher takes the place of this one, or (``leaving`` False) does not after all."""
@@ -336,8 +386,8 @@
     token: int
 
 
-Event = (WorkerList | ByHand | Inherit | Leave | Retune | Arrival | StreamStarted | Outcome | Abandoned | Note
-         | ProbeResult | Message | Timer)
+Event = (WorkerList | ByHand | Inherit | Leave | TakeOver | GiveAway | Retune | Arrival | StreamStarted
+         | Outcome | Abandoned | Note | ProbeResult | Message | Timer)
 
 
 # ---- actions ----------------------------------------------------------------------------------
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import fields
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
-from carthinge.interface import Memory, WorkerMemory
-from carthinge.records import Fleet, Kind, Rate
+from carthinge import interface as io
+from carthinge.interface import AttemptMemory, JobMemory, Memory, WorkerMemory
+from carthinge.records import Attempt, Fleet, Job, Kind, Rate
 
 if TYPE_CHECKING:
     from carthinge.policy import Dispatcher
@@ -14,6 +16,8 @@
 _LEARNED = tuple(item.name for item in fields(WorkerMemory) if item.name != "entry")
 
 
+_OF_JOB = tuple(item.name for item in fields(JobMemory) if item.name != "attempts")
+_OF_ATTEMPT = tuple(item.name for item in fields(AttemptMemory) if item.name != "worker")
 _METERS = ("mean_work", "patience", "run_patience", "prompt", "warm_part")
 _RATES = ("served", "arrivals")
 
@@ -31,6 +35,60 @@
     )
 
 
+def handlers(dispatcher: Dispatcher) -> dict[type, Callable[[Any], None]]:
+    """Of the events by which a dispatcher takes over from another."""
+    return {io.Inherit: lambda event: recall(dispatcher, event.memory),
+            io.Leave: lambda event: _leave(dispatcher, event),
+            io.TakeOver: lambda event: _take_over(dispatcher, event),
+            io.GiveAway: lambda event: _give_away(dispatcher, event)}
+
+
+def job_memory(dispatcher: Dispatcher, request: int) -> JobMemory:
+    """Everything that is known of an open job."""
+    job = dispatcher.jobs[request]
+    attempts = [AttemptMemory(worker=attempt.worker.id,
+                              **{name: getattr(attempt, name) for name in _OF_ATTEMPT})
+                for attempt in job.attempts]
+    return JobMemory(attempts=attempts, **{name: getattr(job, name) for name in _OF_JOB})
+
+
+def _leave(dispatcher: Dispatcher, event: io.Leave) -> None:
+    dispatcher.leaving = event.leaving
+
+
+def _take_over(dispatcher: Dispatcher, event: io.TakeOver) -> None:
+    known = event.memory
+    queues = dispatcher.ring.queues
+    queue = queues[event.tenant if event.tenant < len(queues) else 0]
+    job = Job(id=event.request, queue=queue, **{name: getattr(known, name) for name in _OF_JOB})
+    job.waiting = False
+    dispatcher.jobs[job.id] = job
+    for number, sent in enumerate(known.attempts):
+        worker = dispatcher.workers.get(sent.worker)
+        if worker is None:  # not listed here yet
+            worker = dispatcher.fleet.add(sent.entry, max(1.0, known.slots))
+        attempt = Attempt(job=job, number=number, worker=worker,
+                          **{name: getattr(sent, name) for name in _OF_ATTEMPT})
+        job.attempts.append(attempt)
+        if attempt.open:
+            job.open += 1
+            worker.slots_out += job.slots
+            worker.work_out += job.work
+            dispatcher.attend(attempt)
+    if not job.open:
+        dispatcher.enqueue(job)
+
+
+def _give_away(dispatcher: Dispatcher, event: io.GiveAway) -> None:
+    job = dispatcher.jobs.pop(event.request)
+    job.answered, job.waiting = True, False
+    for attempt in job.attempts:
+        if attempt.open:
+            attempt.open = attempt.may_have_run = False  # for this one: no check of it is due any more
+            attempt.worker.slots_out = max(0.0, attempt.worker.slots_out - job.slots)
+            attempt.worker.work_out = max(0.0, attempt.worker.work_out - job.work)
+
+
 def recall(dispatcher: Dispatcher, memory: Memory) -> None:
     """Of classes and tenants only where both know as many: they have no names here."""
     dispatcher.out.update(memory.out)
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from carthinge.interface import Memory
+from carthinge.interface import JobMemory, Memory
 from carthinge.net.loop import READ, WRITE, Loop
 
 FORMAT: Final = 1  # of these messages: a process that speaks another one is left alone
@@ -50,6 +50,31 @@
     fresh: bool
 
 
+class OpenAttempt(msgspec.Struct, frozen=True):
+    """One send of an exchange; its worker by id."""
+
+    worker: str
+    address: str
+    sent_us: int
+    due_us: int
+    open: bool
+
+
+class Open(msgspec.Struct, frozen=True, tag=True):
+    """An open exchange that is at rest; its client's socket comes along."""
+
+    id: str
+    subject: bytes
+    body: bytes
+    headers: list[tuple[str, bytes]]
+    class_name: str
+    tenant: str
+    give_up_us: int
+    keep_alive: bool
+    attempts: list[OpenAttempt]
+    memory: JobMemory
+
+
 class Outgoing(msgspec.Struct, frozen=True, tag=True):
     """An idle connection to a worker; its socket comes along."""
 
@@ -87,7 +112,7 @@
     loads: bytes
 
 
-Message = Hello | State | Incoming | Outgoing | CallBack | ByHandCall | Done | Beat
+Message = Hello | State | Incoming | Open | Outgoing | CallBack | ByHandCall | Done | Beat
 _DECODER: Final[msgspec.msgpack.Decoder[Message]] = msgspec.msgpack.Decoder(Message)
 
 
@@ -157,7 +182,7 @@
             del self._in[:LENGTH + size]
             try:
                 message = _DECODER.decode(body)
-                along = self._sockets.popleft() if isinstance(message, Incoming | Outgoing) else None
+                along = self._sockets.popleft() if isinstance(message, Incoming | Open | Outgoing) else None
             except (msgspec.MsgspecError, IndexError):
                 self._end()
                 return
--- a/carthinge/net/counters.py
+++ b/carthinge/net/counters.py
@@ -30,6 +30,8 @@
     job_events: int = 0  #: call-backs of workers
     job_events_passed_on: int = 0  #: to another process of this scheduler, which counts them
     job_events_stale: int = 0  #: of these, for an attempt that had ended, or for none
+    exchanges_taken_over: int = 0  #: open ones, from the process before this one, and not in ``taken``
+    exchanges_given_away: int = 0  #: open ones, to the process after this one, which answers them
     connections_in: int = 0
     connections_taken_over: int = 0  #: from the process before this one
     connections_in_closed_early: int = 0  #: closed to make room for others, to stay within the descriptors
--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -88,6 +88,10 @@
     def arrived(self, attempt: Attempt) -> None:
         self._book.arrived(attempt)
 
+    def calling(self, attempt: Attempt) -> bool:
+        """Its POST is under way, up to the 202."""
+        return attempt in self._calls
+
     def over(self, attempt: Attempt) -> None:
         """The call of an attempt is over, whether or not the attempt is."""
         self._calls.pop(attempt, None)
--- a/carthinge/net/exchange.py
+++ b/carthinge/net/exchange.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 from typing import Final, Protocol
 
 from carthinge import interface as io
@@ -35,6 +36,7 @@
     job_class: int
     class_name: str
     tenant: int
+    tenant_name: str
     patience: timedelta  #: how long its client waits from now
     key: int = 0
     hint: timedelta | None = None
@@ -88,6 +90,7 @@
     number: int
     job: Job
     class_name: str
+    tenant_name: str
     client: Client
     give_up: timedelta
     owed: bool = True
@@ -128,7 +131,7 @@
         """A whole request has come: one final answer is owed from now on."""
         self._count += 1
         give_up = self._loop.now + terms.patience - ANSWER_MARGIN
-        exchange = Exchange(self._count, job, terms.class_name, client, give_up)
+        exchange = Exchange(self._count, job, terms.class_name, terms.tenant_name, client, give_up)
         self.exchanges[exchange.number] = self.by_id[job.id] = exchange
         self._counters.taken += 1
         hint = None if terms.hint is None else terms.hint // MICROSECOND
@@ -136,6 +139,28 @@
                                       terms.key, hint, terms.slots, terms.memory, terms.repeat))
         return exchange
 
+    def give_away(self, exchange: Exchange) -> None:
+        """Another process has taken it over, with its client and with the attempt that is out."""
+        exchange.owed = False
+        self._counters.exchanges_given_away += 1
+        for attempt in exchange.attempts:
+            attempt.open = False
+            if attempt.timer is not None:
+                attempt.timer.cancel()
+        self.events.append(io.GiveAway(exchange.number))
+        self._forget_if_over(exchange)
+
+    def take_over(self, exchange: Exchange, tenant: int, memory: io.JobMemory) -> None:
+        """The other side of that; its number becomes one of this book's."""
+        self._count += 1
+        exchange.number = self._count
+        self.exchanges[exchange.number] = self.by_id[exchange.job.id] = exchange
+        self._counters.exchanges_taken_over += 1
+        self.events.append(io.TakeOver(exchange.number, tenant, memory))
+        for attempt in exchange.attempts:
+            if attempt.open:
+                attempt.timer = self._loop.call_at(attempt.due, partial(self._time_out, attempt))
+
     def abandon(self, exchange: Exchange) -> None:
         """The client has gone."""
         if exchange.owed:
--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -61,6 +61,9 @@
         self._classes = {name: index for index, name in enumerate(site.classes)}
         self._tenants = {name: index for index, name in enumerate(site.tenants)}
 
+    def tenant(self, name: str) -> int | None:
+        return self._tenants.get(name) if self._tenants else 0
+
     def read(self, request: Request) -> tuple[Job, Terms]:
         """Raises BadRequestError with what is wrong."""
         headers = request.headers
@@ -71,7 +74,8 @@
         job_class = self._classes.get(class_name)
         if job_class is None:
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Kind: not a class of this site")
-        tenant = self._tenants.get(_text(headers, b"req-owner")) if self._tenants else 0
+        tenant_name = _text(headers, b"req-owner")
+        tenant = self.tenant(tenant_name)
         if tenant is None:
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Owner: not a tenant of this site")
         extra = _extra(_text(headers, b"req-extra"))
@@ -82,7 +86,7 @@
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Cost: not a number") from None
         if cost is not None and cost < timedelta():
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Cost: negative")
-        terms = Terms(job_class, class_name, tenant, _span(_text(headers, b"req-deadline")),
+        terms = Terms(job_class, class_name, tenant, tenant_name, _span(_text(headers, b"req-deadline")),
                       _key(request.target), cost, extra.get("slots", 1.0), extra.get("memory", 0.0),
                       headers.get(b"req-retry") == b"1")
         passed = tuple((name.decode().title(), headers[name]) for name in PASSED_ON if name in headers)
@@ -186,6 +190,14 @@
         if not fresh:
             self.places.used(connection)
 
+    def adopt_open(self, sock: socket.socket, keep_alive: bool) -> IngressConnection:
+        """The same for a connection whose client waits for an answer."""
+        self.counters.connections_taken_over += 1
+        connection = self._hold(sock)
+        self.places.used(connection)
+        connection.wait_for_answer(keep_alive)
+        return connection
+
     def release_idle(self) -> Iterator[tuple[socket.socket, bool]]:
         """Lets go of the connections on which nothing is under way, and says which had no request yet."""
         for connection in self.places.all():
@@ -213,13 +225,20 @@
             done()
         else:
             self.counters.job_events_passed_on += 1
-            self.elsewhere.pass_call_back(body, lambda _: done())
+            self.elsewhere.pass_call_back(body, lambda known: self._passed_on(event, known, done))
+
+    def _passed_on(self, event: JobEvent, known: bool, done: Callable[[], None]) -> None:
+        """Guards against a call-back that crosses its exchange, which was on its way here."""
+        if not known:
+            self._job_event(event)
+        done()
 
     def call_back(self, body: bytes) -> bool:
         """A call-back that came to another process of this scheduler."""
         event = self._read_event(body)
         known = event.id in self.book.by_id
-        self._job_event(event)
+        if known:
+            self._job_event(event)
         return known
 
     def _read_event(self, body: bytes) -> JobEvent:
@@ -307,6 +326,21 @@
         return not (self._current or self._waiting or self._reader.under_way or self._finished
                     or self._stream.unsent)
 
+    def at_rest(self) -> bool:
+        """Its client waits for an answer, and has sent nothing more."""
+        return not (self._current is None or self._waiting or self._reader.under_way or self._finished
+                    or self._stream.unsent)
+
+    def keep_alive(self) -> bool:
+        return self._current is not None and self._current.keep_alive
+
+    def wait_for_answer(self, keep_alive: bool) -> None:
+        """As where another process has read the request."""
+        self._current = Request(b"POST", b"", {}, b"", keep_alive)
+
+    def owe(self, exchange: Exchange) -> None:
+        self._exchange = exchange
+
     def release(self) -> socket.socket:
         """Lets go of the socket, for another process to go on with."""
         self._ingress.places.leave(self)
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -11,15 +11,15 @@
 from typing import Any, Final
 
 from carthinge.interface import ByHand, Inherit, Leave, Listing, Message, Retune
-from carthinge.memory import memory_of
+from carthinge.memory import job_memory, memory_of
 from carthinge.net import log
-from carthinge.net.channel import Beat, State
+from carthinge.net.channel import Beat, Open, OpenAttempt, State
 from carthinge.net.config import Config, ConfigError
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
-from carthinge.net.exchange import Book
+from carthinge.net.exchange import Attempt, Book, Exchange, Job
 from carthinge.net.http import Address
-from carthinge.net.ingress import Drain, Ingress
+from carthinge.net.ingress import Drain, Ingress, IngressConnection
 from carthinge.net.listener import bind
 from carthinge.net.loop import MICROSECOND, READ, Loop
 from carthinge.net.operator import PLACES, Operator
@@ -76,8 +76,8 @@
         while not self._over:
             self.loop.turn(idle=not self.book.events)
             self.book.decide()
-            if self.upgrade.leaving:
-                self._pass_on_idle()
+            if self.upgrade.leaving and not self.book.events:
+                self._pass_on_all_at_rest()
         self.watch.stop()
         self.upgrade.close()
         self.ingress.close()
@@ -134,6 +134,19 @@
     def adopt_incoming(self, sock: socket.socket, fresh: bool) -> None:
         self.ingress.adopt(sock, fresh)
 
+    def adopt_open(self, sock: socket.socket, exchange: Open) -> None:
+        """The client waits here from now on, and call-backs for its job are looked for here."""
+        client = self.ingress.adopt_open(sock, exchange.keep_alive)
+        job = Job(exchange.id, exchange.subject, exchange.body, tuple(exchange.headers))
+        taken = Exchange(0, job, exchange.class_name, exchange.tenant, client,
+                         exchange.give_up_us * MICROSECOND)
+        for number, sent in enumerate(exchange.attempts):
+            target = self.table.target(sent.worker, Address.parse(sent.address))
+            taken.attempts.append(Attempt(taken, number, target, sent.sent_us * MICROSECOND,
+                                          sent.due_us * MICROSECOND, sent.open, arrived=True))
+        client.owe(taken)
+        self.book.take_over(taken, self.ingress.translator.tenant(exchange.tenant) or 0, exchange.memory)
+
     def adopt_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None:
         self.egress.adopt(sock, address, idle_since)
 
@@ -150,12 +163,29 @@
         self.ingress.places.most = max(LEAST_PLACES, self._most_in - places)
         self.egress.most = self._most_out // 2
 
-    def _pass_on_idle(self) -> None:
+    def _pass_on_all_at_rest(self) -> None:
+        """To be called when all that has come up is decided on: what the module knows is then complete."""
         for sock, fresh in self.ingress.release_idle():
             self.upgrade.pass_incoming(sock, fresh)
+        for exchange in list(self.book.exchanges.values()):
+            client, attempt = exchange.client, exchange.current()
+            if not (exchange.owed and isinstance(client, IngressConnection) and client.at_rest()):
+                continue
+            if attempt is None or attempt.arrived and not (attempt.leaving or self.egress.calling(attempt)):
+                self._pass_on(exchange, client)
         for sock, address, idle_since in self.egress.release_idle():
             self.upgrade.pass_outgoing(sock, address, idle_since)
 
+    def _pass_on(self, exchange: Exchange, client: IngressConnection) -> None:
+        job = exchange.job
+        attempts = [OpenAttempt(sent.target.id, str(sent.target.address), sent.sent // MICROSECOND,
+                                sent.due // MICROSECOND, sent.open) for sent in exchange.attempts]
+        passed = Open(job.id, job.subject, job.body, list(job.headers), exchange.class_name,
+                      exchange.tenant_name, exchange.give_up // MICROSECOND, client.keep_alive(), attempts,
+                      job_memory(self.dispatcher, exchange.number))
+        self.book.give_away(exchange)
+        self.upgrade.pass_open(client.release(), passed)
+
     # ---- what operators ask for -----------------------------------------------------------
 
     def serving(self) -> bool:
--- a/carthinge/net/route_table.py
+++ b/carthinge/net/route_table.py
@@ -111,6 +111,11 @@
         self.listed.update(target.id for target in state.targets if target.listed)
         return WorkerList(Listing.CACHED, [known.entry for known in state.memory.workers if known.listed])
 
+    def target(self, worker: str, address: Address) -> EgressTarget:
+        """A worker that another process has sent to; discovery need not have named it here yet."""
+        number = number_of(worker)
+        return self.targets.setdefault(number, EgressTarget(worker, number, address))
+
     def _hold(self, member: Member, number: int, address: Address) -> None:
         target = self.targets.setdefault(number, EgressTarget(member.id, number, address))
         target.address = address
--- a/carthinge/net/upgrade.py
+++ b/carthinge/net/upgrade.py
@@ -21,6 +21,7 @@
     Hello,
     Incoming,
     Message,
+    Open,
     Outgoing,
     State,
 )
@@ -53,6 +54,8 @@
 
     def adopt_incoming(self, sock: socket.socket, fresh: bool) -> None: ...
 
+    def adopt_open(self, sock: socket.socket, exchange: Open) -> None: ...
+
     def adopt_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None: ...
 
     def beat(self) -> Beat: ...
@@ -172,6 +175,9 @@
     def pass_incoming(self, sock: socket.socket, fresh: bool) -> None:
         self._send(Incoming(fresh), sock)
 
+    def pass_open(self, sock: socket.socket, exchange: Open) -> None:
+        self._send(exchange, sock)
+
     def pass_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None:
         self._send(Outgoing(str(address), idle_since // MICROSECOND), sock)
 
@@ -214,6 +220,8 @@
                     self._beat()
             case Incoming(fresh=fresh) if along is not None:
                 scheduler.adopt_incoming(along, fresh)
+            case Open() if along is not None:
+                scheduler.adopt_open(along, message)
             case Outgoing(address=address, idle_since_us=since) if along is not None:
                 scheduler.adopt_outgoing(along, Address.parse(address), since * MICROSECOND)
             case CallBack(number=number, body=body):
@@ -258,10 +266,13 @@
             self.listen()
             self._scheduler.leave(False)
             for message, sock in unsent:
-                if isinstance(message, Incoming):
-                    self._scheduler.adopt_incoming(sock, message.fresh)
-                else:
-                    sock.close()
+                match message:
+                    case Incoming(fresh=fresh):
+                        self._scheduler.adopt_incoming(sock, fresh)
+                    case Open():
+                        self._scheduler.adopt_open(sock, message)
+                    case _:
+                        sock.close()
         elif self._taking_over:
             self._taking_over = False
             log.logger().info("alone")
--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -16,7 +16,7 @@
 from typing import Final
 
 from carthinge import interface as io
-from carthinge.memory import recall
+from carthinge.memory import handlers
 from carthinge.records import Attempt, Bucket, Fleet, Job, Loads, Rate, TenantQueue, Timers, Worker
 
 SAMPLE: Final = 16  # workers looked at for a pick: near the best of all, at a cost that does not grow
@@ -129,7 +129,7 @@
         self.out: set[int] = set()  # by hand: ids, since discovery may drop a worker and list it again
         self.kinds = self.fleet.kinds
         self.ring = DeficitRing(())
-        self.leaving = False
+        self.leaving = False  # what cold workers may still get (rule 4) is another's to send then
         self.spans: list[int] = []
         self._adopt(io.Retune(settings, [-1] * len(settings.classes), [-1] * len(settings.tenants)))
         self.timers = Timers()
@@ -146,8 +146,8 @@
             io.Arrival: self._arrive, io.Outcome: self._end, io.Note: self._hear, io.Timer: self._nothing,
             io.WorkerList: self._list, io.ProbeResult: self._probed, io.Message: self._told,
             io.Abandoned: self._abandon, io.StreamStarted: self._stream, io.ByHand: self._by_hand,
-            io.Retune: self._adopt, io.Leave: self._leave,
-            io.Inherit: lambda event: recall(self, event.memory)}
+            io.Retune: self._adopt}
+        self.handlers.update(handlers(self))
 
     def handle(self, now: int, events: Sequence[io.Event]) -> list[io.Action]:
         """What to do about ``events``, which all happened at ``now``."""
@@ -245,10 +245,6 @@
         """What is out from here, as a message."""
         return Loads.pack(self.workers.values(), self.rng)
 
-    def _leave(self, event: io.Leave) -> None:
-        """What cold workers may still get (rule 4) is the other's to send."""
-        self.leaving = event.leaving
-
     def _begin(self) -> None:
         """Watches of hundreds of gateways are spread so that a list of fixed capacity can answer."""
         settings = self.settings
@@ -287,12 +283,12 @@
         self.mean_work += (work - self.mean_work) * GAIN / 5
         self.copies = min(self.copies + COPY_SHARE, 10.0)
         self.arrivals.add(1.0, self.now)
-        self._enqueue(job)
+        self.enqueue(job)
         if self.asks:
             self.probes = min(self.probes + PROBE_SPEND / max(self.settings.price_probe, 1e-4), 3 * SAMPLE)
             self._send_probes(job)
 
-    def _enqueue(self, job: Job) -> None:
+    def enqueue(self, job: Job) -> None:
         job.waiting = True
         job.queued = self.now
         self.sequence += 1
@@ -559,10 +555,14 @@
         if self._is_cold(worker):
             worker.cold_left -= job.work
         self.actions.append(io.Send(job.id, worker.id))
-        self._after(self.now + self._patience(attempt), self._check, attempt)
+        self.attend(attempt)
         if job.hedged:
             self._after(self.now + int(HEDGE_AFTER * self.prompt), self._hedge, attempt)
 
+    def attend(self, attempt: Attempt) -> None:
+        """Looks at it again when it ought to have given a sign."""
+        self._after(self.now + self._patience(attempt), self._check, attempt)
+
     def _hedge(self, attempt: Attempt) -> None:
         """An attempt that has not begun waits in a queue: a copy may begin sooner elsewhere."""
         job = attempt.job
@@ -702,7 +702,7 @@
                 self.prompt *= 1 + GAIN / 2 if self.now - attempt.sent > self.prompt else 1 - GAIN / 2
             if job.open > 1 and job.hedged:
                 self._call_off(job, attempt)
-            self._after(self.now + self._patience(attempt), self._check, attempt)
+            self.attend(attempt)
 
     def _end(self, event: io.Outcome) -> None:
         job = self.jobs.get(event.request)
@@ -774,7 +774,7 @@
             return
         if not attempt.may_have_run:
             job.queue.deficit += job.cost  # it did not run: as if it had never left the heap
-        self._enqueue(job)
+        self.enqueue(job)
 
     # ---- load reports and probes ----------------------------------------------------------
 
