Send a withdrawal again that was reset on its way, before the job goes elsewhere

At fault: _Withdrawal.broken took a DELETE for delivered when its connection broke, and written() counted 100 ms even where the reset came in between. A refused or a vanished worker is told apart: it cannot run the job any more.

--- a/carthinge/net/counters.py
+++ b/carthinge/net/counters.py
@@ -26,7 +26,8 @@
     attempt_reset: int = 0
     attempt_cancelled: int = 0
     attempt_moot: int = 0
-    withdrawn: int = 0  #: DELETEs sent to workers
+    withdrawn: int = 0  #: attempts given up by a DELETE
+    withdrawn_again: int = 0  #: DELETEs sent once more, since the one before was reset
     job_events: int = 0  #: call-backs of workers
     job_events_passed_on: int = 0  #: to another process of this scheduler, which counts them
     job_events_stale: int = 0  #: of these, for an attempt that had ended, or for none
--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -18,6 +18,7 @@
 from carthinge.settings import Site
 
 IDLE_MARGIN: Final = timedelta(milliseconds=300)  # idle connections are closed so long before workers do
+DELETE_AGAIN: Final = timedelta(milliseconds=20)  # after one that was reset
 ARRIVES_WITHIN: Final = timedelta(milliseconds=100)  # a DELETE, once it is written
 UNUSABLE: Final = (HTTPStatus.BAD_REQUEST, HTTPStatus.NOT_FOUND)  # the request's fault, not the worker's
 LATE_ANSWER: Final = timedelta(seconds=2)  # for an answer on which nothing depends any more
@@ -67,17 +68,28 @@
             gone()
             return
         self._counters.withdrawn += 1
+        self._delete(attempt, gone)
+
+    def _delete(self, attempt: Attempt, gone: Callable[[], None]) -> None:
         address = attempt.target.address
         try:
             caller = self._connection(address)
         except OSError:
             gone()
             return
-        withdrawal = _Withdrawal(self._loop, self, caller, gone)
+        withdrawal = _Withdrawal(self._loop, self, caller, attempt, gone)
         self._loop.call_after(LATE_ANSWER, withdrawal.cut)
         path = f"/jobs/{attempt.exchange.job.id}".encode()
         caller.start(withdrawal, call_bytes("DELETE", path, str(address)))
 
+    def not_withdrawn(self, attempt: Attempt, gone: Callable[[], None]) -> None:
+        """Guards against a DELETE that was reset on its way: the next attempt would be a second copy."""
+        if self._loop.clock.now() + DELETE_AGAIN < attempt.due:
+            self._counters.withdrawn_again += 1
+            self._loop.call_after(DELETE_AGAIN, lambda: self._delete(attempt, gone))
+        else:  # no other attempt can follow
+            gone()
+
     def ended(self, attempt: Attempt, result: Result, answer: Answer | None, why: str) -> None:
         """The call of an attempt has told its end."""
         self._book.end(attempt, result, self._report_of(answer), why=why)
@@ -228,24 +240,31 @@
 
 
 class _Withdrawal:
-    """A DELETE; what the worker answers does not matter."""
+    """A DELETE; what the worker answers does not matter, but that it has got there does."""
 
-    def __init__(self, loop: Loop, egress: Egress, caller: Caller, gone: Callable[[], None]) -> None:
+    def __init__(self, loop: Loop, egress: Egress, caller: Caller, attempt: Attempt,
+                 gone: Callable[[], None]) -> None:
         self._loop = loop
         self._egress = egress
         self._caller = caller
+        self._attempt = attempt
         self._gone = gone
+        self._over = False
 
     def written(self) -> None:
         """On its way, on a connection of its own: it must not be overtaken by an attempt elsewhere."""
-        self._loop.call_after(ARRIVES_WITHIN, self._gone)
+        self._loop.call_after(ARRIVES_WITHIN, self._arrived)
 
     def answered(self, answer: Answer) -> None:
-        self._gone()
+        self._arrived()
         self._egress.free(self._caller)
 
     def broken(self, written: bool, why: str) -> None:
-        self._gone()
+        if self._caller.reset and not self._over:
+            self._over = True
+            self._egress.not_withdrawn(self._attempt, self._gone)
+        else:
+            self._arrived()
         self._egress.free(self._caller)
 
     def cut(self) -> None:
@@ -253,3 +272,8 @@
         if self._caller.call is self:
             self._caller.close()
             self.broken(False, "no answer in time")
+
+    def _arrived(self) -> None:
+        if not self._over:
+            self._over = True
+            self._gone()
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -265,6 +265,11 @@
         if self._stream is not None:
             self._stream.close()
 
+    @property
+    def reset(self) -> bool:
+        """The other side broke the connection off, but is not known to be down."""
+        return self._stream is not None and self._stream.reset
+
     @property
     def closed(self) -> bool:
         return self._stream is None or self._stream.closed
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from datetime import timedelta
 from typing import Final, Protocol
@@ -29,6 +30,7 @@
     def __init__(self, loop: Loop, sock: socket.socket, owner: StreamOwner, connecting: bool = False) -> None:
         self.connecting = connecting
         self.closed = False
+        self.reset = False  # the other side broke it off; it may be well, and there still
         self._loop = loop
         self._sock = sock
         self._owner = owner
@@ -92,6 +94,7 @@
         if self.connecting:
             error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if error:
+                self.reset = error == errno.ECONNRESET
                 self._end(f"connect failed: error {error}")
                 return
             self.connecting = False
@@ -106,9 +109,11 @@
         except BlockingIOError:
             return
         except OSError as fault:
+            self.reset = True
             self._end(str(fault))
             return
         if not data:
+            self.reset = True
             self._end("ended by the other side")
         elif not self._finishing:
             self._owner.received(data)
@@ -127,6 +132,7 @@
         except BlockingIOError:
             pass
         except OSError as fault:
+            self.reset = True
             why = str(fault)
             self._loop.soon(lambda: self._end(why))
             return
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -5,6 +5,7 @@
 import resource
 import signal
 import socket
+import struct
 import time
 
 import pytest
@@ -356,6 +357,29 @@
     assert client.status() == 200 and world.counters()["attempt_cancelled"] == 1
 
 
+def test_a_withdrawal_that_is_reset_is_sent_again_before_the_job_goes_elsewhere(world):
+    """The worker has not read it, and still runs the job: another attempt would be a second copy."""
+    client = world.submit("a1")
+    first, peer, _ = world.take()
+    peer.answer(202)
+    world.counters()  # the 202 is read
+    for _ in range(2):
+        at, peer, (line, _, _) = world.take()
+        assert (at, line) == (first, "DELETE /jobs/a1 HTTP/1.1")
+        del world.kept[peer.sock]
+        peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))  # a reset
+        peer.close()
+    at, peer, (line, _, _) = world.take()
+    assert (at, line) == (first, "DELETE /jobs/a1 HTTP/1.1")
+    peer.answer(204)
+    second, peer, (line, _, _) = world.take()
+    assert second != first and line.startswith("POST")
+    peer.answer(202)
+    world.tell("a1", "done", second)
+    assert client.status() == 200
+    assert world.counters()["withdrawn_again"] == 2
+
+
 def test_before_the_202_a_job_is_withdrawn_by_closing_its_connection(world):
     client = world.submit("a1")
     _, peer, _ = world.take()
