Give a worker put back by hand the work that its slots can do while it warms up

Ruled out: the calls and the list (back at once), connections; expecting starts later, long jobs on fast workers, resets as errors (each measured and dropped).

--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -152,8 +152,7 @@
     def handle(self, now: int, events: Sequence[io.Event]) -> list[io.Action]:
         """What to do about ``events``, which all happened at ``now``."""
         self.now = now
-        self.actions = []
-        self.freed = []
+        self.actions, self.freed = [], []
         for event in events:
             self.handlers[type(event)](event)
         self.timers.run(now)
@@ -238,8 +237,8 @@
         (self.out.add if event.out else self.out.discard)(event.worker)
         if worker:
             worker.ready = worker.listed and worker.entry.state is io.State.READY and not event.out
-            self.fleet.renew()
-            self.list_version += 1
+        self.fleet.renew()
+        self.list_version += 1
 
     def loads(self) -> bytes:
         """What is out from here, as a message."""
@@ -523,22 +522,23 @@
     def _cold_allowance(self, worker: Worker) -> float:
         """What this gateway may still send a cold worker in the present span (rule 4).
 
-        It is the mean of what it gets served by a worker, less by how cold this one is, and so little that
-        chance does not bring all gateways together to the multiple that pushes it over.  Where that is less
-        than a job, one is admitted in some spans, so that many gateways with one free worker in view do not
-        come at once.  Served work counts, not work sent: refusals must not raise it.
+        It is the mean of what it gets served by a worker (for one put back by hand, what its slots can do if
+        that is more), less by how cold it is, and so little that chance does not bring all gateways together
+        to the multiple that pushes it over.  Refusals must not raise it: work sent does not count.
         """
-        settings = self.settings
         if not worker.near:  # others have it in their part, and share its allowance among them
             return 0.0
+        settings = self.settings
         slot = (self.now - worker.started) // max(1, settings.fall_window)
         if slot != worker.cold_slot:
             worker.cold_slot = slot
-            rate = self._warmth(worker) / self._warm_part() * self.served.per_s / 1e6
-            own = rate * settings.fall_window / self.mean_work
-            fair = own * settings.instances / max(1, len(self.fleet.pool(-1)))
-            safe = (math.sqrt(COLD_SPREAD**2 + settings.fall_multiple * fair) - COLD_SPREAD) ** 2
-            jobs = own / max(1, len(self.fleet.near)) * min(1.0, safe / max(fair, 1e-9))
+            near = max(1, len(self.fleet.near))
+            sharers = settings.instances * near / max(1, len(self.fleet.pool(-1)))
+            served = self.served.per_s / 1e6 / self._warm_part() / near
+            shown = (worker.back == worker.started) * worker.pool.slots / worker.known_pace() / sharers
+            own = self._warmth(worker) * max(served, shown) * settings.fall_window / self.mean_work
+            safe = (math.sqrt(COLD_SPREAD**2 + settings.fall_multiple * own * sharers) - COLD_SPREAD) ** 2
+            jobs = own * min(1.0, safe / max(own * sharers, 1e-9))
             worker.cold_left = math.floor(jobs + self.rng.random()) * self.mean_work
         return worker.cold_left
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -577,3 +577,25 @@
     for out in (True, False):
         gateway.handle(2, [io.ByHand(1, out)])
     assert not of(io.Send, gateway.handle(3, [outcome(1, 0, 1, io.Result.RESET)]))
+
+
+def test_a_worker_put_back_is_used_by_what_its_slots_can_do_and_not_pushed_over():
+    """What is served by the mean worker says little while jobs wait: the one that is back stood idle."""
+    hall = settings(may_copy=False, reports=io.Reports.ANSWERS, report_fields=("free_slots",))
+    gateway = started(hall, 1, 2)
+    for step in range(40):
+        sends = of(io.Send, gateway.handle(step * 20_000, [arrival(step, now=step * 20_000)]))
+        gateway.handle(step * 20_000 + 1, [outcome(step, 0, s.worker, io.Result.OK, report=(3.0,))
+                                           for s in sends])
+    for worker, out in ((1, True), (1, False), (2, True)):
+        gateway.handle(1_000_000, [io.ByHand(worker, out)])
+    sent, running = 0, []
+    for step in range(100):  # in the window of the rule; each job takes what its hint says
+        now = 1_000_001 + step * 20_000
+        ended, running = [at for at in running if at[0] <= now], [at for at in running if at[0] > now]
+        events = [outcome(request, 0, 1, io.Result.OK, 50_000, report=(3.0,)) for _, request in ended]
+        sends = of(io.Send, gateway.handle(now, [*events, arrival(1000 + step, now=now)]))
+        running += [(now + 50_000, send.request) for send in sends]
+        sent += len(sends)
+    capacity = 3 * hall.cold_start_share * hall.fall_window / 50_000  # in jobs
+    assert capacity / 3 < sent < capacity * hall.fall_multiple
