--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -36,6 +36,14 @@
         assert world.take()[0] == 1
 
 
+def test_a_list_may_come_byte_by_byte(world):
+    peer, _ = world.watched()
+    body = told(9)
+    for byte in b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body:
+        peer.send(bytes((byte,)))
+    assert peer.read()[0].startswith("GET /discovery/hosts?index=9&wait=")
+
+
 def test_a_worker_that_moves_is_reached_at_its_new_address(world):
     moved = type(world.discovery)()
     peer, _ = world.watched()
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -60,6 +60,20 @@
     assert world.take()[2][2] == b"split"
 
 
+def test_a_worker_s_answers_and_call_backs_may_come_byte_by_byte(world):
+    client = world.submit("a1")
+    number, peer, _ = world.take()
+    body = json.dumps({"id": "a1", "from": world.names[number], "state": "done", "result": "r"}).encode()
+    caller = world.connect()
+    call = b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    for to, data in ((peer, b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"), (caller, call)):
+        for byte in data:
+            to.send(bytes((byte,)))
+    assert caller.status() == 204 and client.read()[2] == b"r"
+    world.submit("a2")
+    assert world.take()[2][1]["req-id"] == "a2"  # and the connection is in step
+
+
 def test_blanks_around_header_values_do_not_belong_to_them(world):
     """HTTP allows them: a client that writes them was answered 400."""
     head, body = job("a1").split(b"\r\n\r\n")
