--- a/carthinge/net/upgrade.py
+++ b/carthinge/net/upgrade.py
@@ -5,7 +5,7 @@
 import contextlib
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from datetime import timedelta
 from pathlib import Path
 from typing import Final, Protocol
@@ -64,6 +64,16 @@
         """What the other holds; nothing once it has gone."""
 
 
+@contextlib.contextmanager
+def _short(path: Path) -> Iterator[str]:
+    """The same path by way of its folder's descriptor: a Unix socket's may have 107 bytes and no more."""
+    folder = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{folder}/{path.name}"
+    finally:
+        os.close(folder)
+
+
 class Upgrade:
     """Finds the process that serves already, and is found by the one that comes next."""
 
@@ -105,7 +115,8 @@
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
-            sock.connect(str(self._path))
+            with _short(self._path) as path:
+                sock.connect(path)
         except OSError:  # nobody has been there, or it has died and left its socket
             sock.close()
             self._scheduler.begin(None)
@@ -124,7 +135,8 @@
         try:
             with contextlib.suppress(FileNotFoundError):
                 new.unlink()
-            sock.bind(str(new))
+            with _short(new) as path:
+                sock.bind(path)
             sock.listen(4)
             self._inode = new.stat().st_ino
             new.rename(self._path)
