--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -4,25 +4,49 @@
 
 from collections.abc import Callable
 from dataclasses import fields
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from carthinge import interface as io
 from carthinge.interface import AttemptMemory, JobMemory, Memory, WorkerMemory
-from carthinge.records import Attempt, Fleet, Job, Kind, Rate
+from carthinge.records import Attempt, Bucket, Fleet, Job, Kind, Rate, TenantQueue, Worker
 
-if TYPE_CHECKING:
-    from carthinge.policy import Dispatcher
 
-_LEARNED = tuple(item.name for item in fields(WorkerMemory) if item.name != "entry")
+class Ring(Protocol):
+    """The tenants' classes, by their positions."""
+
+    queues: list[TenantQueue]
+
+
+class Decisions(Protocol):
+    """What of a dispatcher is handed over, and what it does with a job that it is handed."""
+
+    out: set[int]
+    jobs: dict[int, Job]
+    fleet: Fleet
+    workers: dict[int, Worker]
+    kinds: dict[int, Kind]
+    spans: list[int]
+    quotas: list[Bucket]
+    leaving: bool
 
+    @property
+    def ring(self) -> Ring: ...
 
+    def enqueue(self, job: Job) -> None:
+        """Has it wait for a worker."""
+
+    def attend(self, attempt: Attempt) -> None:
+        """Looks at it again when it ought to have given a sign."""
+
+
+_LEARNED = tuple(item.name for item in fields(WorkerMemory) if item.name != "entry")
 _OF_JOB = tuple(item.name for item in fields(JobMemory) if item.name != "attempts")
 _OF_ATTEMPT = tuple(item.name for item in fields(AttemptMemory) if item.name != "worker")
 _METERS = ("mean_work", "patience", "run_patience", "prompt", "warm_part")
 _RATES = ("served", "arrivals")
 
 
-def memory_of(dispatcher: Dispatcher) -> Memory:
+def memory_of(dispatcher: Decisions) -> Memory:
     """Everything that ``recall`` takes."""
     return Memory(
         out=sorted(dispatcher.out),
@@ -35,7 +59,7 @@
     )
 
 
-def handlers(dispatcher: Dispatcher) -> dict[type, Callable[[Any], None]]:
+def handlers(dispatcher: Decisions) -> dict[type, Callable[[Any], None]]:
     """Of the events by which a dispatcher takes over from another."""
     return {io.Inherit: lambda event: recall(dispatcher, event.memory),
             io.Leave: lambda event: _leave(dispatcher, event),
@@ -43,7 +67,7 @@
             io.GiveAway: lambda event: _give_away(dispatcher, event)}
 
 
-def job_memory(dispatcher: Dispatcher, request: int) -> JobMemory:
+def job_memory(dispatcher: Decisions, request: int) -> JobMemory:
     """Everything that is known of an open job."""
     job = dispatcher.jobs[request]
     attempts = [AttemptMemory(worker=attempt.worker.id,
@@ -52,11 +76,11 @@
     return JobMemory(attempts=attempts, **{name: getattr(job, name) for name in _OF_JOB})
 
 
-def _leave(dispatcher: Dispatcher, event: io.Leave) -> None:
+def _leave(dispatcher: Decisions, event: io.Leave) -> None:
     dispatcher.leaving = event.leaving
 
 
-def _take_over(dispatcher: Dispatcher, event: io.TakeOver) -> None:
+def _take_over(dispatcher: Decisions, event: io.TakeOver) -> None:
     known = event.memory
     queues = dispatcher.ring.queues
     queue = queues[event.tenant if event.tenant < len(queues) else 0]
@@ -72,24 +96,22 @@
         job.attempts.append(attempt)
         if attempt.open:
             job.open += 1
-            worker.slots_out += job.slots
-            worker.work_out += job.work
+            worker.carry(job)
             dispatcher.attend(attempt)
     if not job.open:
         dispatcher.enqueue(job)
 
 
-def _give_away(dispatcher: Dispatcher, event: io.GiveAway) -> None:
+def _give_away(dispatcher: Decisions, event: io.GiveAway) -> None:
     job = dispatcher.jobs.pop(event.request)
     job.answered, job.waiting = True, False
     for attempt in job.attempts:
         if attempt.open:
             attempt.open = attempt.may_have_run = False  # for this one: no check of it is due any more
-            attempt.worker.slots_out = max(0.0, attempt.worker.slots_out - job.slots)
-            attempt.worker.work_out = max(0.0, attempt.worker.work_out - job.work)
+            attempt.worker.put_down(job)
 
 
-def recall(dispatcher: Dispatcher, memory: Memory) -> None:
+def recall(dispatcher: Decisions, memory: Memory) -> None:
     """Of classes and tenants only where both know as many: they have no names here."""
     dispatcher.out.update(memory.out)
     _into_fleet(dispatcher.fleet, memory)
--- a/carthinge/net/exchange.py
+++ b/carthinge/net/exchange.py
@@ -117,6 +117,7 @@
         self._targets = targets
         self._counters = counters
         self._count = 0
+        self._wake: Timer | None = None
         self._carriers: dict[type, Callable[..., None]] = {
             io.Send: self._send, io.Refuse: self._shed, io.Fail: self._fail, io.Cancel: self._cancel,
             io.SetTimer: self._set_timer, io.Watch: self._watch, io.LogLine: self._log}
@@ -284,8 +285,10 @@
         self.ended.failed[exchange.class_name] += 1
 
     def _set_timer(self, action: io.SetTimer) -> None:
-        token = action.token
-        self._loop.call_at(action.due * MICROSECOND, lambda: self.tell(io.Timer(token)))
+        """The module asks again after each wake, so that an earlier one takes the place of the one before."""
+        if self._wake is not None:
+            self._wake.cancel()
+        self._wake = self._loop.call_at(action.due * MICROSECOND, partial(self.tell, io.Timer(action.token)))
 
     def _watch(self, _: io.Watch) -> None:
         self.watch()
--- a/carthinge/net/loop.py
+++ b/carthinge/net/loop.py
@@ -8,13 +8,14 @@
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from typing import Final
 
 READ: Final = selectors.EVENT_READ
 WRITE: Final = selectors.EVENT_WRITE
 MICROSECOND: Final = timedelta(microseconds=1)
 MILLISECOND: Final = timedelta(milliseconds=1)
+SMALL_HEAP: Final = 256  # timers; below that nothing is gained by sweeping out the cancelled ones
 LONGEST_WAIT: Final = timedelta(minutes=1)  # a selector overflows where a client is patient for years
 
 
@@ -59,6 +60,7 @@
         self.now = self.clock.now()  # the time of this turn
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[timedelta, int, Timer]] = []
+        self._sweep_at = SMALL_HEAP
         self._count = 0
         self._soon: deque[Callable[[], None]] = deque()
 
@@ -74,6 +76,10 @@
     def call_at(self, due: timedelta, call: Callable[[], None]) -> Timer:
         timer = Timer(call)
         self._count += 1
+        if len(self._timers) >= self._sweep_at:  # cancelled ones would stay until they are due
+            self._timers = [entry for entry in self._timers if entry[2].call is not None]
+            heapify(self._timers)
+            self._sweep_at = max(SMALL_HEAP, 2 * len(self._timers))
         heappush(self._timers, (due, self._count, timer))
         return timer
 
--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -11,7 +11,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Sequence
-from heapq import heappop, heappush
+from heapq import heappop
 from random import Random
 from typing import Final
 
@@ -291,7 +291,7 @@
         job.waiting = True
         job.queued = self.now
         self.sequence += 1
-        heappush(job.queue.heap, (job.rank, job.came, self.sequence, job))
+        job.queue.push((job.rank, job.came, self.sequence, job))
         last = job.give_up - self.settings.answer_grace
         if job.spec.late_worth <= 0 and (job.hedged or job.never_ran()):
             # Held longer, it would only take the place of one in time.
@@ -549,8 +549,7 @@
         attempt.alone = worker.held() < 1
         job.attempts.append(attempt)
         job.open += 1
-        worker.slots_out += job.slots
-        worker.work_out += job.work
+        worker.carry(job)
         worker.free -= job.slots
         if self._is_cold(worker):
             worker.cold_left -= job.work
@@ -712,8 +711,7 @@
         attempt.open = False
         job.open -= 1
         worker = attempt.worker
-        worker.slots_out = max(0.0, worker.slots_out - job.slots)
-        worker.work_out = max(0.0, worker.work_out - job.work)
+        worker.put_down(job)
         result = event.result
         if result in io.NEVER_RAN:
             attempt.may_have_run = False
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -6,7 +6,7 @@
 from bisect import bisect_left
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from random import Random
 from struct import Struct
 from typing import Final
@@ -17,6 +17,7 @@
 MASK: Final = (1 << 64) - 1
 RATE_MEMORY: Final = 10.0  # seconds
 LOAD_ENTRY: Final = Struct("<HBB")
+SMALL_HEAP: Final = 64  # entries; below that nothing is gained by sweeping what is over
 
 
 def mix(value: int) -> int:
@@ -73,6 +74,16 @@
         """Names it in messages."""
         return self.point & 0xFFFF
 
+    def carry(self, job: Job) -> None:
+        """An attempt of this job is out here from now on."""
+        self.slots_out += job.slots
+        self.work_out += job.work
+
+    def put_down(self, job: Job) -> None:
+        """That attempt has ended; what the job's figures were rounded to must not leave a debt."""
+        self.slots_out = max(0.0, self.slots_out - job.slots)
+        self.work_out = max(0.0, self.work_out - job.work)
+
     def held(self) -> float:
         """Slots that it is known to be asked for."""
         return self.slots_out + self.peer_slots
@@ -97,6 +108,12 @@
     alone: bool = True  # a slot was free: its time is its own, not the queue's
     may_have_run: bool = True  # until an outcome proves the contrary
 
+    def over(self) -> bool:
+        """No timer can do anything about it any more, now or later."""
+        job = self.job
+        called_off = job.hedged and not self.begun and self.may_have_run
+        return job.streaming or not (called_off or self.open and not job.answered)
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -126,6 +143,10 @@
     look_at: int = 0  # a blocked head is not picked for before
     list_seen: int = -1  # the list as it was then
 
+    def over(self) -> bool:
+        """The same for the job: once it is answered, it neither waits nor can be called off."""
+        return self.answered
+
     def never_ran(self) -> bool:
         return not any(attempt.may_have_run for attempt in self.attempts)
 
@@ -133,12 +154,21 @@
 class TenantQueue:
     """A tenant's class: its pending heap and its credit."""
 
-    __slots__ = ("heap", "deficit", "quantum")
+    __slots__ = ("heap", "deficit", "quantum", "most")
 
     def __init__(self, quantum: float) -> None:
         self.heap: list[tuple[float, int, int, Job]] = []
         self.deficit = 0.0
         self.quantum = quantum
+        self.most = SMALL_HEAP  # entries at which those that wait no more are swept out
+
+    def push(self, entry: tuple[float, int, int, Job]) -> None:
+        """Guards against a long queue that is kept longer by jobs answered while they waited in it."""
+        if len(self.heap) >= self.most:
+            self.heap = [other for other in self.heap if other[-1].waiting]
+            heapify(self.heap)
+            self.most = max(SMALL_HEAP, 2 * len(self.heap))
+        heappush(self.heap, entry)
 
     def head(self) -> Job | None:
         """The first job still waiting; those answered meanwhile are dropped here."""
@@ -204,16 +234,25 @@
 
 
 class Timers:
-    """Calls that are due at a time, in the order of their times and then of their entry."""
+    """Calls that are due at a time, in the order of their times and then of their entry.
+
+    One whose subject is over is swept out before the heap holds more of those than of all others: memory
+    follows what is open, and not the rate of jobs times their deadlines.
+    """
 
-    __slots__ = ("heap", "count")
+    __slots__ = ("heap", "count", "most")
 
     def __init__(self) -> None:
-        self.heap: list[tuple[int, int, Callable[..., None], object]] = []
+        self.heap: list[tuple[int, int, Callable[..., None], Job | Attempt | None]] = []
         self.count = 0
+        self.most = SMALL_HEAP
 
-    def add(self, due: int, call: Callable[..., None], subject: object = None) -> None:
+    def add(self, due: int, call: Callable[..., None], subject: Job | Attempt | None = None) -> None:
         self.count += 1
+        if len(self.heap) >= self.most:
+            self.heap = [timer for timer in self.heap if timer[3] is None or not timer[3].over()]
+            heapify(self.heap)
+            self.most = max(SMALL_HEAP, 2 * len(self.heap))
         heappush(self.heap, (due, self.count, call, subject))
 
     def run(self, now: int) -> None:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -70,3 +70,17 @@
     assert started == clock.of_unix_ms(recent)  # another time would look like another start
     assert timedelta(seconds=2) < clock.now() - started < timedelta(seconds=60)
     assert clock.of_unix_ms(1) == timedelta()
+
+
+def test_timers_that_were_cancelled_do_not_stay_until_they_are_due():
+    """Guards against memory that grows with the rate of jobs times their deadlines."""
+    loop = Loop()
+    seen = []
+    kept = [loop.call_after(timedelta(milliseconds=1), lambda n=n: seen.append(n)) for n in range(10)]
+    for _ in range(20_000):
+        loop.call_after(timedelta(seconds=60), kept.clear).cancel()
+    assert len(loop._timers) <= 256
+    while len(seen) < 10:
+        loop.turn()
+    assert seen == list(range(10))
+    loop.close()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -599,3 +599,22 @@
         sent += len(sends)
     capacity = 3 * hall.cold_start_share * hall.fall_window / 50_000  # in jobs
     assert capacity / 3 < sent < capacity * hall.fall_multiple
+
+
+def test_a_job_that_has_ended_leaves_nothing_behind():
+    """Its timers were kept until its deadline, and with them all that was known of it."""
+    gateway = started(settings(tells_start=False), 1, 2)
+    for step in range(5000):
+        for sent in of(io.Send, gateway.handle(step, [arrival(step, now=step)])):
+            gateway.handle(step, [outcome(step, 0, sent.worker, io.Result.OK)])
+    assert not gateway.jobs and len(gateway.timers.heap) <= 128
+
+
+def test_jobs_given_up_while_they_wait_do_not_lengthen_the_queue():
+    gateway = started(settings(), 1)
+    for step in range(20):  # more than the worker gets at once; what is cheap stays at the head
+        gateway.handle(step, [arrival(step, now=step, hint=1_000)])
+    for step in range(20, 5000):
+        gateway.handle(step, [arrival(step, now=step)])
+        gateway.handle(step, [io.Abandoned(step)])
+    assert len(gateway.jobs) == 20 and all(len(queue.heap) <= 128 for queue in gateway.ring.queues)
