--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import re
 import socket
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from datetime import timedelta
-from hashlib import blake2b
 from http import HTTPStatus
 from typing import Final, Literal, Protocol
 
@@ -18,26 +16,22 @@
 from carthinge.net import log
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
-from carthinge.net.exchange import Attempt, Book, Exchange, Job, Terms
+from carthinge.net.exchange import Attempt, Book, Exchange
 from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes
 from carthinge.net.listener import Listener
-from carthinge.net.loop import MICROSECOND, MILLISECOND, Loop, Timer
+from carthinge.net.loop import Loop, Timer
 from carthinge.net.places import Places
 from carthinge.net.stream import Stream
+from carthinge.net.translator import JOBS, Translator
 from carthinge.settings import Site
 
 CALL_BACK: Final = b"/v1/job-events"
-JOBS: Final = b"/api"  # a further part, where there is one, is the key
 PIPELINED: Final = 8  # requests that may wait on one connection; clients of this protocol send one at a time
 PAUSE_TOLD: Final = timedelta(seconds=10)  # pauses that follow on one another are logged once in a while
 FIRST_REQUEST: Final = timedelta(milliseconds=2500)  # from connecting to the last byte of a first request
 FRESH_CHECKED: Final = timedelta(milliseconds=200)  # how often that is looked at
 SLOW_REQUEST: Final = timedelta(seconds=10)  # from the first byte of a later request to its last
 ENDINGS: Final = {"done": Result.OK, "failed": Result.ERROR, "returned": Result.FULL, "lost": Result.RESET}
-REQUEST_ID: Final = re.compile(r"[0-9A-Za-z_.-]{1,128}")
-SPAN: Final = re.compile(r"(\d{1,15}(?:\.\d{1,9})?)([mu])")
-UNITS: Final = {"m": MILLISECOND, "u": MICROSECOND}
-PASSED_ON: Final = (b"idempotency-key", b"content-type")
 
 
 class JobEvent(msgspec.Struct, frozen=True, rename={"sender": "from"}):
@@ -54,73 +48,6 @@
 _EVENTS: Final[msgspec.json.Decoder[JobEvent]] = msgspec.json.Decoder(JobEvent)
 
 
-class Translator:
-    """Requests to jobs and their terms, by the names of the site."""
-
-    def __init__(self, site: Site) -> None:
-        self._classes = {name: index for index, name in enumerate(site.classes)}
-        self._tenants = {name: index for index, name in enumerate(site.tenants)}
-
-    def tenant(self, name: str) -> int | None:
-        return self._tenants.get(name) if self._tenants else 0
-
-    def read(self, request: Request) -> tuple[Job, Terms]:
-        """Raises BadRequestError with what is wrong."""
-        headers = request.headers
-        job_id = _text(headers, b"req-id")
-        if not REQUEST_ID.fullmatch(job_id):  # it becomes part of a path
-            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Id: missing or malformed")
-        class_name = _text(headers, b"req-kind")
-        job_class = self._classes.get(class_name)
-        if job_class is None:
-            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Kind: not a class of this site")
-        tenant_name = _text(headers, b"req-owner")
-        tenant = self.tenant(tenant_name)
-        if tenant is None:
-            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Owner: not a tenant of this site")
-        extra = _extra(_text(headers, b"req-extra"))
-        hint = _text(headers, b"req-cost")
-        try:
-            cost = float(hint) * MICROSECOND if hint else None
-        except (ValueError, OverflowError):
-            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Cost: not a number") from None
-        if cost is not None and cost < timedelta():
-            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Cost: negative")
-        terms = Terms(job_class, class_name, tenant, tenant_name, _span(_text(headers, b"req-deadline")),
-                      _key(request.target), cost, extra.get("slots", 1.0), extra.get("memory", 0.0),
-                      headers.get(b"req-retry") == b"1")
-        passed = tuple((name.decode().title(), headers[name]) for name in PASSED_ON if name in headers)
-        return Job(job_id, request.target, request.body, passed), terms
-
-
-def _text(headers: dict[bytes, bytes], name: bytes) -> str:
-    return headers.get(name, b"").decode("latin-1")
-
-
-def _span(text: str) -> timedelta:
-    found = SPAN.fullmatch(text)
-    if found is None:
-        raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Deadline: not a number with the unit m or u")
-    return float(found[1]) * UNITS[found[2]]
-
-
-def _extra(text: str) -> dict[str, float]:
-    try:
-        pairs = [part.split("=", 1) for part in text.split(",") if part]
-        figures = {name.strip(): float(value) for name, value in pairs}
-    except ValueError:
-        raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Extra: not of the form name=number,...") from None
-    if not all(0 <= figure < 1e9 for figure in figures.values()):
-        raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Extra: a figure is out of range")
-    return figures
-
-
-def _key(target: bytes) -> int:
-    """What the request is about, from the last part of its path; the same number at every scheduler."""
-    last = target.split(b"?", 1)[0].removeprefix(JOBS).rsplit(b"/", 1)[-1]
-    return int.from_bytes(blake2b(last, digest_size=8).digest(), "little") if last else 0
-
-
 @dataclass(frozen=True, slots=True)
 class Drain:
     """Up to when what is done, once the program is to end."""
--- /dev/null
+++ b/carthinge/net/translator.py
@@ -0,0 +1,87 @@
+"""Requests of clients to jobs and their terms, by the names of the site."""
+
+from __future__ import annotations
+
+import re
+from datetime import timedelta
+from hashlib import blake2b
+from http import HTTPStatus
+from typing import Final
+
+from carthinge.net.exchange import Job, Terms
+from carthinge.net.http import BadRequestError, Request
+from carthinge.net.loop import MICROSECOND, MILLISECOND
+from carthinge.settings import Site
+
+JOBS: Final = b"/api"  # a further part, where there is one, is the key
+REQUEST_ID: Final = re.compile(r"[0-9A-Za-z_.-]{1,128}")
+SPAN: Final = re.compile(r"(\d{1,15}(?:\.\d{1,9})?)([mu])")
+UNITS: Final = {"m": MILLISECOND, "u": MICROSECOND}
+PASSED_ON: Final = (b"idempotency-key", b"content-type")
+
+
+class Translator:
+    """Requests to jobs and their terms, by the names of the site."""
+
+    def __init__(self, site: Site) -> None:
+        self._classes = {name: index for index, name in enumerate(site.classes)}
+        self._tenants = {name: index for index, name in enumerate(site.tenants)}
+
+    def tenant(self, name: str) -> int | None:
+        return self._tenants.get(name) if self._tenants else 0
+
+    def read(self, request: Request) -> tuple[Job, Terms]:
+        """Raises BadRequestError with what is wrong."""
+        headers = request.headers
+        job_id = text(headers, b"req-id")
+        if not REQUEST_ID.fullmatch(job_id):  # it becomes part of a path
+            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Id: missing or malformed")
+        class_name = text(headers, b"req-kind")
+        job_class = self._classes.get(class_name)
+        if job_class is None:
+            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Kind: not a class of this site")
+        tenant_name = text(headers, b"req-owner")
+        tenant = self.tenant(tenant_name)
+        if tenant is None:
+            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Owner: not a tenant of this site")
+        figures = extra(text(headers, b"req-extra"))
+        hint = text(headers, b"req-cost")
+        try:
+            cost = float(hint) * MICROSECOND if hint else None
+        except (ValueError, OverflowError):
+            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Cost: not a number") from None
+        if cost is not None and cost < timedelta():
+            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Cost: negative")
+        terms = Terms(job_class, class_name, tenant, tenant_name, span(text(headers, b"req-deadline")),
+                      subject_key(request.target), cost, figures.get("slots", 1.0),
+                      figures.get("memory", 0.0), headers.get(b"req-retry") == b"1")
+        passed = tuple((name.decode().title(), headers[name]) for name in PASSED_ON if name in headers)
+        return Job(job_id, request.target, request.body, passed), terms
+
+
+def text(headers: dict[bytes, bytes], name: bytes) -> str:
+    return headers.get(name, b"").decode("latin-1")
+
+
+def span(text: str) -> timedelta:
+    found = SPAN.fullmatch(text)
+    if found is None:
+        raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Deadline: not a number with the unit m or u")
+    return float(found[1]) * UNITS[found[2]]
+
+
+def extra(text: str) -> dict[str, float]:
+    try:
+        pairs = [part.split("=", 1) for part in text.split(",") if part]
+        figures = {name.strip(): float(value) for name, value in pairs}
+    except ValueError:
+        raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Extra: not of the form name=number,...") from None
+    if not all(0 <= figure < 1e9 for figure in figures.values()):
+        raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Extra: a figure is out of range")
+    return figures
+
+
+def subject_key(target: bytes) -> int:
+    """What the request is about, from the last part of its path; the same number at every scheduler."""
+    last = target.split(b"?", 1)[0].removeprefix(JOBS).rsplit(b"/", 1)[-1]
+    return int.from_bytes(blake2b(last, digest_size=8).digest(), "little") if last else 0
