--- /dev/null
+++ b/carthinge/durable/held.py
@@ -0,0 +1,110 @@
+"""One durable job while it is open: what the book talks to, and who waits for its end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Protocol
+
+from carthinge import interface as io
+from carthinge.durable.limits import Shed
+from carthinge.durable.records import Accepted, JobState, StoredAttempt
+from carthinge.net.exchange import Attempt, Exchange, Job
+from carthinge.net.loop import Timer
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How a job has ended, for whoever asks."""
+
+    state: JobState
+    result: bytes = b""
+    timed_out: bool = False
+    stay_away: timedelta = timedelta()
+
+
+class Waiter(Protocol):
+    """Somebody who wants to hear of a job; gets one of ``ended``, ``shed`` and ``mismatch`` at the most."""
+
+    held: Held | None  #: the job that it is a waiter of; kept here
+
+    def accepted(self, name: str) -> None:
+        """It is taken on, and known by this name."""
+
+    def ended(self, ending: Ending) -> None: ...
+
+    def shed(self, why: Shed, stay_away: timedelta) -> None:
+        """It is not taken on."""
+
+    def moved(self, name: str) -> None:
+        """Another process of this scheduler goes on with it, or this one from the store."""
+
+    def mismatch(self) -> None:
+        """Its key belongs to another request."""
+
+
+class HeldBy(Protocol):
+    """Who carries out what the book says of a job."""
+
+    def end(self, held: Held, ending: Ending) -> None: ...
+
+    def grant(self, held: Held, attempt: Attempt, go: Callable[[], None]) -> None: ...
+
+    def renew(self, attempt: Attempt, begun: bool) -> None: ...
+
+    def attempt_ended(self, held: Held, attempt: Attempt, result: io.Result) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """One durable job that is open here, or whose end is not on disk yet.  The book's client and keeper."""
+
+    jobs: HeldBy
+    accepted: Accepted
+    waiters: list[Waiter] = field(default_factory=list)
+    exchange: Exchange | None = None  #: none while it waits for the disk, or to enter
+    on_disk: bool = False
+    ending: Ending | None = None
+    told: bool = False  #: its waiters know the ending
+    last_token: int = 0
+    winner: int = 0  #: the token whose result it is
+    calls: list[Callable[[int], None]] = field(default_factory=list)  #: call-backs to be answered at its end
+    restored: list[StoredAttempt] = field(default_factory=list)
+    refusal: Timer | None = None
+
+    # ---- the book's client ----------------------------------------------------------------
+
+    def serve(self, result: bytes) -> None:
+        self.jobs.end(self, Ending(JobState.SERVED, result))
+
+    def shed(self, stay_away: timedelta) -> None:
+        self.jobs.end(self, Ending(JobState.REFUSED, stay_away=stay_away))
+
+    def fail(self, timed_out: bool) -> None:
+        self.jobs.end(self, Ending(JobState.FAILED, timed_out=timed_out))
+
+    def reject(self) -> None:
+        self.jobs.end(self, Ending(JobState.FAILED, b"no worker can use this request\n"))
+
+    # ---- the book's keeper ----------------------------------------------------------------
+
+    def grant(self, attempt: Attempt, go: Callable[[], None]) -> None:
+        self.jobs.grant(self, attempt, go)
+
+    def renew(self, attempt: Attempt, begun: bool) -> None:
+        self.jobs.renew(attempt, begun)
+
+    def attempt_ended(self, attempt: Attempt, result: io.Result) -> None:
+        self.jobs.attempt_ended(self, attempt, result)
+
+    # ---- what is known of it --------------------------------------------------------------
+
+    def out(self) -> bool:
+        """Somebody has the job now."""
+        return self.exchange is not None and self.exchange.current() is not None
+
+    def job(self) -> Job:
+        """What its client wants, for the book."""
+        accepted = self.accepted
+        return Job(accepted.req_id, accepted.subject, accepted.body, accepted.headers)
--- /dev/null
+++ b/carthinge/durable/jobs.py
@@ -0,0 +1,481 @@
+"""The durable jobs of a running scheduler: between the fronts, the book and the store.
+
+A job is taken on once its record is on disk; only then does the book, and with it the decision module, hear
+of it.  An attempt is sent once its grant is on disk.  An end is told (to clients, and to the worker that
+called back) once it is on disk.  So whatever anybody outside has seen is there after a crash.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from http import HTTPStatus
+from pathlib import Path
+from typing import Final
+
+from carthinge import interface as io
+from carthinge.durable import records
+from carthinge.durable.held import Ending, Held, Waiter
+from carthinge.durable.limits import Limits, Shed
+from carthinge.durable.records import Accepted, AttemptState, Collected, Ended, Found, JobState, StoredJob
+from carthinge.durable.recovery import Entrance
+from carthinge.durable.seal import job_name, job_number, key_digest, request_digest
+from carthinge.durable.store import Store, StoreError, Time
+from carthinge.durable.tenure import Tenure
+from carthinge.durable.writer import Writer
+from carthinge.net import log
+from carthinge.net.exchange import Attempt, Book, Job, Terms
+from carthinge.net.http import Address
+from carthinge.net.loop import MICROSECOND, READ, Loop, Timer
+from carthinge.net.route_table import EgressTarget
+from carthinge.operator_file import Options
+
+ACCEPTED_WITHIN: Final = timedelta(seconds=1)  # else a job is shed: its client must not wait for a sick disk
+ANSWERED_WITHIN: Final = timedelta(milliseconds=8)  # of an end at the deadline, though it is not on disk yet
+LOADED_AT_ONCE: Final = 500  # jobs, between two turns of the loop
+EPOCH_BITS: Final = 31  # of a number that counts within one opening of the store
+STAY_AWAY: Final = timedelta(seconds=1)  # after a refusal for want of disk or room
+
+
+class DurableJobs:
+    """All durable jobs of this scheduler, and the store they are in."""
+
+    def __init__(self, loop: Loop, book: Book, options: Options, boot: str,
+                 terms_of: Callable[[Accepted, timedelta], Terms | None],
+                 entry_of: Callable[[int], io.WorkerEntry],
+                 target_of: Callable[[str, Address], EgressTarget]) -> None:
+        """``terms_of``: a stored job's class and tenant by the settings of now, None where they are gone."""
+        durable = options.durable
+        self.loop = loop
+        self.classes = frozenset(durable.classes)
+        self.limits = Limits(durable.max_open, durable.max_open_per_tenant, durable.max_open_bytes,
+                             durable.max_store_bytes, durable.max_backlog)
+        self.tenure = Tenure(loop, options.leases.duration, entry_of, target_of, book.expire)
+        self.entrance: Entrance[Held] = Entrance(durable.recover_per_s)
+        self.shed_for: dict[str, int] = dict.fromkeys((why.name.lower() for why in Shed), 0)
+        self.late_results = self.stale_calls = self.recovered = 0
+        self.loaded = False
+        self.writer: Writer | None = None
+        self._book = book
+        self._options = durable
+        self._boot = boot
+        self._terms_of = terms_of
+        self._store = Store(Path(durable.folder), durable.max_store_bytes)
+        self._held: dict[int, Held] = {}
+        self._by_key: dict[bytes, Held] = {}
+        self._by_req: dict[str, Held] = {}
+        self._deferred: list[Callable[[], None]] = []
+        self._count = 0
+        self._entrance_timer: Timer | None = None
+        self.leaving = False  #: another process is to have the store, or has it
+        self._stopped = False
+
+    # ---- start and end --------------------------------------------------------------------
+
+    def open(self) -> None:
+        """Takes the store; StoreError where that cannot be had.  Open jobs follow turn by turn."""
+        self._store.open(self.time())
+        self.loaded = self.leaving = self._stopped = False
+        self._count = self.recovered = 0
+        self.writer = Writer(self._store, self.time, lambda sock, call: self.loop.register(sock, READ, call))
+        self._load(0)
+
+    def close(self, patience: timedelta = timedelta(seconds=5)) -> bool:
+        """Writes down what has come up and lets go of the store; False where the disk would not take it."""
+        writer, self.writer = self.writer, None
+        if writer is None:
+            return True
+        self._stopped, self.loaded = True, False
+        whole = writer.stop(patience)
+        writer.deliver()
+        self.loop.forget(writer.wake_in)
+        writer.close()
+        if writer.stopped:  # else its thread has the store still; that ends with the process
+            self._store.close()
+        return whole
+
+    def forget_all(self) -> None:
+        """What is open goes on from the store, here or elsewhere; those who wait know its name."""
+        for held in list(self._held.values()):
+            for waiter in held.waiters:
+                waiter.moved(self.name(held.accepted.number))
+            self._drop(held)
+            self.entrance.drop(held)
+            if held.refusal is not None:
+                held.refusal.cancel()
+            if held.exchange is not None:
+                self._book.give_away(held.exchange)
+        self.tenure.clear()
+
+    def under_way(self, busy: Callable[[Attempt], bool]) -> bool:
+        """Something is on its way to a worker, or is about to be."""
+        out = (held.exchange.current() for held in self._held.values() if held.exchange is not None)
+        return any(attempt is not None and (attempt.held_back and attempt.token or busy(attempt))
+                   for attempt in out)
+
+    def known(self, req_id: str) -> bool:
+        """A durable job of that request is open here."""
+        return req_id in self._by_req
+
+    def figures(self) -> dict[str, object]:
+        """For the operators, as of now."""
+        writer = self.writer
+        return {"open": self.limits.open, "open_bytes": self.limits.bytes,
+                "waiting_to_enter": len(self.entrance), "leases": len(self.tenure.leases),
+                "leases_expired": self.tenure.expired, "late_results": self.late_results,
+                "stale_calls": self.stale_calls, "recovered": self.recovered, "loaded": self.loaded,
+                "shed": self.shed_for, "failing": bool(writer and writer.failing),
+                "failures": writer.failures if writer else 0, "backlog": writer.backlog if writer else 0,
+                "commits": writer.commits if writer else 0,
+                "store_bytes": writer.usage.bytes_used if writer else 0,
+                "store_bytes_free": writer.usage.bytes_free if writer else 0}
+
+    def time(self) -> Time:
+        """For the store; also called from its thread."""
+        clock = self.loop.clock
+        return Time(clock.now() // MICROSECOND, clock.wall() // MICROSECOND, self._boot)
+
+    def name(self, number: int) -> str:
+        return job_name(number, self._store.secret)
+
+    def _next(self) -> int:
+        """A number that no job and no attempt of this store ever had: openings are counted on disk."""
+        self._count += 1
+        assert self._count < 1 << EPOCH_BITS
+        return self._store.epoch << EPOCH_BITS | self._count
+
+    # ---- recovery -------------------------------------------------------------------------
+
+    def _load(self, after: int) -> None:
+        assert self.writer is not None
+        self.writer.ask(lambda store: store.open_jobs(after, LOADED_AT_ONCE), self._read_back)
+
+    def _read_back(self, found: object) -> None:
+        if self._stopped:
+            return
+        if isinstance(found, StoreError):
+            # What cannot be read cannot be answered, and more must not be put on top of it.
+            log.logger().error("store_unreadable", why=str(found))
+            raise found
+        assert isinstance(found, list)
+        for stored in found:
+            self._recover(stored)
+        if found:
+            self._load(found[-1].accepted.number)
+            return
+        self.loaded = True
+        log.logger().info("store_loaded", jobs=self.recovered, path=str(self._store.path))
+        deferred, self._deferred = self._deferred, []
+        for call in deferred:
+            call()
+        self._enter()
+
+    def _recover(self, stored: StoredJob) -> None:
+        accepted = stored.accepted
+        held = Held(self, accepted, on_disk=True, restored=stored.attempts)
+        held.last_token = max((sent.token for sent in stored.attempts), default=0)
+        self.recovered += 1
+        self._hold(held)
+        if any(sent.state is AttemptState.OUT for sent in stored.attempts):
+            self._restore(held)
+        else:
+            self.entrance.park(held, accepted.give_up * MICROSECOND)
+
+    def _enter(self) -> None:
+        now = self.loop.clock.now()
+        for held in self.entrance.enter(now):
+            self._restore(held)
+        due = self.entrance.due(now)
+        self._entrance_timer = None if due is None else self.loop.call_at(due, self._enter)
+
+    def _restore(self, held: Held) -> None:
+        """The book takes it on, with the attempts that it has had."""
+        accepted = held.accepted
+        left = accepted.give_up * MICROSECOND - self.loop.now
+        terms = self._terms_of(accepted, left)
+        if terms is None:
+            self.end(held, Ending(JobState.FAILED, b"its class or tenant is no longer served\n"))
+            return
+        stored, held.restored = held.restored, []
+        held.exchange = self._book.restore(held.job(), terms, held, held,
+                                           [self.tenure.read_back(attempt) for attempt in stored])
+        for attempt, known in zip(held.exchange.attempts, stored, strict=True):
+            if attempt.open:
+                self.tenure.resume(attempt, held=known.until > 0)
+
+    # ---- taking jobs on -------------------------------------------------------------------
+
+    def take(self, job: Job, terms: Terms, key: bytes | None, waiter: Waiter) -> None:
+        """A whole request for a durable job; ``waiter`` hears what becomes of it."""
+        if not self.loaded:  # whether its key is known cannot be told yet
+            arrived = self.loop.now
+            self._deferred.append(lambda: self._take(job, terms, key, waiter, arrived))
+        else:
+            self._take(job, terms, key, waiter, self.loop.now)
+
+    def _take(self, job: Job, terms: Terms, key: bytes | None, waiter: Waiter, arrived: timedelta) -> None:
+        digest = request_digest(job.subject, job.body)
+        named = key_digest(terms.tenant_name, terms.class_name, key) if key is not None else None
+        other = self._by_key.get(named) if named is not None else None
+        if other is not None and not (other.ending and other.ending.state is JobState.REFUSED):
+            self._join(other, digest, waiter)
+            return
+        writer = self.writer
+        why = Shed.FAILING if writer is None or self.leaving else self.limits.refusal(
+            terms.tenant_name, len(job.body), writer.backlog, writer.usage.bytes_used, bool(writer.failing))
+        if why is not None or writer is None:
+            self._shed(waiter, why or Shed.FAILING)
+            return
+        hint = None if terms.hint is None else terms.hint // MICROSECOND
+        accepted = Accepted(
+            self._next(), job.id, terms.tenant_name, terms.class_name, named, digest, job.subject, job.body,
+            job.headers, records.Terms(terms.key, hint, terms.slots, terms.memory),
+            arrived // MICROSECOND, (arrived + terms.patience) // MICROSECOND)
+        held = Held(self, accepted)
+        self._add(held, waiter)
+        self._hold(held)
+        patience = min(ACCEPTED_WITHIN, terms.patience)
+        held.refusal = self.loop.call_after(patience, lambda: self._not_accepted(held))
+        writer.write(accepted, lambda found: self._on_disk(held, found))
+
+    def _on_disk(self, held: Held, found: Found | None) -> None:
+        if held.refusal is not None:
+            held.refusal.cancel()
+            held.refusal = None
+        accepted, held.on_disk = held.accepted, True
+        if found is not None:  # its key is another's
+            self._drop(held)
+            for waiter in held.waiters:
+                self._found(found, accepted.digest, waiter)
+            return
+        if held.ending is not None or self.leaving:  # shed meanwhile; or another process goes on with it
+            return
+        terms = self._terms_of(accepted, accepted.give_up * MICROSECOND - self.loop.now)
+        if terms is None:
+            held.reject()
+            return
+        held.exchange = self._book.take(held.job(), terms, held, held)
+        name = self.name(accepted.number)
+        for waiter in list(held.waiters):
+            waiter.accepted(name)
+
+    def _not_accepted(self, held: Held) -> None:
+        """The disk has not taken it in time.  Should it get there yet, it must not be run."""
+        held.refusal = None
+        held.accepted.cancelled = True
+        waiters, held.waiters = held.waiters, []
+        for waiter in waiters:
+            self._shed(waiter, Shed.BACKLOG)
+        self.end(held, Ending(JobState.REFUSED))
+
+    def _shed(self, waiter: Waiter, why: Shed) -> None:
+        self.shed_for[why.name.lower()] += 1
+        waiter.shed(why, STAY_AWAY)
+
+    def _join(self, held: Held, digest: bytes, waiter: Waiter) -> None:
+        if held.accepted.digest != digest:
+            waiter.mismatch()
+        elif held.told and held.ending is not None:
+            waiter.ended(held.ending)
+        else:
+            self._add(held, waiter)
+            if held.on_disk:
+                waiter.accepted(self.name(held.accepted.number))
+
+    def _found(self, found: Found, digest: bytes, waiter: Waiter) -> None:
+        """The job with that key was here before, and has ended."""
+        if found.digest != digest:
+            waiter.mismatch()
+        elif found.state is JobState.OPEN:
+            held = self._held.get(found.number)
+            if held is not None and held.ending is None:
+                self._join(held, digest, waiter)
+            else:  # it is being refused just now
+                self._shed(waiter, Shed.BACKLOG)
+        else:
+            self._collect(found.number)
+            waiter.accepted(self.name(found.number))
+            waiter.ended(Ending(found.state, found.result, found.timed_out))
+
+    # ---- asking for jobs ------------------------------------------------------------------
+
+    def ask(self, name: str, done: Callable[[Held | Found | int], None]) -> None:
+        """The job of that name, open or ended; else 404 where there never was one, 410 once it is forgotten,
+        and 503 where that cannot be told just now."""
+        if not self.loaded:
+            self._deferred.append(lambda: self.ask(name, done))
+            return
+        number = job_number(name, self._store.secret)
+        if number is None:
+            done(HTTPStatus.NOT_FOUND)
+        elif (held := self._held.get(number)) is not None and held.on_disk:
+            done(held)
+        elif self.writer is None:
+            done(HTTPStatus.SERVICE_UNAVAILABLE)
+        else:
+            self.writer.ask(lambda store: store.find(number), lambda found: done(_asked(found)))
+
+    def wait(self, held: Held, waiter: Waiter) -> None:
+        """``waiter`` hears of its end."""
+        if held.told and held.ending is not None:
+            waiter.ended(held.ending)
+        else:
+            self._add(held, waiter)
+
+    def _add(self, held: Held, waiter: Waiter) -> None:
+        held.waiters.append(waiter)
+        waiter.held = held
+
+    def leave(self, waiter: Waiter) -> None:
+        """Its client has gone, or waits no more.  The job goes on."""
+        if waiter.held is not None and waiter in waiter.held.waiters:
+            waiter.held.waiters.remove(waiter)
+        waiter.held = None
+
+    def give_up(self, held: Held, done: Callable[[], None]) -> bool:
+        """Its client does not want it any more; ``done`` once that is on disk.  False where it has ended."""
+        if held.ending is not None:
+            return False
+        held.calls.append(lambda _: done())
+        exchange = held.exchange
+        self.end(held, Ending(JobState.GIVEN_UP))
+        if exchange is not None:
+            self._book.abandon(exchange)
+        return True
+
+    def collected(self, name: str) -> None:
+        """A client has had the result: it need not be kept as long."""
+        number = job_number(name, self._store.secret)
+        if number is not None:
+            self._collect(number)
+
+    def _collect(self, number: int) -> None:
+        if self.writer is not None:
+            until = self.loop.clock.now() + self._options.keep_collected
+            self.writer.write(Collected(number, until // MICROSECOND), soon=False)
+
+    # ---- the book's side ------------------------------------------------------------------
+
+    def grant(self, held: Held, attempt: Attempt, go: Callable[[], None]) -> None:
+        if self.writer is not None and not self.leaving:  # else another process goes on with the job
+            attempt.token = held.last_token = self._next()
+            self.tenure.grant(self.writer, held.accepted.number, attempt,
+                              lambda: None if self._stopped else go())
+
+    def renew(self, attempt: Attempt, begun: bool) -> None:
+        self.tenure.renew(self.writer, attempt, begun)
+
+    def attempt_ended(self, held: Held, attempt: Attempt, result: io.Result) -> None:
+        if result is io.Result.OK:
+            held.winner = attempt.token
+        self.tenure.end(self.writer, attempt, result)
+
+    # ---- call-backs -----------------------------------------------------------------------
+
+    def acknowledge(self, held: Held, done: Callable[[int], None]) -> None:
+        """The worker is told that its call has come once what follows from it is on disk."""
+        if held.ending is not None:
+            held.calls.append(done)
+        else:
+            done(HTTPStatus.NO_CONTENT)
+
+    def unmatched(self, req_id: str, token: int, result: bytes | None, done: Callable[[int], None]) -> None:
+        """A call-back whose token is not that of an attempt that is out; ``result`` where it brings one.
+
+        It is taken only from whoever had the job last, while nobody has it since; and acknowledged again
+        where it is on disk already.
+        """
+        held = self._by_req.get(req_id)
+        if held is None:
+            self._known_already(token, done)
+        elif held.ending is not None and held.winner == token:
+            held.calls.append(done)
+        elif result is not None and held.ending is None and held.last_token == token and not held.out():
+            self.late_results += 1
+            held.winner = token
+            held.calls.append(done)
+            if held.exchange is not None:
+                self._book.serve_late(held.exchange, result)
+            else:
+                held.serve(result)
+        else:
+            self.stale_calls += 1
+            done(HTTPStatus.CONFLICT)
+
+    def _known_already(self, token: int, done: Callable[[int], None]) -> None:
+        def answer(found: object) -> None:
+            ours = isinstance(found, Found) and found.state is JobState.SERVED and found.token == token
+            self.stale_calls += not ours
+            done(HTTPStatus.NO_CONTENT if ours else HTTPStatus.CONFLICT)
+
+        if self.writer is None:
+            done(HTTPStatus.CONFLICT)
+        else:
+            self.writer.ask(lambda store: store.find_by_token(token), answer)
+
+    def when_loaded(self, call: Callable[[], None]) -> bool:
+        """Makes the call once all open jobs are known; False where they are, and the call is not made."""
+        if not self.loaded and not self.leaving:
+            self._deferred.append(call)
+            return True
+        return False
+
+    # ---- ends -----------------------------------------------------------------------------
+
+    def end(self, held: Held, ending: Ending) -> None:
+        """Writes it down, and tells whoever waits once that is done; at the deadline also before."""
+        if held.ending is not None:
+            return
+        held.ending = ending
+        self.entrance.drop(held)
+        now = self.loop.clock.now()
+        if self.writer is not None:
+            self.writer.write(
+                Ended(held.accepted.number, ending.state, ending.result, held.winner, now // MICROSECOND,
+                      (now + self._options.keep_results) // MICROSECOND, ending.timed_out),
+                lambda _: self._ended(held))
+        exchange = held.exchange
+        latest = max(exchange.give_up if exchange is not None else now, now) + ANSWERED_WITHIN
+        held.refusal = self.loop.call_at(latest, lambda: self._tell(held))
+
+    def _ended(self, held: Held) -> None:
+        if held.refusal is not None:
+            held.refusal.cancel()
+            held.refusal = None
+        self._tell(held)
+        self._drop(held)
+        calls, held.calls = held.calls, []
+        for call in calls:
+            call(HTTPStatus.NO_CONTENT)
+
+    def _tell(self, held: Held) -> None:
+        ending = held.ending
+        if not held.told and ending is not None:
+            held.told = True
+            waiters, held.waiters = held.waiters, []
+            for waiter in waiters:
+                waiter.ended(ending)
+
+    def _hold(self, held: Held) -> None:
+        accepted = held.accepted
+        self._held[accepted.number] = held
+        self._by_req[accepted.req_id] = held
+        if accepted.key is not None:
+            self._by_key[accepted.key] = held
+        self.limits.enter(accepted.tenant, len(accepted.body))
+
+    def _drop(self, held: Held) -> None:
+        accepted = held.accepted
+        if self._held.pop(accepted.number, None) is None:
+            return
+        if self._by_req.get(accepted.req_id) is held:
+            del self._by_req[accepted.req_id]
+        if accepted.key is not None and self._by_key.get(accepted.key) is held:
+            del self._by_key[accepted.key]
+        self.limits.leave(accepted.tenant, len(accepted.body))
+
+
+def _asked(found: object) -> Found | int:
+    if isinstance(found, Found):
+        return found
+    return HTTPStatus.GONE if found is None else HTTPStatus.SERVICE_UNAVAILABLE
--- /dev/null
+++ b/carthinge/durable/writer.py
@@ -0,0 +1,195 @@
+"""Group commit: one thread that writes down what has come up, and wakes the loop when it is on disk."""
+
+from __future__ import annotations
+
+import socket
+import sqlite3
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+from threading import Condition, Thread
+from typing import Final
+
+from carthinge.durable.records import Found, Record
+from carthinge.durable.store import Store, StoreError, Time, Usage
+from carthinge.net import log
+
+BATCH: Final = 2000  # records of one transaction at the most: the first of them waits for the last
+AGAIN_FIRST: Final = timedelta(milliseconds=50)  # after an error, until the same batch is tried again
+AGAIN_MOST: Final = timedelta(seconds=2)
+FORGET_EVERY: Final = timedelta(seconds=1)
+Done = Callable[[Found | None], None]
+Read = Callable[[Store], object]
+
+
+class Writer:
+    """The store's only user while the program serves.
+
+    ``write`` and ``ask`` are called from the loop, and what they are given to call is called from the loop
+    again, in the order in which it was written.  A batch that fails is kept and tried again until it is
+    through: the records in it are owed, and nothing after it may be on disk before it.
+    """
+
+    def __init__(self, store: Store, clock: Callable[[], Time],
+                 register: Callable[[socket.socket, Callable[[int], None]], None]) -> None:
+        self.failing = ""  #: the fault while the disk cannot be written, empty while it can
+        self.failures = 0
+        self.commits = 0
+        self.usage = Usage(0, 0)
+        self._store = store
+        self._clock = clock
+        self._changed = Condition()
+        self._records: deque[tuple[Record, Done | None]] = deque()
+        self._reads: deque[tuple[Read, Callable[[object], None]]] = deque()
+        self._done: deque[Callable[[], None]] = deque()
+        self._stopping = False
+        self._stuck = 0  # records of a batch that is being written
+        self.wake_in, self._wake_out = socket.socketpair()
+        self.wake_in.setblocking(False)
+        self._wake_out.setblocking(False)
+        register(self.wake_in, self._woken)
+        self.start()
+
+    # ---- the loop's side ------------------------------------------------------------------
+
+    @property
+    def backlog(self) -> int:
+        """Records that are not on disk yet."""
+        return len(self._records) + self._stuck
+
+    def write(self, record: Record, done: Done | None = None, soon: bool = True) -> None:
+        """``done`` hears when it is on disk, or of the job that has its key already.
+
+        ``soon`` False: it may ride along with the next one that is.
+        """
+        with self._changed:
+            self._records.append((record, done))
+            if soon:
+                self._changed.notify()
+
+    def ask(self, read: Read, done: Callable[[object], None]) -> None:
+        """Reads something; ``done`` hears what ``read`` returned, or the StoreError that it raised."""
+        with self._changed:
+            self._reads.append((read, done))
+            self._changed.notify()
+
+    def start(self) -> None:
+        """Also goes on after a ``stop`` that left something unwritten."""
+        self._stopping = False
+        self._thread = Thread(target=self._work, name="store", daemon=True)
+        self._thread.start()
+
+    def stop(self, patience: timedelta) -> bool:
+        """Writes what there is and ends the thread; False where the disk would not take it.  Blocks."""
+        with self._changed:
+            self._stopping = True
+            self._changed.notify()
+        self._thread.join(patience.total_seconds())
+        return not self._thread.is_alive() and not self._records
+
+    @property
+    def stopped(self) -> bool:
+        return not self._thread.is_alive()
+
+    def close(self) -> None:
+        self.wake_in.close()
+        self._wake_out.close()
+
+    def _woken(self, _: int) -> None:
+        try:
+            while self.wake_in.recv(4096):
+                pass
+        except BlockingIOError:
+            pass
+        self.deliver()
+
+    def deliver(self) -> None:
+        """Makes the calls that are due here."""
+        for _ in range(len(self._done)):
+            self._done.popleft()()
+
+    # ---- the thread's side ----------------------------------------------------------------
+
+    def _work(self) -> None:
+        last_forget = timedelta(microseconds=self._clock().now)
+        self._measure()
+        while True:
+            with self._changed:
+                if not (self._records or self._reads or self._stopping):
+                    self._changed.wait(FORGET_EVERY.total_seconds())
+                batch = [self._records.popleft() for _ in range(min(BATCH, len(self._records)))]
+                reads, self._reads = self._reads, deque()
+                self._stuck = len(batch)
+                stopping = self._stopping and not self._records
+            if batch and not self._write(batch):
+                self._records.extendleft(reversed(batch))
+                self._stuck = 0
+                return
+            for read, done in reads:
+                self._read(read, done)
+            now = timedelta(microseconds=self._clock().now)
+            if now >= last_forget + FORGET_EVERY and not stopping:
+                last_forget = now
+                self._forget()
+            if stopping and not self._reads:
+                return
+
+    def _write(self, batch: list[tuple[Record, Done | None]]) -> bool:
+        """False where the thread is to end with the batch unwritten."""
+        again = AGAIN_FIRST
+        while True:
+            try:
+                others = self._store.apply([record for record, _ in batch], self._clock())
+                break
+            except sqlite3.Error as fault:
+                if not self.failing:
+                    log.logger().error("store_failing", why=str(fault), path=str(self._store.path))
+                self.failing = str(fault)
+                self.failures += 1
+            self._forget()  # there may be room then
+            with self._changed:
+                self._changed.wait_for(lambda: self._stopping, again.total_seconds())
+                if self._stopping:
+                    return False
+            again = min(2 * again, AGAIN_MOST)
+        if self.failing:
+            log.logger().info("store_well", path=str(self._store.path))
+            self.failing = ""
+        self.commits += 1
+        self._stuck = 0
+        for record, done in batch:
+            if done is not None:
+                found = others.get(getattr(record, "number", 0)) if others else None
+                self._done.append(lambda done=done, found=found: done(found))  # type: ignore[misc]
+        self._wake()
+        return True
+
+    def _read(self, read: Read, done: Callable[[object], None]) -> None:
+        try:
+            result = read(self._store)
+        except (StoreError, sqlite3.Error) as fault:
+            result = fault if isinstance(fault, StoreError) else StoreError(f"{self._store.path}: {fault}")
+        self._done.append(lambda: done(result))
+        self._wake()
+
+    def _forget(self) -> None:
+        try:
+            while self._store.forget(self._clock().now) and not self._records:
+                pass
+            self._measure()
+        except sqlite3.Error as fault:
+            log.logger().warning("store_not_cleared", why=str(fault))
+
+    def _measure(self) -> None:
+        try:
+            self.usage = self._store.usage()
+        except sqlite3.Error as fault:
+            log.logger().warning("store_not_cleared", why=str(fault))
+
+    def _wake(self) -> None:
+        try:
+            self._wake_out.send(b"x")
+        except BlockingIOError:  # it has not been woken from the last one yet
+            pass
+        except OSError:  # it has ended
+            pass
--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -243,7 +243,7 @@
 
 @dataclass(slots=True)
 class AttemptMemory:
-    """One send of a job that is handed over."""
+    """One send of a job that is handed over; ``expected`` is 0 where that is not known any more."""
 
     worker: int
     entry: WorkerEntry
@@ -284,6 +284,17 @@
     memory: JobMemory
 
 
+@dataclass(slots=True)
+class Restore:
+    """A job that a scheduler took before it died: an arrival, and what was sent of it.
+
+    Whatever may have run then counts as that now; an attempt that is open is waited for.
+    """
+
+    arrival: Arrival
+    attempts: Sequence[AttemptMemory]
+
+
 @dataclass(slots=True)
 class GiveAway:
     """Another dispatcher has taken a job over: nothing of it is this one's any more."""
@@ -353,12 +364,14 @@
 
 @dataclass(slots=True)
 class Note:
-    """News of an attempt that is still out: begun (``done`` is None) or the share done."""
+    """News of an attempt that is still out: begun (``done`` is None), the share done, or only that its worker
+    has it (``begun`` is False)."""
 
     request: int
     attempt: int
     worker: int
     done: float | None = None
+    begun: bool = True
 
 
 @dataclass(slots=True)
@@ -386,8 +399,8 @@
     token: int
 
 
-Event = (WorkerList | ByHand | Inherit | Leave | TakeOver | GiveAway | Retune | Arrival | StreamStarted
-         | Outcome | Abandoned | Note | ProbeResult | Message | Timer)
+Event = (WorkerList | ByHand | Inherit | Leave | TakeOver | Restore | GiveAway | Retune | Arrival
+         | StreamStarted | Outcome | Abandoned | Note | ProbeResult | Message | Timer)
 
 
 # ---- actions ----------------------------------------------------------------------------------
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import fields
 from typing import Any, Protocol
 
@@ -32,6 +32,9 @@
     @property
     def ring(self) -> Ring: ...
 
+    def arrive(self, event: io.Arrival, sent: Sequence[AttemptMemory] = ()) -> None:
+        """Takes a job in, with the attempts that it has had elsewhere."""
+
     def enqueue(self, job: Job) -> None:
         """Has it wait for a worker."""
 
@@ -63,6 +66,7 @@
     """Of the events by which a dispatcher takes over from another."""
     return {io.Inherit: lambda event: recall(dispatcher, event.memory),
             io.Leave: lambda event: _leave(dispatcher, event),
+            io.Restore: lambda event: dispatcher.arrive(event.arrival, event.attempts),
             io.TakeOver: lambda event: _take_over(dispatcher, event),
             io.GiveAway: lambda event: _give_away(dispatcher, event)}
 
@@ -87,19 +91,25 @@
     job = Job(id=event.request, queue=queue, **{name: getattr(known, name) for name in _OF_JOB})
     job.waiting = False
     dispatcher.jobs[job.id] = job
-    for number, sent in enumerate(known.attempts):
+    attach(dispatcher, job, known.attempts)
+    if not job.open:
+        dispatcher.enqueue(job)
+
+
+def attach(dispatcher: Decisions, job: Job, attempts: Sequence[AttemptMemory]) -> None:
+    """Gives a job the attempts that another dispatcher sent; one that is open is attended to from now on."""
+    for number, sent in enumerate(attempts):
         worker = dispatcher.workers.get(sent.worker)
         if worker is None:  # not listed here yet
-            worker = dispatcher.fleet.add(sent.entry, max(1.0, known.slots))
+            worker = dispatcher.fleet.add(sent.entry, max(1.0, job.slots))
         attempt = Attempt(job=job, number=number, worker=worker,
                           **{name: getattr(sent, name) for name in _OF_ATTEMPT})
+        attempt.expected = attempt.expected or float(job.spec.objective)
         job.attempts.append(attempt)
         if attempt.open:
             job.open += 1
             worker.carry(job)
             dispatcher.attend(attempt)
-    if not job.open:
-        dispatcher.enqueue(job)
 
 
 def _give_away(dispatcher: Decisions, event: io.GiveAway) -> None:
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -44,10 +44,24 @@
     memory: Memory
 
 
+class Begun(msgspec.Struct, frozen=True, tag=True):
+    """The one who takes over has all that it needs, and serves."""
+
+
 class Incoming(msgspec.Struct, frozen=True, tag=True):
     """A connection of a client or of a worker that calls back; its socket comes along."""
 
     fresh: bool
+    read: bytes = b""  # what came on it and waits to be handled
+
+
+class Waiting(msgspec.Struct, frozen=True, tag=True):
+    """A client that waits for a durable job; its socket comes along."""
+
+    job: str
+    in_place: bool
+    until_us: int
+    keep_alive: bool
 
 
 class OpenAttempt(msgspec.Struct, frozen=True):
@@ -112,7 +126,8 @@
     loads: bytes
 
 
-Message = Hello | State | Incoming | Open | Outgoing | CallBack | ByHandCall | Done | Beat
+Message = Hello | State | Begun | Incoming | Waiting | Open | Outgoing | CallBack | ByHandCall | Done | Beat
+_ALONG: Final = (Incoming, Waiting, Open, Outgoing)  # a socket comes with these
 _DECODER: Final[msgspec.msgpack.Decoder[Message]] = msgspec.msgpack.Decoder(Message)
 
 
@@ -182,7 +197,7 @@
             del self._in[:LENGTH + size]
             try:
                 message = _DECODER.decode(body)
-                along = self._sockets.popleft() if isinstance(message, Incoming | Open | Outgoing) else None
+                along = self._sockets.popleft() if isinstance(message, _ALONG) else None
             except (msgspec.MsgspecError, IndexError):
                 self._end()
                 return
--- a/carthinge/net/config.py
+++ b/carthinge/net/config.py
@@ -11,6 +11,7 @@
 
 from carthinge.net.http import Address
 from carthinge.net.route_table import Listed
+from carthinge.operator_file import FileError, Options, check_classes, read
 from carthinge.settings import Facts, Site, read_site, shape_of
 
 
@@ -54,23 +55,33 @@
     known: Listed
     site: Site
     shape: frozenset[str]  #: the keys that the settings have
+    options: Options  #: the operator's own file
 
 
 def reload(environment: Mapping[str, str], before: Config) -> Config:
     """The configuration as the file has it now; ConfigError where it lacks what the one before had.
 
+    The operator's own file is not read again: it holds from start to start.
     Discovery is taken from the file: a running program's environment cannot be replaced, so that what it
     says of discovery is as old as the start.
     """
-    config = load({name: value for name, value in environment.items() if name != "RELAY_DISCOVERY"})
+    config = load({name: value for name, value in environment.items()
+                   if name not in ("RELAY_DISCOVERY", "CARTHINGE_FILE")})
     missing = sorted(before.shape - config.shape)
     if missing:
         raise ConfigError(f"settings: {missing[0]}: missing, though the settings in force have it")
     return config
 
 
-def load(environment: Mapping[str, str]) -> Config:
-    """The configuration; addresses and name in the environment go before those in the file."""
+def load(environment: Mapping[str, str], file_path: str | None = None) -> Config:
+    """The configuration; addresses and name in the environment go before those in the file.
+
+    ``file_path``: the operator's own file, by default the one that CARTHINGE_FILE names.
+    """
+    try:
+        options = read(file_path or environment.get("CARTHINGE_FILE"))
+    except FileError as fault:
+        raise ConfigError(str(fault)) from None
     path = environment.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG is not set: it names the configuration file")
@@ -88,6 +99,7 @@
         for name, spec in zip(site.classes, site.decisions.classes, strict=True):
             if spec.deadline <= 0:
                 raise ValueError(f"services: {name}: hard_limit: must be over 0")
+        check_classes(options, site.classes)
         return Config(
             name=environment.get("RELAY_NAME") or file.name,
             listen=Address.parse(environment.get("RELAY_LISTEN") or file.listen),
@@ -99,7 +111,10 @@
             known=file.known,
             site=site,
             shape=frozenset(shape_of(file.settings)),
+            options=options,
         )
+    except FileError as fault:
+        raise ConfigError(str(fault)) from None
     except (ValueError, OverflowError) as fault:
         raise ConfigError(f"{path}: {fault}") from None
 
--- a/carthinge/net/counters.py
+++ b/carthinge/net/counters.py
@@ -33,6 +33,7 @@
     job_events_stale: int = 0  #: of these, for an attempt that had ended, or for none
     exchanges_taken_over: int = 0  #: open ones, from the process before this one, and not in ``taken``
     exchanges_given_away: int = 0  #: open ones, to the process after this one, which answers them
+    exchanges_recovered: int = 0  #: durable ones, from the store, and not in ``taken``
     connections_in: int = 0
     connections_taken_over: int = 0  #: from the process before this one
     connections_in_closed_early: int = 0  #: closed to make room for others, to stay within the descriptors
--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -33,6 +33,7 @@
         self._book = book
         self._counters = counters
         self.most = most
+        self.lease = timedelta()  # how long a lease holds, where attempts have one
         self._open: set[Caller] = set()
         self._idle: OrderedDict[Caller, timedelta] = OrderedDict()  # idle since, the longest first
         self._calls: dict[Attempt, _AttemptCall] = {}
@@ -52,6 +53,9 @@
         job = attempt.exchange.job
         left = max(1, (attempt.due - self._loop.clock.now()) // MILLISECOND)
         headers = [("Req-Id", job.id.encode()), ("Req-Deadline", b"%dm" % left), *job.headers]
+        if attempt.token:
+            headers += [("Lease-Token", b"%d" % attempt.token),
+                        ("Lease-Duration", b"%dm" % (self.lease // MILLISECOND))]
         address = attempt.target.address
         try:
             caller = self._connection(address)
@@ -100,6 +104,12 @@
     def arrived(self, attempt: Attempt) -> None:
         self._book.arrived(attempt)
 
+    def takes_part(self, attempt: Attempt) -> None:
+        """Its worker knows of leases, and holds one from now on."""
+        keeper = attempt.exchange.keeper
+        if keeper is not None and attempt.open:
+            keeper.renew(attempt, False)
+
     def calling(self, attempt: Attempt) -> bool:
         """Its POST is under way, up to the 202."""
         return attempt in self._calls
@@ -217,6 +227,9 @@
         self._egress.over(self._attempt)
         self._egress.free(self.caller)
         if answer.status == HTTPStatus.ACCEPTED:
+            token = self._attempt.token
+            if token and answer.headers.get(b"lease-token") == b"%d" % token:
+                self._egress.takes_part(self._attempt)
             return
         if answer.status in UNUSABLE:
             self._egress.unusable(self._attempt, f"status {answer.status}")
--- a/carthinge/net/exchange.py
+++ b/carthinge/net/exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import partial
@@ -58,6 +58,30 @@
         """No worker could use the request."""
 
 
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """An attempt of an exchange that is restored, and what the module is to know of it."""
+
+    target: EgressTarget
+    sent: timedelta
+    due: timedelta
+    token: int
+    memory: io.AttemptMemory
+
+
+class Keeper(Protocol):
+    """Who writes down what happens to an exchange whose job is durable."""
+
+    def grant(self, attempt: Attempt, go: Callable[[], None]) -> None:
+        """An attempt is to be sent; ``go`` is called once it may be, or never."""
+
+    def renew(self, attempt: Attempt, begun: bool) -> None:
+        """Its worker has given a sign."""
+
+    def attempt_ended(self, attempt: Attempt, result: io.Result) -> None:
+        """Comes before the client hears of it, if that follows."""
+
+
 class Target(Protocol):
     """Egress side of all exchanges."""
 
@@ -80,6 +104,8 @@
     open: bool = True
     leaving: bool = False  # given up, but its worker may not know yet
     arrived: bool = False  # its last byte is written: what the worker says may be about it
+    held_back: bool = False  # until its grant is on disk; nothing of it has been sent
+    token: int = 0  # of its lease; 0 without one
     timer: Timer | None = None
 
 
@@ -95,6 +121,7 @@
     give_up: timedelta
     owed: bool = True
     attempts: list[Attempt] = field(default_factory=list)
+    keeper: Keeper | None = None
 
     def current(self) -> Attempt | None:
         """The attempt that is out."""
@@ -128,18 +155,40 @@
         """Something that concerns no exchange."""
         self.events.append(event)
 
-    def take(self, job: Job, terms: Terms, client: Client) -> Exchange:
+    def take(self, job: Job, terms: Terms, client: Client, keeper: Keeper | None = None) -> Exchange:
         """A whole request has come: one final answer is owed from now on."""
+        exchange = self._enter(job, terms, client, keeper)
+        self._counters.taken += 1
+        self.events.append(self._arrival(exchange, terms))
+        return exchange
+
+    def restore(self, job: Job, terms: Terms, client: Client, keeper: Keeper,
+                attempts: Sequence[Sent]) -> Exchange:
+        """A job that was taken before a crash, with the attempts that it has had."""
+        exchange = self._enter(job, terms, client, keeper)
+        self._counters.exchanges_recovered += 1
+        self.events.append(io.Restore(self._arrival(exchange, terms), [sent.memory for sent in attempts]))
+        for number, sent in enumerate(attempts):
+            attempt = Attempt(exchange, number, sent.target, sent.sent, sent.due, sent.memory.open,
+                              arrived=True, token=sent.token)
+            exchange.attempts.append(attempt)
+            if attempt.open:
+                attempt.timer = self._loop.call_at(attempt.due, partial(self._time_out, attempt))
+        return exchange
+
+    def _enter(self, job: Job, terms: Terms, client: Client, keeper: Keeper | None) -> Exchange:
         self._count += 1
         give_up = self._loop.now + terms.patience - ANSWER_MARGIN
-        exchange = Exchange(self._count, job, terms.class_name, terms.tenant_name, client, give_up)
+        exchange = Exchange(self._count, job, terms.class_name, terms.tenant_name, client, give_up,
+                            keeper=keeper)
         self.exchanges[exchange.number] = self.by_id[job.id] = exchange
-        self._counters.taken += 1
-        hint = None if terms.hint is None else terms.hint // MICROSECOND
-        self.events.append(io.Arrival(exchange.number, terms.job_class, give_up // MICROSECOND, terms.tenant,
-                                      terms.key, hint, terms.slots, terms.memory, terms.repeat))
         return exchange
 
+    def _arrival(self, exchange: Exchange, terms: Terms) -> io.Arrival:
+        hint = None if terms.hint is None else terms.hint // MICROSECOND
+        return io.Arrival(exchange.number, terms.job_class, exchange.give_up // MICROSECOND, terms.tenant,
+                          terms.key, hint, terms.slots, terms.memory, terms.repeat)
+
     def give_away(self, exchange: Exchange) -> None:
         """Another process has taken it over, with its client and with the attempt that is out."""
         exchange.owed = False
@@ -170,6 +219,18 @@
             self.events.append(io.Abandoned(exchange.number))
             self._forget_if_over(exchange)
 
+    def serve_late(self, exchange: Exchange, result: bytes) -> None:
+        """A result has come from an attempt that had ended, and nobody has the job since."""
+        if exchange.owed:
+            self._serve(exchange, result)
+            self.events.append(io.Abandoned(exchange.number))
+            self._forget_if_over(exchange)
+
+    def expire(self, attempt: Attempt) -> None:
+        """Its lease is over: for the module it has timed out, once its worker has been told."""
+        if attempt.open:
+            self._withdraw(attempt, io.Result.TIMEOUT)
+
     def arrived(self, attempt: Attempt) -> None:
         """The last byte of an attempt is written."""
         if not attempt.arrived:
@@ -180,10 +241,11 @@
         """How many are owed an answer."""
         return sum(exchange.owed for exchange in self.exchanges.values())
 
-    def note(self, attempt: Attempt, done: float | None) -> None:
-        """News of an attempt that is out."""
+    def note(self, attempt: Attempt, done: float | None, begun: bool = True) -> None:
+        """News of an attempt that is out: at the least that its worker has it."""
         if attempt.open:
-            self.events.append(io.Note(attempt.exchange.number, attempt.number, attempt.target.number, done))
+            self.events.append(io.Note(attempt.exchange.number, attempt.number, attempt.target.number, done,
+                                       begun))
 
     def end(self, attempt: Attempt, result: io.Result, report: tuple[float, ...] = (),
             answer: bytes = b"", why: str = "") -> None:
@@ -194,21 +256,26 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         exchange = attempt.exchange
+        if exchange.keeper is not None:
+            exchange.keeper.attempt_ended(attempt, result)
         name = f"attempt_{result.name.lower()}"
         setattr(self._counters, name, getattr(self._counters, name) + 1)
         if result is not io.Result.OK:
             log.logger().debug("attempt_ended", id=exchange.job.id, worker=attempt.target.id,
                                result=result.name, why=why)
         elif exchange.owed:
-            exchange.owed = False
-            self._counters.served += 1
-            self.ended.served[exchange.class_name] += 1
-            exchange.client.serve(answer)
+            self._serve(exchange, answer)
         latency = max(timedelta(), self._loop.now - attempt.sent)
         self.events.append(io.Outcome(exchange.number, attempt.number, attempt.target.number, result,
                                       latency // MICROSECOND, not exchange.owed, report))
         self._forget_if_over(exchange)
 
+    def _serve(self, exchange: Exchange, result: bytes) -> None:
+        exchange.owed = False
+        self._counters.served += 1
+        self.ended.served[exchange.class_name] += 1
+        exchange.client.serve(result)
+
     def reject(self, attempt: Attempt, why: str) -> None:
         """The worker has turned the request away as unusable, as any other would.
 
@@ -241,9 +308,18 @@
         if not exchange.owed or due <= now:
             self.end(attempt, io.Result.MOOT)
             return
-        self._counters.attempts += 1
         attempt.timer = self._loop.call_at(due, lambda: self._time_out(attempt))
-        self.target.send(attempt)
+        if exchange.keeper is None:
+            self._start(attempt)
+        else:
+            attempt.held_back = True
+            exchange.keeper.grant(attempt, partial(self._start, attempt))
+
+    def _start(self, attempt: Attempt) -> None:
+        if attempt.open:  # else it was given up before its grant was on disk
+            attempt.held_back = False
+            self._counters.attempts += 1
+            self.target.send(attempt)
 
     def _time_out(self, attempt: Attempt) -> None:
         """At the client's deadline no other attempt can follow: the answer must not wait for the worker."""
@@ -253,7 +329,9 @@
 
     def _withdraw(self, attempt: Attempt, result: io.Result) -> None:
         """The end is told once the worker knows: the module may send the next attempt at once."""
-        if not attempt.leaving:
+        if attempt.held_back:
+            self.end(attempt, io.Result.MOOT)
+        elif not attempt.leaving:
             attempt.leaving = True
             self.target.withdraw(attempt, lambda: self.end(attempt, result))
 
--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -8,44 +8,32 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from http import HTTPStatus
-from typing import Final, Literal, Protocol
+from typing import TYPE_CHECKING, Final, cast
 
 import msgspec
 
-from carthinge.interface import Result
 from carthinge.net import log
+from carthinge.net.call_backs import CALL_BACK, NO_ANSWER, CallBacks, Elsewhere
+from carthinge.net.channel import Waiting
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
-from carthinge.net.exchange import Attempt, Book, Exchange
-from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes
+from carthinge.net.exchange import Book, Exchange
+from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes, call_bytes
 from carthinge.net.listener import Listener
-from carthinge.net.loop import Loop, Timer
+from carthinge.net.loop import MICROSECOND, Loop, Timer
 from carthinge.net.places import Places
 from carthinge.net.stream import Stream
 from carthinge.net.translator import JOBS, Translator
 from carthinge.settings import Site
 
-CALL_BACK: Final = b"/v1/job-events"
+if TYPE_CHECKING:  # not loaded where no job is durable
+    from carthinge.net.durable_front import DurableFront, JobCall
+
 PIPELINED: Final = 8  # requests that may wait on one connection; clients of this protocol send one at a time
 PAUSE_TOLD: Final = timedelta(seconds=10)  # pauses that follow on one another are logged once in a while
 FIRST_REQUEST: Final = timedelta(milliseconds=2500)  # from connecting to the last byte of a first request
 FRESH_CHECKED: Final = timedelta(milliseconds=200)  # how often that is looked at
 SLOW_REQUEST: Final = timedelta(seconds=10)  # from the first byte of a later request to its last
-ENDINGS: Final = {"done": Result.OK, "failed": Result.ERROR, "returned": Result.FULL, "lost": Result.RESET}
-
-
-class JobEvent(msgspec.Struct, frozen=True, rename={"sender": "from"}):
-    """What a worker tells of a job."""
-
-    id: str
-    sender: str
-    state: Literal["started", "running", "done", "failed", "returned", "lost"]
-    share: float = 0.0
-    result: str = ""
-    load: dict[str, float] = {}
-
-
-_EVENTS: Final[msgspec.json.Decoder[JobEvent]] = msgspec.json.Decoder(JobEvent)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,15 +45,6 @@
     kept_until: timedelta  #: from then on every answer ends its connection, so that clients turn elsewhere
 
 
-class Elsewhere(Protocol):
-    """Another process of this scheduler, while there is one."""
-
-    @property
-    def paired(self) -> bool: ...
-
-    def pass_call_back(self, body: bytes, done: Callable[[bool], None]) -> None: ...
-
-
 class Ingress:
     """The listening socket and the connections that came in on it."""
 
@@ -78,9 +57,9 @@
         self.max_retry_after = site.max_retry_after
         self.ready = ready
         self.draining: Drain | None = None
-        self.elsewhere: Elsewhere = elsewhere
+        self.call_backs = CallBacks(book, egress, counters, elsewhere)
+        self.durable: DurableFront | None = None
         self.places = Places(most)
-        self._egress = egress
         self._listener: Listener | None = None
         self._checking = False
         self._pause_told = timedelta()
@@ -110,12 +89,21 @@
         if self._listener is not None:
             self._listener.resume()
 
-    def adopt(self, sock: socket.socket, fresh: bool) -> None:
-        """A connection that another process took in; nothing is under way on it."""
+    def adopt(self, sock: socket.socket, fresh: bool, read: bytes = b"") -> None:
+        """A connection that another process took in; what it had ``read`` there is handled here."""
         self.counters.connections_taken_over += 1
         connection = self._hold(sock)
         if not fresh:
             self.places.used(connection)
+        if read:
+            connection.received(read)
+
+    def adopt_waiting(self, sock: socket.socket, keep_alive: bool, job: str, in_place: bool,
+                      until: timedelta) -> None:
+        """The same for a connection whose client waits for a durable job."""
+        connection = self.adopt_open(sock, keep_alive)
+        if self.durable is not None:
+            connection.resume_call(self.durable, job, in_place, until - self.loop.now)
 
     def adopt_open(self, sock: socket.socket, keep_alive: bool) -> IngressConnection:
         """The same for a connection whose client waits for an answer."""
@@ -132,6 +120,28 @@
                 fresh = connection in self.places.fresh
                 yield connection.release(), fresh
 
+    def release_put_off(self) -> Iterator[tuple[socket.socket, bytes]]:
+        """Lets go of the connections whose request is for the other process, with that request."""
+        for connection in self._connections():
+            if connection.put_off:
+                read = connection.unhandled()
+                yield connection.release(), read
+
+    def release_waiting(self) -> Iterator[tuple[socket.socket, Waiting]]:
+        """Lets go of the connections whose clients wait for a durable job that is the other process's."""
+        for connection in self._connections():
+            waiting = connection.waiting_for()
+            if waiting is not None:
+                yield connection.release(), waiting
+
+    def _connections(self) -> list[IngressConnection]:
+        return cast("list[IngressConnection]", self.places.all())
+
+    def go_on(self) -> None:
+        """There is no other process any more: requests that were put off are handled here."""
+        for connection in self._connections():
+            connection.go_on()
+
     def close_idle(self) -> None:
         """Ends the connections on which nothing is under way."""
         for connection in self.places.all():
@@ -144,54 +154,6 @@
         for connection in self.places.all():
             connection.close()
 
-    def job_event(self, body: bytes, done: Callable[[], None]) -> None:
-        """A call-back; ``done`` is called once it has got to where its job is."""
-        event = self._read_event(body)
-        if event.id in self.book.by_id or not self.elsewhere.paired:
-            self._job_event(event)
-            done()
-        else:
-            self.counters.job_events_passed_on += 1
-            self.elsewhere.pass_call_back(body, lambda known: self._passed_on(event, known, done))
-
-    def _passed_on(self, event: JobEvent, known: bool, done: Callable[[], None]) -> None:
-        """Guards against a call-back that crosses its exchange, which was on its way here."""
-        if not known:
-            self._job_event(event)
-        done()
-
-    def call_back(self, body: bytes) -> bool:
-        """A call-back that came to another process of this scheduler."""
-        event = self._read_event(body)
-        known = event.id in self.book.by_id
-        if known:
-            self._job_event(event)
-        return known
-
-    def _read_event(self, body: bytes) -> JobEvent:
-        try:
-            return _EVENTS.decode(body)
-        except msgspec.MsgspecError as fault:
-            raise BadRequestError(HTTPStatus.BAD_REQUEST, f"not a job event: {fault}") from None
-
-    def _job_event(self, event: JobEvent) -> None:
-        """It counts only for the attempt that is out at its sender, and that has got there."""
-        self.counters.job_events += 1
-        exchange = self.book.by_id.get(event.id)
-        attempt = exchange.current() if exchange is not None else None
-        if attempt is None or not attempt.arrived or attempt.target.id != event.sender:
-            self.counters.job_events_stale += 1
-            return
-        self._tell(attempt, event)
-
-    def _tell(self, attempt: Attempt, event: JobEvent) -> None:
-        result = ENDINGS.get(event.state)
-        if result is None:
-            self.book.note(attempt, event.share if event.state == "running" else None)
-            return
-        self._egress.forsake(attempt)
-        self.book.end(attempt, result, self._egress.report(event.load), event.result.encode())
-
     # ---- the listener ---------------------------------------------------------------------
 
     def free(self) -> int:
@@ -245,6 +207,8 @@
         self._waiting: deque[Request] = deque()
         self._current: Request | None = None
         self._exchange: Exchange | None = None
+        self._call: JobCall | None = None
+        self.put_off = False  # its request is for the other process
         self._finished = False
         self._slow: Timer | None = None  # for the rest of a later request
         self._stream = Stream(ingress.loop, sock, self)
@@ -261,6 +225,36 @@
     def keep_alive(self) -> bool:
         return self._current is not None and self._current.keep_alive
 
+    def unhandled(self) -> bytes:
+        """The requests that were put off, as they may have come."""
+        requests = [self._current, *self._waiting] if self._current is not None else []
+        return b"".join(call_bytes(request.method.decode(), request.target, "", _as_sent(request.headers),
+                                   request.body) for request in requests)
+
+    def waiting_for(self) -> Waiting | None:
+        """The durable job that its client waits for, where another process has it."""
+        call = self._call
+        if call is None or call.held is not None or not call.name or not self.at_rest():
+            return None
+        call.drop()
+        return Waiting(call.name, call.in_place, call.until // MICROSECOND, self.keep_alive())
+
+    def resume_call(self, durable: DurableFront, job: str, in_place: bool, wait: timedelta) -> None:
+        """As where another process has begun to wait for that job."""
+        assert self._current is not None
+        request = self._current
+        call = durable.resume(self, request, job, in_place, wait)
+        if self._current is request:
+            self._call = call
+
+    def go_on(self) -> None:
+        """Handles a request that was put off."""
+        if self.put_off and self._current is not None:
+            self.put_off = False
+            self._waiting.appendleft(self._current)
+            self._current = None
+            self._next()
+
     def wait_for_answer(self, keep_alive: bool) -> None:
         """As where another process has read the request."""
         self._current = Request(b"POST", b"", {}, b"", keep_alive)
@@ -311,6 +305,9 @@
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             self._ingress.book.abandon(exchange)
+        call, self._call = self._call, None
+        if call is not None:
+            call.drop()
 
     def _watch_slow(self) -> None:
         """Guards against clients that begin a request and never end it: they would hold their places."""
@@ -346,8 +343,18 @@
 
     def _handle(self, request: Request) -> None:
         path = request.target.split(b"?", 1)[0]
+        durable = self._ingress.durable
         if request.method == b"POST" and path == CALL_BACK:
-            self._ingress.job_event(request.body, lambda: self._called_back(request))
+            self._ingress.call_backs.take(request.body, lambda status: self.reply(request, status))
+        elif durable is not None and durable.concerns(request, path):
+            if durable.jobs.leaving:
+                self.put_off = True
+                return
+            ingress = self._ingress
+            call = durable.begin(self, request, path, ingress.translator, ingress.patience,
+                                 ingress.book.by_id.__contains__)
+            if self._current is request:  # else it is answered already
+                self._call = call
         elif request.method == b"POST" and (path == JOBS or path.startswith(JOBS + b"/")):
             self._take(request)
         elif request.method == b"GET" and path == b"/up":
@@ -359,9 +366,15 @@
         else:
             raise BadRequestError(HTTPStatus.NOT_FOUND, "nothing here")
 
-    def _called_back(self, request: Request) -> None:
-        if self._current is request and not self._stream.closed:  # else its worker has gone meanwhile
-            self._answer(HTTPStatus.NO_CONTENT)
+    def reply(self, request: Request, status: int, body: bytes = b"",
+              headers: list[tuple[str, str]] | None = None) -> None:
+        """The answer to a request that had to wait for something."""
+        if self._current is request and not self._stream.closed:  # else whoever asked has gone meanwhile
+            self._call = None
+            if status == NO_ANSWER:
+                self.close()
+            else:
+                self._answer(status, body, headers)
 
     def _take(self, request: Request) -> None:
         job, terms = self._ingress.translator.read(request)
@@ -406,3 +419,9 @@
             self._stream.finish()
         elif self._waiting:
             self._ingress.loop.soon(self._next)
+
+
+def _as_sent(headers: dict[bytes, bytes]) -> list[tuple[str, bytes]]:
+    """Without what is said of the framing: the request is framed anew."""
+    framing = (b"host", b"content-length", b"transfer-encoding", b"expect")
+    return [(name.decode("latin-1"), value) for name, value in headers.items() if name not in framing]
--- a/carthinge/net/loop.py
+++ b/carthinge/net/loop.py
@@ -35,6 +35,10 @@
     def now(self) -> timedelta:
         return timedelta(microseconds=time.monotonic_ns() // 1000) + self.HISTORY
 
+    def wall(self) -> timedelta:
+        """The wall clock, which may be set: time since 1970."""
+        return timedelta(microseconds=time.time_ns() // 1000)
+
     def of_unix_ms(self, unix_ms: int) -> timedelta:
         """A time by the wall clock on this one; zero for what was before it, and for 0 (long ago)."""
         return max(timedelta(milliseconds=unix_ms) - self.wall_origin + self.HISTORY, timedelta())
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -4,20 +4,22 @@
 
 import signal
 import socket
+import sys
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
+from pathlib import Path
 from types import FrameType
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from carthinge.interface import ByHand, Inherit, Leave, Listing, Message, Retune
 from carthinge.memory import job_memory, memory_of
 from carthinge.net import log
-from carthinge.net.channel import Beat, Open, OpenAttempt, State
+from carthinge.net.channel import Beat, Open, OpenAttempt, State, Waiting
 from carthinge.net.config import Config, ConfigError
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
-from carthinge.net.exchange import Attempt, Book, Exchange, Job
+from carthinge.net.exchange import Attempt, Book, Exchange, Job, Terms
 from carthinge.net.http import Address
 from carthinge.net.ingress import Drain, Ingress, IngressConnection
 from carthinge.net.listener import bind
@@ -27,6 +29,11 @@
 from carthinge.net.upgrade import Upgrade
 from carthinge.policy import Dispatcher
 
+if TYPE_CHECKING:  # not loaded where no job is durable
+    from carthinge.durable.jobs import DurableJobs
+    from carthinge.durable.records import Accepted
+
+SWITCH_INTERVAL: Final = timedelta(microseconds=500)  # for the store's thread, which needs little at a time
 SPARE_SOCKETS: Final = 48  # of the limit: for the listener, discovery, the log and what the runtime holds
 BACKLOG: Final = 1024
 LEAST_PLACES: Final = 8  # however many the process before this one holds still
@@ -39,6 +46,13 @@
 QUIET: Final = timedelta(milliseconds=300)  # with nothing owed, before the program ends
 
 
+BOOT: Final = Path("/proc/sys/kernel/random/boot_id")
+
+
+class NoStoreError(Exception):
+    """The store of durable jobs cannot be used; the text names it and the fault."""
+
+
 class Program:
     """One scheduler from its start to its end."""
 
@@ -63,10 +77,47 @@
         self.book.target = self.egress
         self.book.watch = self.watch.start
         self.operator: Operator | None = None
+        self.durable: DurableJobs | None = None
+        if config.options.durable.folder:
+            self._make_durable()
         self._quiet_since: timedelta | None = None
         self._serving = False
         self._over = False
 
+    def _make_durable(self) -> None:
+        """Loads the parts that only durable jobs need."""
+        from carthinge.durable.jobs import DurableJobs
+        from carthinge.net.durable_front import DurableFront
+
+        sys.setswitchinterval(SWITCH_INTERVAL.total_seconds())
+        options = self.config.options
+        self.durable = DurableJobs(
+            self.loop, self.book, options, BOOT.read_text().strip(), self._terms_of,
+            lambda number: self.dispatcher.workers[number].entry, self.table.target)
+        self.ingress.call_backs.durable = self.durable
+        self.egress.lease = options.leases.duration
+        self.ingress.durable = DurableFront(self.loop, self.durable, lambda: self.ingress.max_retry_after)
+
+    def _terms_of(self, accepted: Accepted, patience: timedelta) -> Terms | None:
+        """A stored job by the settings of now; None where its class or tenant is not in them."""
+        translator = self.ingress.translator
+        job_class, tenant = translator.job_class(accepted.class_name), translator.tenant(accepted.tenant)
+        if job_class is None or tenant is None:
+            return None
+        known = accepted.terms
+        hint = None if known.hint_us is None else known.hint_us * MICROSECOND
+        return Terms(job_class, accepted.class_name, tenant, accepted.tenant, patience, known.key, hint,
+                     known.slots, known.memory)
+
+    def _open_store(self) -> None:
+        if self.durable is not None:
+            from carthinge.durable.store import StoreError
+
+            try:
+                self.durable.open()
+            except StoreError as fault:
+                raise NoStoreError(str(fault)) from None
+
     def run(self) -> None:
         """Serves until SIGTERM or SIGINT has come and all that was taken is answered."""
         self._take_signals()
@@ -76,15 +127,18 @@
         while not self._over:
             self.loop.turn(idle=not self.book.events)
             self.book.decide()
-            if self.upgrade.leaving and not self.book.events:
+            if self.upgrade.handed_over and not self.book.events:
                 self._pass_on_all_at_rest()
+        if self.durable is not None and not self.durable.close():
+            log.logger().error("store_not_written", open=self.durable.limits.open)
         self.watch.stop()
         self.upgrade.close()
         self.ingress.close()
         if self.operator is not None:
             self.operator.close()
         self.loop.close()
-        log.logger().info("stopped", unanswered=sum(e.owed for e in self.book.exchanges.values()),
+        owed = sum(e.owed and e.keeper is None for e in self.book.exchanges.values())
+        log.logger().info("stopped", unanswered=owed,
                           **self.counters.as_dict())
 
     def begin(self, state: State | None) -> None:
@@ -97,6 +151,7 @@
             self.book.tell(Inherit(state.memory))
             self.book.tell(self.table.go_on(state))
             self._share(0)
+        self._open_store()
         self.book.decide()
         listening = self.config.listening
         self.ingress.listen(bind(self.config.listen, BACKLOG) if listening is None
@@ -117,22 +172,52 @@
     def leave(self, leaving: bool) -> None:
         self.book.tell(Leave(leaving))
         if leaving:
-            self.ingress.rest()
             self.egress.most = self._most_out // 2
         else:
             self.alone()
             if self.ingress.draining is None:
                 self.ingress.resume()
+            if self.durable is not None:
+                from carthinge.durable.handover import take_back
+
+                take_back(self.durable, self._store_taken_back)
+
+    def _store_taken_back(self) -> None:
+        if self.ingress.durable is not None:
+            self.ingress.durable.resume_all()
+        self.ingress.go_on()
+
+    @property
+    def needs_word(self) -> bool:
+        return self.durable is not None
+
+    def let_go(self, done: Callable[[bool], None]) -> None:
+        """New connections are taken in until then: workers that call back must not wait for the other."""
+        def gone(free: bool) -> None:
+            if free:
+                self.ingress.rest()
+            done(free)
+
+        if self.durable is None:
+            gone(True)
+        else:
+            from carthinge.durable.handover import hand_over
+
+            hand_over(self.durable, self.egress.calling, gone)
 
     def alone(self) -> None:
         """All places and descriptors are this process's again."""
         self.ingress.places.most, self.egress.most = self._most_in, self._most_out
 
-    def call_back(self, body: bytes) -> bool:
-        return self.ingress.call_back(body)
+    def call_back(self, body: bytes, known: Callable[[bool], None]) -> None:
+        self.ingress.call_backs.take_from_other(body, known)
+
+    def adopt_incoming(self, sock: socket.socket, fresh: bool, read: bytes) -> None:
+        self.ingress.adopt(sock, fresh, read)
 
-    def adopt_incoming(self, sock: socket.socket, fresh: bool) -> None:
-        self.ingress.adopt(sock, fresh)
+    def adopt_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
+        self.ingress.adopt_waiting(sock, waiting.keep_alive, waiting.job, waiting.in_place,
+                                   waiting.until_us * MICROSECOND)
 
     def adopt_open(self, sock: socket.socket, exchange: Open) -> None:
         """The client waits here from now on, and call-backs for its job are looked for here."""
@@ -167,6 +252,11 @@
         """To be called when all that has come up is decided on: what the module knows is then complete."""
         for sock, fresh in self.ingress.release_idle():
             self.upgrade.pass_incoming(sock, fresh)
+        if self.durable is not None:
+            for sock, read in self.ingress.release_put_off():
+                self.upgrade.pass_incoming(sock, False, read)
+            for sock, waiting in self.ingress.release_waiting():
+                self.upgrade.pass_waiting(sock, waiting)
         for exchange in list(self.book.exchanges.values()):
             client, attempt = exchange.client, exchange.current()
             if not (exchange.owed and isinstance(client, IngressConnection) and client.at_rest()):
@@ -197,7 +287,8 @@
                 "attempts": counters.attempts_written, "in_flight": self.book.in_flight(),
                 "workers_known": len(self.table.listed),
                 "workers_excluded": fleet.excluded(self.dispatcher.out, self.loop.now // MICROSECOND),
-                "reloads_ok": counters.reloads_ok, "reloads_failed": counters.reloads_failed}
+                "reloads_ok": counters.reloads_ok, "reloads_failed": counters.reloads_failed,
+                **({"durable": self.durable.figures()} if self.durable is not None else {})}
 
     def by_hand(self, worker: str, out: bool, done: Callable[[bool], None]) -> None:
         """Carried out at both processes, where there are two, before it is answered."""
@@ -281,13 +372,16 @@
         if self.upgrade.leaving:  # connections move to the process that has taken over
             kept_until = last
         self.ingress.draining = Drain(arriving_until, last, kept_until)
+        if self.ingress.durable is not None:  # what is open goes on after the next start
+            self.loop.call_at(last, self.ingress.durable.let_go)
         self.loop.call_at(self.loop.now if self.upgrade.leaving else kept_until, self._check_over)
 
     def _check_over(self) -> None:
         """Ends once nothing has been under way for a little while: what is on its way here is taken still."""
         if not self.upgrade.leaving:  # else they go to the process that has taken over
             self.ingress.close_idle()
-        if self.book.exchanges or len(self.ingress.places) or self.upgrade.passing:
+        owed = any(exchange.keeper is None for exchange in self.book.exchanges.values())
+        if owed or len(self.ingress.places) or self.upgrade.passing:
             self._quiet_since = None
         elif self._quiet_since is None:
             self._quiet_since = self.loop.now
--- a/carthinge/net/translator.py
+++ b/carthinge/net/translator.py
@@ -27,6 +27,9 @@
         self._classes = {name: index for index, name in enumerate(site.classes)}
         self._tenants = {name: index for index, name in enumerate(site.tenants)}
 
+    def job_class(self, name: str) -> int | None:
+        return self._classes.get(name)
+
     def tenant(self, name: str) -> int | None:
         return self._tenants.get(name) if self._tenants else 0
 
--- a/carthinge/net/upgrade.py
+++ b/carthinge/net/upgrade.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable, Iterator
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 from typing import Final, Protocol
 
@@ -14,6 +15,7 @@
 from carthinge.net.channel import (
     FORMAT,
     Beat,
+    Begun,
     ByHandCall,
     CallBack,
     Channel,
@@ -24,6 +26,7 @@
     Open,
     Outgoing,
     State,
+    Waiting,
 )
 from carthinge.net.http import Address
 from carthinge.net.loop import MICROSECOND, READ, Loop, Timer
@@ -44,15 +47,24 @@
     def leave(self, leaving: bool) -> None:
         """The other serves new clients from now on, or, where not ``leaving``, this one does again."""
 
+    @property
+    def needs_word(self) -> bool:
+        """The one who takes over can fail at that still, and says when it has not."""
+
+    def let_go(self, done: Callable[[bool], None]) -> None:
+        """Frees what only one process can have; ``done`` hears whether the other may have it now."""
+
     def alone(self) -> None:
         """The process before this one has ended."""
 
-    def call_back(self, body: bytes) -> bool:
-        """A call-back that came to the other; False where its job is not here."""
+    def call_back(self, body: bytes, known: Callable[[bool], None]) -> None:
+        """A call-back that came to the other; ``known`` hears False where its job is not here."""
 
     def by_hand_here(self, worker: str, out: bool, sure: bool) -> bool: ...
 
-    def adopt_incoming(self, sock: socket.socket, fresh: bool) -> None: ...
+    def adopt_incoming(self, sock: socket.socket, fresh: bool, read: bytes) -> None: ...
+
+    def adopt_waiting(self, sock: socket.socket, waiting: Waiting) -> None: ...
 
     def adopt_open(self, sock: socket.socket, exchange: Open) -> None: ...
 
@@ -87,6 +99,7 @@
         self._channel: Channel | None = None
         self._taking_over = False  # this is the new one, and the old one is there still
         self._leaving = False  # this is the old one
+        self._handed_over = False  # and the new one serves
         self._patience: Timer | None = None
         self._number = 0
         self._waiting: dict[int, Callable[[bool], None]] = {}
@@ -105,6 +118,11 @@
     def leaving(self) -> bool:
         return self._leaving
 
+    @property
+    def handed_over(self) -> bool:
+        """The new process takes what is passed on to it."""
+        return self._handed_over
+
     # ---- finding each other ---------------------------------------------------------------
 
     def find(self) -> None:
@@ -184,8 +202,11 @@
 
     # ---- messages -------------------------------------------------------------------------
 
-    def pass_incoming(self, sock: socket.socket, fresh: bool) -> None:
-        self._send(Incoming(fresh), sock)
+    def pass_incoming(self, sock: socket.socket, fresh: bool, read: bytes = b"") -> None:
+        self._send(Incoming(fresh, read), sock)
+
+    def pass_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
+        self._send(waiting, sock)
 
     def pass_open(self, sock: socket.socket, exchange: Open) -> None:
         self._send(exchange, sock)
@@ -210,6 +231,10 @@
         assert self._channel is not None
         self._channel.send(message, along)
 
+    def _answer(self, number: int, known: bool) -> None:
+        if self._channel is not None:
+            self._send(Done(number, known))
+
     def _done(self, number: int, known: bool) -> None:
         done = self._waiting.pop(number, None)
         if done is not None:
@@ -229,15 +254,21 @@
                     self._patience.cancel()
                     self._patience = None
                     scheduler.begin(message)
+                    if scheduler.needs_word:
+                        self._send(Begun())
                     self._beat()
-            case Incoming(fresh=fresh) if along is not None:
-                scheduler.adopt_incoming(along, fresh)
+            case Begun():
+                self._handed_over = self._leaving
+            case Incoming(fresh=fresh, read=read) if along is not None:
+                scheduler.adopt_incoming(along, fresh, read)
+            case Waiting() if along is not None:
+                scheduler.adopt_waiting(along, message)
             case Open() if along is not None:
                 scheduler.adopt_open(along, message)
             case Outgoing(address=address, idle_since_us=since) if along is not None:
                 scheduler.adopt_outgoing(along, Address.parse(address), since * MICROSECOND)
             case CallBack(number=number, body=body):
-                self._send(Done(number, scheduler.call_back(body)))
+                scheduler.call_back(body, partial(self._answer, number))
             case ByHandCall(number=number, worker=worker, out=out, sure=sure):
                 self._send(Done(number, scheduler.by_hand_here(worker, out, sure)))
             case Done(number=number, known=known):
@@ -249,9 +280,20 @@
         if self._channel is not None and not self._leaving:
             self._leaving = True
             self._scheduler.leave(True)
-            self._send(self._scheduler.state())
-            self._beat()
-            log.logger().info("handed_over")
+            self._scheduler.let_go(self._let_go)
+
+    def _let_go(self, free: bool) -> None:
+        channel = self._channel
+        if channel is None or not self._leaving:  # the other has ended meanwhile
+            return
+        if not free:
+            channel.close()
+            self._lost([])
+            return
+        self._handed_over = not self._scheduler.needs_word
+        self._send(self._scheduler.state())
+        self._beat()
+        log.logger().info("handed_over")
 
     def _beat(self) -> None:
         if self._channel is not None:
@@ -272,15 +314,17 @@
             return
         self._scheduler.heard(None)
         if self._leaving:
-            self._leaving = False
+            self._leaving = self._handed_over = False
             log.logger().warning("taken_back")
             self._end_listening()  # the other had put its own in that place
             self.listen()
             self._scheduler.leave(False)
             for message, sock in unsent:
                 match message:
-                    case Incoming(fresh=fresh):
-                        self._scheduler.adopt_incoming(sock, fresh)
+                    case Incoming(fresh=fresh, read=read):
+                        self._scheduler.adopt_incoming(sock, fresh, read)
+                    case Waiting():
+                        self._scheduler.adopt_waiting(sock, message)
                     case Open():
                         self._scheduler.adopt_open(sock, message)
                     case _:
--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -16,7 +16,7 @@
 from typing import Final
 
 from carthinge import interface as io
-from carthinge.memory import handlers
+from carthinge.memory import attach, handlers
 from carthinge.records import Attempt, Bucket, Fleet, Job, Loads, Rate, TenantQueue, Timers, Worker
 
 SAMPLE: Final = 16  # workers looked at for a pick: near the best of all, at a cost that does not grow
@@ -143,7 +143,7 @@
         self.peer_loads: dict[int, list[tuple[Worker, float, float]]] = {}
         self.freed: list[Worker] = []
         self.handlers: dict[type, Callable[..., None]] = {
-            io.Arrival: self._arrive, io.Outcome: self._end, io.Note: self._hear, io.Timer: self._nothing,
+            io.Arrival: self.arrive, io.Outcome: self._end, io.Note: self._hear, io.Timer: self._nothing,
             io.WorkerList: self._list, io.ProbeResult: self._probed, io.Message: self._told,
             io.Abandoned: self._abandon, io.StreamStarted: self._stream, io.ByHand: self._by_hand,
             io.Retune: self._adopt}
@@ -259,7 +259,7 @@
 
     # ---- arrivals and answers -------------------------------------------------------------
 
-    def _arrive(self, event: io.Arrival) -> None:
+    def arrive(self, event: io.Arrival, sent: Sequence[io.AttemptMemory] = ()) -> None:
         spec = self.settings.classes[event.job_class]
         work = float(event.hint) if event.hint is not None else self.mean_work
         if spec.deadline > 0:  # one absurd hint must not distort the mean of all
@@ -282,7 +282,9 @@
         self.mean_work += (work - self.mean_work) * GAIN / 5
         self.copies = min(self.copies + COPY_SHARE, 10.0)
         self.arrivals.add(1.0, self.now)
-        self.enqueue(job)
+        attach(self, job, sent)
+        if not job.open:
+            self.enqueue(job)
         if self.asks:
             self.probes = min(self.probes + PROBE_SPEND / max(self.settings.price_probe, 1e-4), 3 * SAMPLE)
             self._send_probes(job)
@@ -335,8 +337,7 @@
 
     def _finish(self, job: Job) -> None:
         """The request has its final answer: what is still out is called off, nothing more is sent."""
-        job.answered = True
-        job.waiting = False
+        job.answered, job.waiting = True, False
         self._call_off(job, None)
         if not job.open:
             self.jobs.pop(job.id, None)
@@ -631,7 +632,7 @@
         called_off = job.hedged and not attempt.begun and attempt.may_have_run
         if job.streaming or not (called_off or attempt.open and not job.answered):
             return
-        sign = attempt.worker.heard_at if not attempt.begun or self.settings.progress else 0
+        sign = attempt.worker.heard_at if not attempt.begun or self.settings.progress else attempt.sign
         due = max(attempt.begun or attempt.sent, sign) + self._patience(attempt)
         if due > self.now:  # any sign of the worker since then speaks for it
             if attempt.open:
@@ -694,7 +695,8 @@
             return
         attempt = job.attempts[event.attempt]
         self._heard(attempt.worker)
-        if not attempt.begun:
+        attempt.sign = self.now
+        if event.begun and not attempt.begun:
             self._learn_patience(attempt)
             attempt.begun = self.now
             if attempt.alone or self.now - attempt.sent <= self.prompt:
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -104,6 +104,7 @@
     sent: int
     expected: float  # time from the send to its first sign
     begun: int = 0
+    sign: int = 0  # when its worker last told of it, 0 for never
     open: bool = True
     alone: bool = True  # a slot was free: its time is its own, not the queue's
     may_have_run: bool = True  # until an outcome proves the contrary
--- a/tests/world.py
+++ b/tests/world.py
@@ -114,8 +114,10 @@
     """A started scheduler with stub workers and a stub discovery."""
 
     def __init__(self, tmp_path, workers=1, settings=None, sockets=1024, known=True, extra_ports=(),
-                 held=False):
-        """``held``: the listening socket is opened here and inherited, as a platform does for upgrades."""
+                 held=False, file=None):
+        """``held``: the listening socket is opened here and inherited, as a platform does for upgrades.
+
+        ``file``: what the operator's own file says; ``{folder}`` in it stands for a store's folder."""
         self.port, self.operator = free_port(), free_port()
         self.held = socket.create_server((HOST, self.port), backlog=1024) if held else None
         self.discovery = Listener()
@@ -133,6 +135,8 @@
         self.config = config
         self.config_path = tmp_path / "config.json"
         self.config_path.write_text(json.dumps(config))
+        self.file_path, self.store = tmp_path / "carthinge.toml", tmp_path / "store"
+        self.file_path.write_text((file or "").replace("{folder}", str(self.store)))
         self.log_path = tmp_path / "log"
         self.temporary = tmp_path / "tmp"
         self.temporary.mkdir()
@@ -144,7 +148,8 @@
         """Another process of this scheduler."""
         command = [sys.executable, "-m", "carthinge", "serve", "--log-level", "debug"]
         environment = {**os.environ, "RELAY_CONFIG": str(self.config_path), "TMPDIR": str(self.temporary),
-                       "RELAY_DISCOVERY": self.config["discovery"], **environment}
+                       "RELAY_DISCOVERY": self.config["discovery"], "CARTHINGE_FILE": str(self.file_path),
+                       **environment}
         if self.held is not None:
             environment["RELAY_FD"] = str(self.held.fileno())
         with self.log_path.open("ab") as log:
@@ -153,6 +158,16 @@
         self.processes.append(process)
         return process
 
+    def kill(self):
+        """As a crash does: nothing more is said."""
+        self.process.kill()
+        self.process.wait()
+
+    def restart(self):
+        """After it has ended, another one in its place."""
+        self.process = self.start()
+        self.wait_until_up()
+
     def upgrade(self):
         """Starts a new process beside the one that serves, and waits for its yes; the old one and its
         operators' address are returned."""
@@ -219,7 +234,7 @@
                     self.kept[peer.sock] = (listeners[sock], peer)
                 else:
                     number, peer = self.kept[sock]
-                    with contextlib.suppress(EOFError):
+                    with contextlib.suppress(EOFError, ConnectionResetError):
                         return number, peer, peer.read()
                     del self.kept[sock]
         raise AssertionError(f"no request came to a worker: {self.log()}")
@@ -232,6 +247,10 @@
     def tell(self, req_id, state, worker=0, **more):
         body = json.dumps({"id": req_id, "from": self.names[worker], "state": state, **more}).encode()
         head = f"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        for _ in range(9):  # a worker calls again until it gets an answer, at most ten times
+            with contextlib.suppress(EOFError, ConnectionResetError):
+                return self.connect().send(head.encode() + body).status()
+            time.sleep(0.05)
         return self.connect().send(head.encode() + body).status()
 
     def counters(self):
