Look into stores from the command line; refuse a log that is damaged in its middle

carthinge store check, show and compact, as tables or JSON. SQLite takes its log silently up to the first frame that does not fit; a log of which two commits or more begin at or after that frame was good once (each is synced before the next), and is refused by name instead of losing what was acknowledged.

--- a/carthinge/__main__.py
+++ b/carthinge/__main__.py
@@ -8,6 +8,7 @@
 import typer
 
 from carthinge import __version__
+from carthinge.durable.cli import app as store_app
 from carthinge.net import log
 from carthinge.net.config import Config, ConfigError, load, reload
 from carthinge.net.program import NoStoreError, Program
@@ -19,6 +20,7 @@
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False,
                   help="A push scheduler for job workers.")
+app.add_typer(store_app, name="store")
 
 
 @app.callback(invoke_without_command=True)
--- a/carthinge/durable/store.py
+++ b/carthinge/durable/store.py
@@ -16,7 +16,7 @@
 import os
 import secrets
 import sqlite3
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
@@ -40,6 +40,7 @@
     Terms,
 )
 from carthinge.durable.schema import APPLICATION, FORMAT, PAGE, TABLES
+from carthinge.durable.wal import examine
 
 DATABASE: Final = "jobs.db"
 LOCK: Final = "owner.lock"
@@ -97,7 +98,8 @@
         """Takes the folder, makes what is missing, and brings times onto this clock."""
         try:
             self.folder.mkdir(parents=True, exist_ok=True)
-            self._take()
+            self._lock = self.take(self.folder)
+            self._examine_log()
             self._database = self._connect(str(self.path))
             self._prepare(time)
         except (OSError, sqlite3.Error, StoreError) as fault:
@@ -115,18 +117,27 @@
         if lock is not None:
             os.close(lock)
 
-    def _take(self) -> None:
-        path = self.folder / LOCK
-        lock = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    @staticmethod
+    def take(folder: Path) -> int:
+        """The lock of a folder, as a descriptor that holds it; StoreError where another process has it."""
+        lock = os.open(folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             holder = os.read(lock, 32).decode("ascii", "replace").strip()
             os.close(lock)
-            raise StoreError(f"{self.folder}: in use by process {holder or 'unknown'}") from None
+            raise StoreError(f"{folder}: in use by process {holder or 'unknown'}") from None
         os.ftruncate(lock, 0)
         os.pwrite(lock, f"{os.getpid()}\n".encode(), 0)
-        self._lock = lock
+        return lock
+
+    def _examine_log(self) -> None:
+        """Guards against damage further up in the log, after which SQLite silently takes no more."""
+        log = self.path.with_name(f"{DATABASE}-wal")
+        if log.is_file() and (found := examine(log.read_bytes())).damaged:
+            raise StoreError(f"{log}: damaged after {found.commits} commits, with {found.beyond} more behind "
+                             "that: what was taken on then would be lost. Restore it, or move it away to go "
+                             "on without them")
 
     def _prepare(self, time: Time) -> None:
         run = self._run
@@ -185,8 +196,8 @@
         Returns, for each accepted job that is none since its key is another's, that other one.
         """
         run = self._run
-        run("BEGIN IMMEDIATE")
         try:
+            run("BEGIN IMMEDIATE")
             others = self._accept([r for r in batch if isinstance(r, Accepted) and not r.cancelled])
             self._rows("INSERT OR REPLACE INTO attempts VALUES ", "(?,?,?,?,?,?,?,?,0,0,0)", "", [
                 (r.token, r.job, r.number, r.worker, r.address, r.entry, r.sent, r.due)
@@ -240,8 +251,8 @@
     def forget(self, now: int) -> int:
         """Removes ended jobs whose time is over, a part of them at a time; returns how many."""
         run = self._run
-        run("BEGIN IMMEDIATE")
         try:
+            run("BEGIN IMMEDIATE")
             numbers = [row[0] for row in self._all(
                 "SELECT number FROM jobs WHERE forget_at <= ? ORDER BY forget_at LIMIT ?",
                 (now, FORGET_AT_ONCE))]
@@ -328,13 +339,6 @@
             self._database.rollback()
 
 
-def pages_of(database: sqlite3.Connection) -> Iterator[str]:
-    """What SQLite finds wrong with the file; nothing where all is well."""
-    for (line,) in database.execute("PRAGMA integrity_check"):
-        if line != "ok":
-            yield str(line)
-
-
 def body_crc(number: int, subject: bytes, body: bytes) -> int:
     return crc32(body, crc32(subject, number & 0xFFFFFFFF))
 
