--- a/carthinge/__main__.py
+++ b/carthinge/__main__.py
@@ -9,9 +9,10 @@
 
 from carthinge import __version__
 from carthinge.durable.cli import app as store_app
+from carthinge.durable.errors import StoreError
 from carthinge.net import log
 from carthinge.net.config import Config, ConfigError, load, reload
-from carthinge.net.program import NoStoreError, Program
+from carthinge.net.program import Program
 
 BAD_CONFIG = 2
 CANNOT_LISTEN = 3
@@ -70,7 +71,7 @@
     log.set_up(log_level, config.name)
     try:
         Program(config, lambda before: reload(os.environ, before)).run()
-    except NoStoreError as fault:
+    except StoreError as fault:
         log.logger().error("no_store", why=str(fault))
         raise typer.Exit(NO_STORE) from None
     except OSError as fault:
--- a/carthinge/durable/check.py
+++ b/carthinge/durable/check.py
@@ -11,9 +11,10 @@
 from urllib.parse import quote
 
 from carthinge.durable import wal
+from carthinge.durable.errors import StoreError
 from carthinge.durable.records import JobState
 from carthinge.durable.schema import APPLICATION, FORMAT, PAGE
-from carthinge.durable.store import DATABASE, Store, StoreError, body_crc, result_crc
+from carthinge.durable.store import DATABASE, Store, body_crc, result_crc
 
 AT_ONCE: Final = 200  # rows read between two steps of the progress
 
--- a/carthinge/durable/cli.py
+++ b/carthinge/durable/cli.py
@@ -79,7 +79,7 @@
 def compact(folder: Folder, as_json: Json = False) -> None:
     """Write a store anew without the room that is free in it.  No scheduler may have it meanwhile."""
     from carthinge.durable.check import compact as compact_store
-    from carthinge.durable.store import StoreError
+    from carthinge.durable.errors import StoreError
 
     try:
         with _progress(as_json) as progress:
@@ -98,7 +98,7 @@
     import sqlite3
 
     from carthinge.durable.check import reader
-    from carthinge.durable.store import StoreError
+    from carthinge.durable.errors import StoreError
 
     try:
         with reader(folder) as database:
--- a/carthinge/durable/handover.py
+++ b/carthinge/durable/handover.py
@@ -11,8 +11,8 @@
 from datetime import timedelta
 from typing import Final
 
+from carthinge.durable.errors import StoreError
 from carthinge.durable.jobs import DurableJobs
-from carthinge.durable.store import StoreError
 from carthinge.net.exchange import Attempt
 
 CALM_WITHIN: Final = timedelta(milliseconds=500)  # of asking; what is under way then counts as perhaps sent
--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -17,12 +17,13 @@
 
 from carthinge import interface as io
 from carthinge.durable import records
+from carthinge.durable.errors import StoreError
 from carthinge.durable.held import Ending, Held, Waiter
 from carthinge.durable.limits import Limits, Shed
 from carthinge.durable.records import Accepted, AttemptState, Collected, Ended, Found, JobState, StoredJob
 from carthinge.durable.recovery import Entrance
 from carthinge.durable.seal import job_name, job_number, key_digest, request_digest
-from carthinge.durable.store import Store, StoreError, Time
+from carthinge.durable.store import Store, Time
 from carthinge.durable.tenure import Tenure
 from carthinge.durable.writer import Writer
 from carthinge.net import log
--- a/carthinge/durable/store.py
+++ b/carthinge/durable/store.py
@@ -24,6 +24,7 @@
 
 import msgspec
 
+from carthinge.durable.errors import StoreError
 from carthinge.durable.records import (
     Accepted,
     AttemptState,
@@ -47,15 +48,12 @@
 CHUNKS: Final = (1, 4, 16, 64, 256)  # rows of one statement: few texts, so that all stay prepared
 WAL_PAGES: Final = 1000  # after so many the log is folded into the database
 FORGET_AT_ONCE: Final = 500  # jobs of one transaction, which must not hold up the next commit for long
+LOCKED_FOR: Final = 0.2  # seconds to wait for another writer: there is to be none
 LONG_AGO: Final = 0
 SPACE_PAGES: Final = 256  # given back at once
 Connect = Callable[[str], sqlite3.Connection]
 
 
-class StoreError(Exception):
-    """The store cannot be used; the text names the file and the fault."""
-
-
 @dataclass(frozen=True, slots=True)
 class Time:
     """What the store is told of the time: it reads no clock itself."""
@@ -75,7 +73,8 @@
 
 def connect(path: str) -> sqlite3.Connection:
     """An ordinary connection; transactions are begun and ended by hand."""
-    return sqlite3.connect(path, isolation_level=None, check_same_thread=False, cached_statements=64)
+    return sqlite3.connect(path, timeout=LOCKED_FOR, isolation_level=None, check_same_thread=False,
+                           cached_statements=64)
 
 
 class Store:
--- a/carthinge/durable/writer.py
+++ b/carthinge/durable/writer.py
@@ -11,8 +11,9 @@
 from threading import Condition, Thread
 from typing import Any, Final
 
+from carthinge.durable.errors import StoreError
 from carthinge.durable.records import Accepted, Found, Record
-from carthinge.durable.store import Store, StoreError, Time, Usage
+from carthinge.durable.store import Store, Time, Usage
 from carthinge.net import log
 
 BATCH: Final = 2000  # records of one transaction at the most: the first of them waits for the last
@@ -169,6 +170,7 @@
             self.failing = ""
         self.commits += 1
         self._stuck = 0
+        self._measure()  # each time: the limit is held against it, and a second can fill a small store
         if others:
             self._done.extend((done, others.get(record.number) if isinstance(record, Accepted) else None)
                               for record, done in batch if done is not None)
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -49,10 +49,6 @@
 BOOT: Final = Path("/proc/sys/kernel/random/boot_id")
 
 
-class NoStoreError(Exception):
-    """The store of durable jobs cannot be used; the text names it and the fault."""
-
-
 class Program:
     """One scheduler from its start to its end."""
 
@@ -109,17 +105,11 @@
         return Terms(job_class, accepted.class_name, tenant, accepted.tenant, patience, known.key, hint,
                      known.slots, known.memory)
 
-    def _open_store(self) -> None:
-        if self.durable is not None:
-            from carthinge.durable.store import StoreError
-
-            try:
-                self.durable.open()
-            except StoreError as fault:
-                raise NoStoreError(str(fault)) from None
-
     def run(self) -> None:
-        """Serves until SIGTERM or SIGINT has come and all that was taken is answered."""
+        """Serves until SIGTERM or SIGINT has come and all that was taken is answered.
+
+        OSError where it cannot listen, StoreError where the store of durable jobs cannot be used.
+        """
         self._take_signals()
         if self.config.operator is not None:
             self.operator = Operator(self.loop, self.config.operator, self, self.counters)
@@ -151,7 +141,8 @@
             self.book.tell(Inherit(state.memory))
             self.book.tell(self.table.go_on(state))
             self._share(0)
-        self._open_store()
+        if self.durable is not None:
+            self.durable.open()
         self.book.decide()
         listening = self.config.listening
         self.ingress.listen(bind(self.config.listen, BACKLOG) if listening is None
@@ -381,7 +372,12 @@
         if not self.upgrade.leaving:  # else they go to the process that has taken over
             self.ingress.close_idle()
         owed = any(exchange.keeper is None for exchange in self.book.exchanges.values())
-        if owed or len(self.ingress.places) or self.upgrade.passing:
+        connected = len(self.ingress.places) > 0
+        front, drain = self.ingress.durable, self.ingress.draining
+        if front is not None and drain is not None and self.loop.now >= drain.answered_by:
+            # Workers go on calling back about durable jobs: those are the next process's.
+            connected = bool(front.waiting)
+        if owed or connected or self.upgrade.passing:
             self._quiet_since = None
         elif self._quiet_since is None:
             self._quiet_since = self.loop.now
--- a/carthinge/operator_file.py
+++ b/carthinge/operator_file.py
@@ -79,6 +79,8 @@
         part, name = key.split(".")
         if getattr(getattr(options, part), name) < least:
             raise FileError(f"{path}: {key}: expected a span of at least {least.total_seconds()} s")
+    if options.durable.classes and not options.durable.folder:
+        raise FileError(f"{path}: durable.folder: expected a folder, since durable.classes names classes")
     return options
 
 
--- /dev/null
+++ b/tests/test_operator_file.py
@@ -0,0 +1,75 @@
+"""The operator's own file: what it may say, and how a mistake in it is named."""
+
+import tomllib
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from carthinge.operator_file import FileError, Options, check_classes, read
+
+SHOWN = Path(__file__).parent.parent / "deploy" / "carthinge.toml"
+
+
+def said(tmp_path, text):
+    path = tmp_path / "file.toml"
+    path.write_text(text)
+    return read(str(path))
+
+
+def test_without_a_file_everything_is_off():
+    assert read(None) == Options() and not Options().durable.folder
+
+
+def test_the_file_in_deploy_shows_every_key_with_its_default(tmp_path):
+    text = SHOWN.read_text()
+    assert read(str(SHOWN)) == Options()
+    shown = "\n".join(line.removeprefix("# ") if " = " in line else line for line in text.splitlines())
+    assert said(tmp_path, shown) == Options()
+    for part, values in tomllib.loads(shown).items():
+        assert list(values) == list(getattr(Options(), part).__struct_fields__)
+
+
+def test_spans_are_seconds_or_iso_durations(tmp_path):
+    assert said(tmp_path, "[leases]\nduration = 1.5").leases.duration == timedelta(seconds=1.5)
+    assert said(tmp_path, "[leases]\nduration = 'PT2M'").leases.duration == timedelta(minutes=2)
+
+
+@pytest.mark.parametrize("text, named", [
+    ("[durable]\nfoldr = 'x'", "durable.foldr: no such key; did you mean 'folder'?"),
+    ("[nonsense]", "nonsense: no such key; known are durable, leases"),
+    ("[durable]\nmax_open = 'many'", "durable.max_open: Expected `int`, got `str`"),
+    ("[durable]\nmax_open = 0", "durable.max_open: Expected `int` >= 1"),
+    ("[durable]\nfolder = 'x'\nclasses = [1]", "durable.classes[0]: Expected `str`, got `int`"),
+    ("[durable]\nclasses = ['reindex']", "durable.folder: expected a folder"),
+    ("durable = 3", "durable: Expected `object`, got `int`"),
+    ("[leases]\nduration = true", "leases.duration: Expected `duration`, got `bool`"),
+    ("[leases]\nduration = 0", "leases.duration: expected a span of at least 0.1 s"),
+    ("[leases]\nduration = 1e300", "out of range"),
+    ("[leases", "not TOML"),
+])
+def test_a_mistake_is_named_by_the_path_of_its_key(tmp_path, text, named):
+    with pytest.raises(FileError) as fault:
+        said(tmp_path, text)
+    assert named in str(fault.value) and "file.toml" in str(fault.value)
+
+
+def test_a_file_that_is_not_there_is_named(tmp_path):
+    with pytest.raises(FileError, match="No such file"):
+        read(str(tmp_path / "none"))
+
+
+def test_classes_are_the_site_s(tmp_path):
+    options = said(tmp_path, "[durable]\nfolder = 'x'\nclasses = ['reindx']")
+    with pytest.raises(FileError, match=r"durable.classes\[0\]: 'reindx' is not .* did you mean 'reindex'"):
+        check_classes(options, ("query", "reindex"))
+
+
+def test_check_config_covers_it(tmp_path, monkeypatch):
+    from carthinge.__main__ import app
+    monkeypatch.delenv("RELAY_CONFIG", raising=False)
+    path = tmp_path / "file.toml"
+    path.write_text("[durable]\nfoldr = 'x'")
+    result = CliRunner().invoke(app, ["check-config", "--file", str(path)])
+    assert result.exit_code == 2 and "durable.foldr" in result.output
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -17,6 +17,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from carthinge import interface as io
+from carthinge.durable.errors import StoreError
 from carthinge.durable.limits import Limits, Shed
 from carthinge.durable.records import (
     Accepted,
@@ -31,7 +32,7 @@
 )
 from carthinge.durable.recovery import Entrance
 from carthinge.durable.seal import job_name, job_number
-from carthinge.durable.store import Store, StoreError, Time
+from carthinge.durable.store import Store, Time
 from carthinge.durable.wal import examine
 from carthinge.durable.writer import Writer
 from carthinge.net.loop import READ, Loop
