--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
@@ -81,6 +82,7 @@
         """Takes the store; StoreError where that cannot be had.  Open jobs follow turn by turn."""
         self._store.open(self.time())
         self.loaded = self.leaving = self._stopped = False
+        gc.disable()  # until all is read back: it would go through that again and again, for 0.2 s each
         self._count = self.recovered = 0
         self.writer = Writer(self._store, self.time, lambda sock, call: self.loop.register(sock, READ, call))
         self._load(0)
@@ -91,6 +93,7 @@
         if writer is None:
             return True
         self._stopped, self.loaded = True, False
+        gc.enable()
         whole = writer.stop(patience)
         writer.deliver()
         self.loop.forget(writer.wake_in)
@@ -167,6 +170,8 @@
             self._load(found[-1].accepted.number)
             return
         self.loaded = True
+        gc.freeze()  # what was read back stays for long, and is in no cycle
+        gc.enable()
         log.logger().info("store_loaded", jobs=self.recovered, path=str(self._store.path))
         deferred, self._deferred = self._deferred, []
         for call in deferred:
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import socket
 import sys
@@ -34,6 +35,7 @@
     from carthinge.durable.records import Accepted
 
 SWITCH_INTERVAL: Final = timedelta(microseconds=250)  # for the store's thread, which needs little at a time
+COLLECTIONS: Final = (20_000, 50, 100)  # durable jobs are many and live long
 SPARE_SOCKETS: Final = 48  # of the limit: for the listener, discovery, the log and what the runtime holds
 BACKLOG: Final = 1024
 LEAST_PLACES: Final = 8  # however many the process before this one holds still
@@ -86,6 +88,7 @@
         from carthinge.net.durable_front import DurableFront
 
         sys.setswitchinterval(SWITCH_INTERVAL.total_seconds())
+        gc.set_threshold(*COLLECTIONS)
         options = self.config.options
         self.durable = DurableJobs(
             self.loop, self.book, options, BOOT.read_text().strip(), self._terms_of,
