Test crashes at named points: recorded and not sent, no 202, recorded and not told

These stand at the places that the promises turn on, by writing down what a scheduler that died had written last. A granted job that forbids a repeat is not sent again; a keyed one goes to another worker within its window; a worker's call-back is taken after the crash, or acknowledged again.

--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -8,10 +8,17 @@
 import sys
 import threading
 import time
+from pathlib import Path
 
+import msgspec
 import pytest
 from world import HOST, World, free_port, job
 
+from carthinge import interface as io
+from carthinge.durable.records import Ended, Granted, JobState
+from carthinge.durable.store import Store, Time
+from carthinge.net.route_table import number_of
+
 FILE = """
 [durable]
 folder = "{folder}"
@@ -577,3 +584,83 @@
     world.restart()
     assert world.tell(req_id, "done", number, result="r", token=token) == 204
     assert get(world, path)[1] == b"r"
+
+
+# ---- crashes at named points ----------------------------------------------------------------------
+
+
+def write_down(world, *batch):
+    """What a scheduler that has died had written last."""
+    now = time.monotonic_ns() // 1000 + 86_400_000_000
+    moment = Time(now, time.time_ns() // 1000, Path("/proc/sys/kernel/random/boot_id").read_text().strip())
+    store = Store(world.store, 1 << 30)
+    store.open(moment)
+    jobs = {job.accepted.req_id: job.accepted.number for job in store.open_jobs(0, 100)}
+    store.apply([record(jobs, now) for record in batch], moment)
+    store.close()
+
+
+def granted(world, req_id, worker):
+    """A grant of that job to that worker, of which nothing was sent."""
+    entry = msgspec.msgpack.encode(io.WorkerEntry(number_of(world.names[worker])))
+    address = f"127.0.0.1:{world.workers[worker].port}"
+    return lambda jobs, now: Granted(1, jobs[req_id], 0, world.names[worker], address, entry, now,
+                                     now + 9_000_000)
+
+
+def waiting(world, kind, deadline="9000m"):
+    """A job that waits for a worker, of a scheduler that is killed then: its name."""
+    for step in range(8):  # as many as two workers get at first
+        put(world, f"b{step}", key=f"b{step}")
+        accept(world)
+    path = put(world, "a1", kind=kind, deadline=deadline)
+    world.kill()
+    return path
+
+
+def test_a_crash_between_recording_and_sending_counts_as_sent(world):
+    path = waiting(world, "charge", deadline="3000m")
+    write_down(world, granted(world, "a1", 0))
+    world.restart()
+    assert get(world, path)[0] == 504  # the class forbids a repeat, and nothing tells that it was not sent
+    with contextlib.closing(sqlite3.connect(world.store / "jobs.db")) as database:
+        assert database.execute("SELECT count(*) FROM attempts WHERE job = "
+                                "(SELECT number FROM jobs WHERE req_id = 'a1')").fetchone() == (1,)
+
+
+def test_a_crash_between_recording_and_sending_a_keyed_job_has_it_sent_elsewhere(tmp_path):
+    with World(tmp_path, workers=2, file=FILE.replace("0.4", "5")) as world:
+        path = waiting(world, "reindex")
+        write_down(world, granted(world, "a1", 0))
+        world.restart()
+        line, headers = "", {}
+        while not (line.startswith("POST") and headers["req-id"] == "a1"):  # others are moved, too
+            number, peer, (line, headers, _) = world.take()
+            peer.answer(202)
+        assert number == 1
+        assert world.tell("a1", "done", 1, result="r", token=int(headers["lease-token"])) == 204
+        assert get(world, path)[1] == b"r"
+
+
+def test_a_crash_between_sending_and_the_202_waits_for_the_worker(world):
+    client = put(world, "a1", prefer=None)
+    number, _, (_, headers, _) = world.take()  # and no 202
+    world.kill()
+    client.close()
+    world.restart()
+    token = int(headers["lease-token"])
+    assert world.tell("a1", "done", number, result="r", token=token) == 204
+    assert put(world, "a2", prefer=None).read()[2] == b"r"
+    assert world.counters()["attempts_written"] == 0
+
+
+def test_a_crash_between_recording_a_result_and_telling_it(world):
+    client = put(world, "a1", prefer=None)
+    number, req_id, token = accept(world)
+    world.kill()
+    client.close()
+    write_down(world, lambda jobs, now: Ended(jobs["a1"], JobState.SERVED, b"r", token, now, now + 10**8))
+    world.restart()
+    assert world.tell(req_id, "done", number, result="r", token=token) == 204
+    assert put(world, "a2", prefer=None).read()[2] == b"r"
+    assert world.counters()["attempts_written"] == 0
