--- a/carthinge/durable/store.py
+++ b/carthinge/durable/store.py
@@ -18,6 +18,7 @@
 import sqlite3
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 from pathlib import Path
 from typing import Any, Final
 from zlib import crc32
@@ -45,7 +46,7 @@
 
 DATABASE: Final = "jobs.db"
 LOCK: Final = "owner.lock"
-CHUNKS: Final = (1, 4, 16, 64, 256)  # rows of one statement: few texts, so that all stay prepared
+CHUNKS: Final = (1, 2, 4, 8, 16, 32, 64, 128, 256)  # rows of one statement: few texts, all kept prepared
 WAL_PAGES: Final = 1000  # after so many the log is folded into the database
 FORGET_AT_ONCE: Final = 500  # jobs of one transaction, which must not hold up the next commit for long
 LOCKED_FOR: Final = 0.2  # seconds to wait for another writer: there is to be none
@@ -74,7 +75,7 @@
 def connect(path: str) -> sqlite3.Connection:
     """An ordinary connection; transactions are begun and ended by hand."""
     return sqlite3.connect(path, timeout=LOCKED_FOR, isolation_level=None, check_same_thread=False,
-                           cached_statements=64)
+                           cached_statements=128)
 
 
 class Store:
@@ -331,13 +332,19 @@
             part = rows[start:start + CHUNKS[-1]]
             size = next(size for size in CHUNKS if size >= len(part))
             part += part[-1:] * (size - len(part))
-            self._run(before + ",".join([row] * size) + after, [value for values in part for value in values])
+            self._run(_text(before, row, size, after), [value for values in part for value in values])
 
     def _roll_back(self) -> None:
         if self._database is not None and self._database.in_transaction:
             self._database.rollback()
 
 
+@lru_cache(maxsize=128)
+def _text(before: str, row: str, size: int, after: str) -> str:
+    """The same object each time: SQLite's cache of statements goes by it."""
+    return before + ",".join([row] * size) + after
+
+
 def body_crc(number: int, subject: bytes, body: bytes) -> int:
     return crc32(body, crc32(subject, number & 0xFFFFFFFF))
 
