Do not freeze recovered jobs; let a 405 end; drop what nobody uses

A PUT to /v1/jobs/ was registered as waiting before it was turned away, and a program with durable jobs then never ended at SIGTERM (test_a_call_that_is_turned_away fails without). Tests for two promises that had none: Prefer with a wait, and a damaged open job that ends the program with code 4.

--- a/carthinge/durable/held.py
+++ b/carthinge/durable/held.py
@@ -31,7 +31,8 @@
     def accepted(self, number: int) -> None:
         """It is taken on, by this number."""
 
-    def ended(self, ending: Ending) -> None: ...
+    def ended(self, ending: Ending) -> None:
+        """Its one end."""
 
     def shed(self, why: Shed, stay_away: timedelta) -> None:
         """It is not taken on."""
--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -72,7 +72,6 @@
         self._accept_timer: Timer | None = None
         self._deferred: list[Callable[[], None]] = []
         self._count = 0
-        self._entrance_timer: Timer | None = None
         self.leaving = False  #: another process is to have the store, or has it
         self._stopped = False
 
@@ -107,10 +106,10 @@
         for held in list(self._held.values()):
             for waiter in held.waiters:
                 waiter.moved(held.accepted.number)
-            self._drop(held)
-            self.entrance.drop(held)
             if held.exchange is not None:
                 self._book.give_away(held.exchange)
+            self._drop(held)
+            self.entrance.drop(held)
         self.tenure.clear()
 
     def under_way(self, busy: Callable[[Attempt], bool]) -> bool:
@@ -142,6 +141,7 @@
         return Time(clock.now() // MICROSECOND, clock.wall() // MICROSECOND, self._boot)
 
     def name(self, number: int) -> str:
+        """What clients know the job of that number by."""
         return job_name(number, self._store.secret)
 
     def _next(self) -> int:
@@ -170,7 +170,6 @@
             self._load(found[-1].accepted.number)
             return
         self.loaded = True
-        gc.freeze()  # what was read back stays for long, and is in no cycle
         gc.enable()
         log.logger().info("store_loaded", jobs=self.recovered, path=str(self._store.path))
         deferred, self._deferred = self._deferred, []
@@ -194,7 +193,8 @@
         for held in self.entrance.enter(now):
             self._restore(held)
         due = self.entrance.due(now)
-        self._entrance_timer = None if due is None else self.loop.call_at(due, self._enter)
+        if due is not None:
+            self.loop.call_at(due, self._enter)
 
     def _restore(self, held: Held) -> None:
         """The book takes it on, with the attempts that it has had."""
@@ -477,6 +477,7 @@
         if accepted.key is not None and self._by_key.get(accepted.key) is held:
             del self._by_key[accepted.key]
         self.limits.leave(accepted.tenant, len(accepted.body))
+        held.exchange = None  # else the two keep each other until the collector comes by
 
 
 def _asked(found: object) -> Found | int:
--- a/carthinge/durable/store.py
+++ b/carthinge/durable/store.py
@@ -290,9 +290,6 @@
                     jobs[job].attempts.append(StoredAttempt(*rest))
         return list(jobs.values())
 
-    def count_open(self) -> int:
-        return int(self._one("SELECT count(*) FROM jobs WHERE state = 0"))
-
     def find(self, number: int) -> Found | None:
         """A job by its number; StoreError where it is damaged."""
         rows = self._all(f"SELECT {_FOUND}, crc FROM jobs WHERE number = ?", (number,))
--- a/carthinge/net/durable_front.py
+++ b/carthinge/net/durable_front.py
@@ -21,6 +21,7 @@
 from carthinge.net.translator import JOBS, Translator, text
 
 BY_NAME: Final = b"/v1/jobs/"
+BASE: Final = BY_NAME.decode()
 WAIT: Final = re.compile(r"wait\s*=\s*\"?(\d{1,6})\"?")
 LONGEST_WAIT: Final = timedelta(minutes=5)
 JUST_IN_TIME: Final = timedelta(milliseconds=2)  # before its client leaves
@@ -67,12 +68,10 @@
 class DurableFront:
     """Requests that concern durable jobs, and the ones that wait."""
 
-    def __init__(self, loop: Loop, jobs: DurableJobs, max_retry_after: Callable[[], timedelta],
-                 base: bytes = BY_NAME) -> None:
+    def __init__(self, loop: Loop, jobs: DurableJobs, max_retry_after: Callable[[], timedelta]) -> None:
         self.loop = loop
         self.jobs = jobs
         self.max_retry_after = max_retry_after
-        self.base = base.decode()
         self.waiting: dict[JobCall, None] = {}
 
     def concerns(self, request: Request, path: bytes) -> bool:
@@ -98,14 +97,11 @@
             call = JobCall(self, connection, request, mode, wait)
             self.jobs.take(job, terms, request.headers.get(b"idempotency-key") or None, call)
             return call
+        if request.method not in (b"GET", b"DELETE"):
+            raise BadRequestError(HTTPStatus.METHOD_NOT_ALLOWED, "only GET and DELETE here")
         name = path.removeprefix(BY_NAME).decode("latin-1")
         call = JobCall(self, connection, request, Mode.WATCH, preference.wait)
-        if request.method == b"GET":
-            self.jobs.ask(name, call.watch(name))
-        elif request.method == b"DELETE":
-            self.jobs.ask(name, call.give_up(name))
-        else:
-            raise BadRequestError(HTTPStatus.METHOD_NOT_ALLOWED, "only GET and DELETE here")
+        self.jobs.ask(name, call.watch(name) if request.method == b"GET" else call.give_up(name))
         return call
 
     def resume(self, connection: Connection, request: Request, name: str, in_place: bool,
@@ -163,7 +159,7 @@
     def ended(self, ending: Ending) -> None:
         headers = [("Job-State", STATES[ending.state])]
         if self.number:
-            headers.append(("Location", self._front.base + self.name))
+            headers.append(("Location", BASE + self.name))
         if ending.state is JobState.SERVED:
             if self._asked_later:
                 self._front.jobs.collected(self.number)
@@ -236,7 +232,7 @@
         """Answers that the job is not over yet, and where it can be asked for."""
         if self.number:
             name = self.name
-            location = self._front.base + name
+            location = BASE + name
             body = msgspec.json.encode({"job": name, "state": STATES[JobState.OPEN]})
             headers = [("Location", location), ("Content-Type", "application/json"), ("Job-State", "open")]
             if self._request.method == b"POST":
@@ -259,7 +255,7 @@
         if self.held is not None and self.held.ending is not None:
             self.ended(self.held.ending)
             return
-        self._reply(HTTPStatus.GATEWAY_TIMEOUT, b"", [("Location", self._front.base + self.name)]
+        self._reply(HTTPStatus.GATEWAY_TIMEOUT, b"", [("Location", BASE + self.name)]
                     if self.number else [])
 
     def _stay_away(self, span: timedelta) -> Headers:
--- a/carthinge/net/translator.py
+++ b/carthinge/net/translator.py
@@ -28,6 +28,7 @@
         self._tenants = {name: index for index, name in enumerate(site.tenants)}
 
     def job_class(self, name: str) -> int | None:
+        """Its position for the module; None where this site has no such class."""
         return self._classes.get(name)
 
     def tenant(self, name: str) -> int | None:
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -111,6 +111,19 @@
     assert put(world, "a3", prefer=None, body=b"other").status() == 422
 
 
+def test_a_preference_to_wait_gets_the_result_if_it_comes_in_time(world):
+    client = put(world, "a1", prefer=None, Prefer="respond-async, wait=9")
+    number, req_id, _ = accept(world)
+    world.tell(req_id, "done", number, result="r")
+    assert client.read()[2] == b"r"
+
+
+def test_a_call_that_is_turned_away_does_not_keep_the_program_from_ending(world):
+    assert get(world, "/v1/jobs/5-00", "PUT")[0] == 405
+    world.terminate()
+    assert world.process.wait(8) == 0
+
+
 def test_keys_hold_for_their_tenant_and_class(world):
     put(world, "a1")
     put(world, "a2", kind="charge")
@@ -338,6 +351,14 @@
     assert f"in use by process {world.process.pid}" in world.log()
 
 
+def test_an_open_job_that_is_damaged_ends_the_program_with_its_name(world):
+    put(world, "a1")
+    world.kill()
+    with contextlib.closing(sqlite3.connect(world.store / "jobs.db", isolation_level=None)) as database:
+        database.execute("UPDATE jobs SET body = x'00'")
+    assert world.start().wait(10) == 4 and "store_unreadable" in world.log()
+
+
 def test_a_store_that_cannot_be_read_is_named_and_nothing_is_served(world):
     put(world, "a1")
     world.kill()
