--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from carthinge.interface import Result
+from carthinge.net import log
 from carthinge.net.counters import Counters
 from carthinge.net.exchange import Attempt, Book
 from carthinge.net.http import Address, Answer, Caller, call_bytes
@@ -68,6 +69,7 @@
     def withdraw(self, attempt: Attempt, gone: Callable[[], None]) -> None:
         call = self._calls.pop(attempt, None)
         if call is not None:  # before the 202
+            self.withdrawn(attempt, "connection closed")
             self._drop(call.caller)
             gone()
             return
@@ -78,22 +80,31 @@
         address = attempt.target.address
         try:
             caller = self._connection(address)
-        except OSError:
+        except ConnectionRefusedError:  # its process has died, and the attempt with it
             gone()
             return
+        except OSError:
+            self.not_withdrawn(attempt, gone)
+            return
         withdrawal = _Withdrawal(self._loop, self, caller, attempt, gone)
         self._loop.call_after(LATE_ANSWER, withdrawal.cut)
         path = f"/jobs/{attempt.exchange.job.id}".encode()
         caller.start(withdrawal, call_bytes("DELETE", path, str(address)))
 
     def not_withdrawn(self, attempt: Attempt, gone: Callable[[], None]) -> None:
-        """Guards against a DELETE that was reset on its way: the next attempt would be a second copy."""
-        if self._loop.clock.now() + DELETE_AGAIN < attempt.due:
+        """Guards against a DELETE that was reset on its way, or never sent since its worker cannot be reached
+        from here: the worker runs the attempt all the same, and the next one would be a second copy.
+        """
+        if attempt.open and self._loop.clock.now() + DELETE_AGAIN < attempt.due:
             self._counters.withdrawn_again += 1
             self._loop.call_after(DELETE_AGAIN, lambda: self._delete(attempt, gone))
-        else:  # no other attempt can follow
+        else:  # it has ended there, or no other attempt can follow
             gone()
 
+    def withdrawn(self, attempt: Attempt, how: str) -> None:
+        """Its worker knows, or will before it can hear of anything sent later."""
+        log.logger().debug("withdrawn", id=attempt.exchange.job.id, worker=attempt.target.id, how=how)
+
     def ended(self, attempt: Attempt, result: Result, answer: Answer | None, why: str) -> None:
         """The call of an attempt has told its end."""
         self._book.end(attempt, result, self._report_of(answer), why=why)
@@ -266,27 +277,31 @@
 
     def written(self) -> None:
         """On its way, on a connection of its own: it must not be overtaken by an attempt elsewhere."""
-        self._loop.call_after(ARRIVES_WITHIN, self._arrived)
+        self._loop.call_after(ARRIVES_WITHIN, lambda: self._arrived("written"))
 
     def answered(self, answer: Answer) -> None:
-        self._arrived()
+        self._arrived(f"answered {answer.status}")
         self._egress.free(self._caller)
 
     def broken(self, written: bool, why: str) -> None:
-        if self._caller.reset and not self._over:
+        caller = self._caller
+        if not self._over and (caller.reset or not written and not caller.refused):
             self._over = True
+            log.logger().debug("not_withdrawn", id=self._attempt.exchange.job.id,
+                               worker=self._attempt.target.id, why=why)
             self._egress.not_withdrawn(self._attempt, self._gone)
         else:
-            self._arrived()
-        self._egress.free(self._caller)
+            self._arrived(why)
+        self._egress.free(caller)
 
     def cut(self) -> None:
         """Guards against a worker that answers nothing: its connection would be held for good."""
         if self._caller.call is self:
             self._caller.close()
-            self.broken(False, "no answer in time")
+            self.broken(self._over, "no answer in time")
 
-    def _arrived(self) -> None:
+    def _arrived(self, how: str) -> None:
         if not self._over:
             self._over = True
+            self._egress.withdrawn(self._attempt, how)
             self._gone()
--- a/carthinge/net/exchange.py
+++ b/carthinge/net/exchange.py
@@ -323,6 +323,8 @@
             return
         attempt.held_back = False
         self._counters.attempts += 1
+        log.logger().debug("attempt_sent", id=attempt.exchange.job.id, worker=attempt.target.id,
+                           attempt=attempt.number)
         self.target.send(attempt)
 
     def _time_out(self, attempt: Attempt) -> None:
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -394,6 +394,32 @@
     assert world.counters()["withdrawn_again"] == 2
 
 
+def test_a_job_stays_with_a_worker_that_cannot_be_told_of_its_withdrawal(world):
+    """Cut off from here, it still runs the job: another attempt would be a second copy."""
+    with contextlib.ExitStack() as stack:
+        client = world.submit("a1")
+        first, peer, _ = world.take()
+        listener = world.workers[first].sock
+        listener.listen(0)  # with its backlog full it answers no further connection
+        fillers = [stack.enter_context(socket.socket()) for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        peer.answer(202, Connection="close")
+        world.wait_for_log("event=not_withdrawn")
+        assert world.counters()["attempts"] == 1
+        for filler in fillers:
+            filler.close()
+        at, peer, (line, _, _) = world.take()  # it can be reached again
+        assert (at, line) == (first, "DELETE /jobs/a1 HTTP/1.1")
+        peer.answer(204)
+        second, peer, (line, _, _) = world.take()
+        assert second != first and line.startswith("POST")
+        peer.answer(202)
+        world.tell("a1", "done", second)
+        assert client.status() == 200
+
+
 def test_before_the_202_a_job_is_withdrawn_by_closing_its_connection(world):
     client = world.submit("a1")
     _, peer, _ = world.take()
