--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -19,7 +19,8 @@
 from carthinge.settings import Site
 
 IDLE_MARGIN: Final = timedelta(milliseconds=300)  # idle connections are closed so long before workers do
-DELETE_AGAIN: Final = timedelta(milliseconds=20)  # after one that was reset
+DELETE_AGAIN: Final = timedelta(milliseconds=20)  # after one that was reset or could not be sent
+DELETE_AGAIN_MOST: Final = timedelta(milliseconds=320)  # after several in a row
 ARRIVES_WITHIN: Final = timedelta(milliseconds=100)  # a DELETE, once it is written
 UNUSABLE: Final = (HTTPStatus.BAD_REQUEST, HTTPStatus.NOT_FOUND)  # the request's fault, not the worker's
 LATE_ANSWER: Final = timedelta(seconds=2)  # for an answer on which nothing depends any more
@@ -68,36 +69,37 @@
 
     def withdraw(self, attempt: Attempt, gone: Callable[[], None]) -> None:
         call = self._calls.pop(attempt, None)
-        if call is not None:  # before the 202
-            self.withdrawn(attempt, "connection closed")
+        if call is not None:  # before its 202 has come, closing is enough; but that may be lost on its way
             self._drop(call.caller)
-            gone()
-            return
+            if not attempt.arrived:
+                self.withdrawn(attempt, "never sent")
+                gone()
+                return
         self._counters.withdrawn += 1
-        self._delete(attempt, gone)
+        self._delete(attempt, gone, DELETE_AGAIN)
 
-    def _delete(self, attempt: Attempt, gone: Callable[[], None]) -> None:
+    def _delete(self, attempt: Attempt, gone: Callable[[], None], again: timedelta) -> None:
         address = attempt.target.address
         try:
             caller = self._connection(address)
-        except ConnectionRefusedError:  # its process has died, and the attempt with it
-            gone()
-            return
-        except OSError:
-            self.not_withdrawn(attempt, gone)
+        except OSError as fault:
+            self.not_withdrawn(attempt, gone, again, str(fault))
             return
-        withdrawal = _Withdrawal(self._loop, self, caller, attempt, gone)
+        withdrawal = _Withdrawal(self._loop, self, caller, attempt, gone, again)
         self._loop.call_after(LATE_ANSWER, withdrawal.cut)
         path = f"/jobs/{attempt.exchange.job.id}".encode()
         caller.start(withdrawal, call_bytes("DELETE", path, str(address)))
 
-    def not_withdrawn(self, attempt: Attempt, gone: Callable[[], None]) -> None:
+    def not_withdrawn(self, attempt: Attempt, gone: Callable[[], None], again: timedelta, why: str) -> None:
         """Guards against a DELETE that was reset on its way, or never sent since its worker cannot be reached
-        from here: the worker runs the attempt all the same, and the next one would be a second copy.
+        from here or, draining, takes no further connection: it runs the attempt all the same, and the next
+        one would be a second copy.  Sent ``again`` after so long; where a worker has died, its agent tells.
         """
-        if attempt.open and self._loop.clock.now() + DELETE_AGAIN < attempt.due:
+        log.logger().debug("not_withdrawn", id=attempt.exchange.job.id, worker=attempt.target.id, why=why)
+        if attempt.open and self._loop.clock.now() + again < attempt.due:
             self._counters.withdrawn_again += 1
-            self._loop.call_after(DELETE_AGAIN, lambda: self._delete(attempt, gone))
+            later = min(2 * again, DELETE_AGAIN_MOST)
+            self._loop.call_after(again, lambda: self._delete(attempt, gone, later))
         else:  # it has ended there, or no other attempt can follow
             gone()
 
@@ -267,12 +269,13 @@
     """A DELETE; what the worker answers does not matter, but that it has got there does."""
 
     def __init__(self, loop: Loop, egress: Egress, caller: Caller, attempt: Attempt,
-                 gone: Callable[[], None]) -> None:
+                 gone: Callable[[], None], again: timedelta) -> None:
         self._loop = loop
         self._egress = egress
         self._caller = caller
         self._attempt = attempt
         self._gone = gone
+        self._again = again
         self._over = False
 
     def written(self) -> None:
@@ -284,15 +287,12 @@
         self._egress.free(self._caller)
 
     def broken(self, written: bool, why: str) -> None:
-        caller = self._caller
-        if not self._over and (caller.reset or not written and not caller.refused):
+        if not self._over and (self._caller.reset or not written):
             self._over = True
-            log.logger().debug("not_withdrawn", id=self._attempt.exchange.job.id,
-                               worker=self._attempt.target.id, why=why)
-            self._egress.not_withdrawn(self._attempt, self._gone)
+            self._egress.not_withdrawn(self._attempt, self._gone, self._again, why)
         else:
             self._arrived(why)
-        self._egress.free(caller)
+        self._egress.free(self._caller)
 
     def cut(self) -> None:
         """Guards against a worker that answers nothing: its connection would be held for good."""
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -270,11 +270,6 @@
         """The other side broke the connection off, but is not known to be down."""
         return self._stream is not None and self._stream.reset
 
-    @property
-    def refused(self) -> bool:
-        """Nobody listens there: the process of before is dead, and all it was doing with it."""
-        return self._stream is not None and self._stream.refused
-
     @property
     def closed(self) -> bool:
         return self._stream is None or self._stream.closed
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -31,7 +31,6 @@
         self.connecting = connecting
         self.closed = False
         self.reset = False  # the other side broke it off; it may be well, and there still
-        self.refused = False  # nobody listens there
         self._loop = loop
         self._sock = sock
         self._owner = owner
@@ -96,7 +95,6 @@
             error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if error:
                 self.reset = error == errno.ECONNRESET
-                self.refused = error == errno.ECONNREFUSED
                 self._end(f"connect failed: error {error}")
                 return
             self.connecting = False
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -420,11 +420,33 @@
         assert client.status() == 200
 
 
-def test_before_the_202_a_job_is_withdrawn_by_closing_its_connection(world):
+def test_a_job_stays_with_a_draining_worker_that_takes_no_connections(world):
+    """Refused is not dead: it finishes what it has, unless its agent says that it was lost."""
     client = world.submit("a1")
-    _, peer, _ = world.take()
+    first, peer, _ = world.take()
+    world.workers.pop(first).close()
+    peer.answer(202, Connection="close")
+    world.wait_for_log("event=not_withdrawn")
+    assert world.counters()["attempts"] == 1
+    world.tell("a1", "lost", first)
+    peer = world.accept(world.workers[0])
+    assert peer.read()[0].startswith("POST")
+    peer.answer(202)
+    world.tell("a1", "done", 1 - first)
+    assert client.status() == 200
+
+
+def test_before_the_202_a_job_is_withdrawn_by_closing_its_connection_and_by_word(world):
+    """The worker may have said 202 already: then closing gives nothing up."""
+    client = world.submit("a1")
+    at, peer, _ = world.take()
     client.close()
-    assert peer.ended() and world.counters()["withdrawn"] == 0
+    assert peer.ended()
+    del world.kept[peer.sock]
+    again, peer, (line, _, _) = world.take()
+    assert (again, line) == (at, "DELETE /jobs/a1 HTTP/1.1")
+    peer.answer(204)
+    assert world.counters()["withdrawn"] == 1
 
 
 def test_a_refusal_says_when_to_come_back_within_the_limit(tmp_path):
