--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -96,12 +96,15 @@
         one would be a second copy.  Sent ``again`` after so long; where a worker has died, its agent tells.
         """
         log.logger().debug("not_withdrawn", id=attempt.exchange.job.id, worker=attempt.target.id, why=why)
-        if attempt.open and self._loop.clock.now() + again < attempt.due:
+        give_up = attempt.exchange.give_up
+        if not attempt.open:
+            gone()
+        elif self._loop.clock.now() + again < give_up:
             self._counters.withdrawn_again += 1
             later = min(2 * again, DELETE_AGAIN_MOST)
             self._loop.call_after(again, lambda: self._delete(attempt, gone, later))
-        else:  # it has ended there, or no other attempt can follow
-            gone()
+        else:  # not before: in the time that is left another attempt could follow
+            self._loop.call_at(give_up, gone)
 
     def withdrawn(self, attempt: Attempt, how: str) -> None:
         """Its worker knows, or will before it can hear of anything sent later."""
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -394,18 +394,24 @@
     assert world.counters()["withdrawn_again"] == 2
 
 
+def cut_off(world, stack):
+    """Takes a job on and can be reached no more, until what fills its backlog is closed."""
+    first, peer, _ = world.take()
+    listener = world.workers[first].sock
+    listener.listen(0)  # with its backlog full it answers no further connection
+    fillers = [stack.enter_context(socket.socket()) for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+    peer.answer(202, Connection="close")
+    return first, fillers
+
+
 def test_a_job_stays_with_a_worker_that_cannot_be_told_of_its_withdrawal(world):
     """Cut off from here, it still runs the job: another attempt would be a second copy."""
     with contextlib.ExitStack() as stack:
         client = world.submit("a1")
-        first, peer, _ = world.take()
-        listener = world.workers[first].sock
-        listener.listen(0)  # with its backlog full it answers no further connection
-        fillers = [stack.enter_context(socket.socket()) for _ in range(4)]
-        for filler in fillers:
-            filler.setblocking(False)
-            filler.connect_ex(listener.getsockname())
-        peer.answer(202, Connection="close")
+        first, fillers = cut_off(world, stack)
         world.wait_for_log("event=not_withdrawn")
         assert world.counters()["attempts"] == 1
         for filler in fillers:
@@ -420,6 +426,16 @@
         assert client.status() == 200
 
 
+def test_nor_does_it_go_elsewhere_in_the_last_moment(world):
+    """With too little time left for another DELETE there was still enough for a second copy (split+mass)."""
+    with contextlib.ExitStack() as stack:
+        client = world.submit("a1", deadline="2000m")
+        cut_off(world, stack)
+        assert client.status() == 503
+        counted = world.counters()
+        assert counted["attempts"] == 1 and counted["withdrawn_again"] > 2
+
+
 def test_a_job_stays_with_a_draining_worker_that_takes_no_connections(world):
     """Refused is not dead: it finishes what it has, unless its agent says that it was lost."""
     client = world.submit("a1")
