Listen only once the processor time of the start is paid for

At fault: Program.begin bound the address and went on in one stretch with the whole start; nothing had waited before. Now the first act of the loop is a wait, and the bind is the last act of the start, in a turn of its own.

--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -48,6 +48,7 @@
 QUIET: Final = timedelta(milliseconds=300)  # with nothing owed, before the program ends
 
 
+SETTLE: Final = timedelta(milliseconds=1)  # any wait will do: processor time that is owed comes due in it
 BOOT: Final = Path("/proc/sys/kernel/random/boot_id")
 
 
@@ -116,6 +117,11 @@
         self._take_signals()
         if self.config.operator is not None:
             self.operator = Operator(self.loop, self.config.operator, self, self.counters)
+        limits = self.config.limits
+        # Before anything waits for an answer here: the first line of a log costs more than many after it.
+        log.logger().info("starting", instances=self.config.site.decisions.instances, cores=limits.cores,
+                          memory_mb=limits.memory_mb, sockets=limits.sockets,
+                          workers=len(self.config.known.members))
         self.upgrade.find()
         while not self._over:
             self.loop.turn(idle=not self.book.events)
@@ -147,6 +153,17 @@
         if self.durable is not None:
             self.durable.open()
         self.book.decide()
+        if state is None:
+            self.loop.call_after(SETTLE, self._listen)
+        else:
+            self._listen(taken_over=True)
+
+    def _listen(self, taken_over: bool = False) -> None:
+        """The last act of a start, in a turn of its own: what comes in from now on is read at once.
+
+        Guards against requests that wait in the backlog while a platform that meters the processor still
+        has this process pay for its start: their clients' time runs, and nobody here knows since when.
+        """
         listening = self.config.listening
         self.ingress.listen(bind(self.config.listen, BACKLOG) if listening is None
                             else socket.socket(fileno=listening))
@@ -154,7 +171,7 @@
         self._serving = True
         log.logger().info("serving", listen=str(self.config.listen),
                           workers=len(self.table.ready), revision=self.table.revision,
-                          discovery=str(self.config.discovery), taken_over=state is not None)
+                          discovery=str(self.config.discovery), taken_over=taken_over)
 
     # ---- the other process of an upgrade --------------------------------------------------
 
