Close no connection that holds something unread, and end no answer in its middle

The protocol counts a request as taken with its last byte, which is before this program reads it.

At fault: Places.make_room and overdue, which knew only what had been read, and Ingress.close_idle (drain). They now look at the socket as well (MSG_PEEK, only for who would be closed). Found beside it: two seconds after the last answer on a connection had been handed over it was cut off, however slowly and steadily its client went on reading (Stream.finish): each part gets that time now.

--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -145,7 +145,7 @@
     def close_idle(self) -> None:
         """Ends the connections on which nothing is under way."""
         for connection in self.places.all():
-            if connection.idle():
+            if connection.idle() and connection.silent():
                 connection.close()
 
     def close(self) -> None:
@@ -165,7 +165,7 @@
             return None
         holder = self.places.make_room()
         if holder is None:
-            return "every connection has a request under way"
+            return "every connection has a request under way or unread"
         self.counters.connections_in_closed_early += 1
         holder.close()
         return None
@@ -217,6 +217,9 @@
         return not (self._current or self._waiting or self._reader.under_way or self._finished
                     or self._stream.unsent)
 
+    def silent(self) -> bool:
+        return not self._stream.unsent and self._stream.silent()
+
     def at_rest(self) -> bool:
         """Its client waits for an answer, and has sent nothing more."""
         return not (self._current is None or self._waiting or self._reader.under_way or self._finished
--- a/carthinge/net/places.py
+++ b/carthinge/net/places.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections import OrderedDict
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import Final, Protocol
 
@@ -14,7 +15,10 @@
     """A connection that came in."""
 
     def idle(self) -> bool:
-        """Nothing is under way on it: it may be closed at any time."""
+        """Nothing is under way on it: it may be closed if it is silent too."""
+
+    def silent(self) -> bool:
+        """Nothing waits on it to be read, and nothing to be sent."""
 
     def close(self) -> None: ...
 
@@ -65,19 +69,27 @@
             order.pop(holder, None)
 
     def overdue(self, now: timedelta, span: timedelta) -> list[Holder]:
-        """Those on which no whole request has come within ``span`` of their start."""
+        """Those on which no whole request has come within ``span`` of their start, not even unread."""
         late = []
         for holder, since in self.fresh.items():
             if now < since + span:
                 break
-            late.append(holder)
+            if holder.silent():
+                late.append(holder)
         return late
 
     def make_room(self) -> Holder | None:
-        """The one to be closed for a new one, where all places are taken; None where all are at work."""
-        if self.ending:
-            return next(iter(self.ending))
-        if len(self.fresh) > self.most * FRESH_SHARE:
-            return next(iter(self.fresh))
-        idle = next((holder for holder in self.kept if holder.idle()), None)
-        return idle or next(iter(self.fresh), None)
+        """The one to be closed for a new one, where all places are taken; None where all are at work.
+
+        What waits to be read on one makes it at work too, though nothing has been read.
+        """
+        # Guards against a request that has come and was not read yet: with the connection it would be lost.
+        if done := _first_silent(self.ending):
+            return done
+        pushed_out = _first_silent(self.fresh) if len(self.fresh) > self.most * FRESH_SHARE else None
+        return pushed_out or _first_silent(self.kept, idle=True) or _first_silent(self.fresh)
+
+
+def _first_silent(order: Iterable[Holder], idle: bool = False) -> Holder | None:
+    """One on which nothing waits and, if it has to be ``idle``, nothing is under way."""
+    return next((holder for holder in order if (not idle or holder.idle()) and holder.silent()), None)
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -70,8 +70,21 @@
         """
         if not self._finishing and not self.closed:
             self._finishing = True
-            self._linger = self._loop.call_after(LINGER, lambda: self._end("not ended there in time"))
             self._flush()
+            if not self.closed:
+                self._linger_on()
+
+    def _linger_on(self) -> None:
+        """Guards against a slow reader's answer being cut off in its middle: each part gets its time."""
+        left = len(self._out)
+
+        def over() -> None:
+            if len(self._out) < left:
+                self._linger_on()
+            else:
+                self._end("not ended there in time")
+
+        self._linger = self._loop.call_after(LINGER, over)
 
     def close(self) -> None:
         if not self.closed:
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,46 @@
+"""A program within the test's own process, for what depends on the order of things within a turn."""
+
+import json
+
+import pytest
+from world import HOST, SETTINGS, free_port, member
+
+from carthinge.net.config import load
+from carthinge.net.program import Program
+
+
+@pytest.fixture
+def make_program(tmp_path):
+    """Programs that have not begun; the test makes their turns."""
+    made = []
+
+    def make(sockets=1024, settings=SETTINGS, workers=1):
+        path = tmp_path / f"config-{len(made)}.json"
+        path.write_text(json.dumps({
+            "name": "n0", "listen": f"{HOST}:{free_port()}", "seed": "8c1f",
+            "discovery": f"127.0.0.1:{free_port()}", "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": {"revision": 7, "complete": True,
+                      "members": [member(f"s-{number}", free_port()) for number in range(workers)]}}))
+        made.append(Program(load({"RELAY_CONFIG": str(path)}), lambda before: before))
+        return made[-1]
+
+    yield make
+    for program in made:
+        program.watch.stop()
+        program.ingress.close()
+        program.loop.close()
+
+
+@pytest.fixture
+def serve(make_program):
+    """The same, serving."""
+
+    def serve(**more):
+        program = make_program(**more)
+        program.upgrade.find()
+        while not program.serving():
+            program.loop.turn()
+        return program
+
+    return serve
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,5 +1,6 @@
 """The loop and its clock by themselves."""
 
+import select
 import socket
 import time
 from datetime import timedelta
@@ -84,3 +85,29 @@
         loop.turn()
     assert seen == list(range(10))
     loop.close()
+
+
+def test_the_last_answer_on_a_connection_has_its_time_for_as_long_as_its_reader_goes_on(monkeypatch):
+    """Cut off in its middle, it would be no whole answer."""
+    monkeypatch.setattr("carthinge.net.stream.LINGER", timedelta())
+    loop, owner, answer = Loop(), Owner(), b"x" * 400_000
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+        with socket.socket() as there:
+            there.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            there.connect(listener.getsockname())
+            there.setblocking(False)
+            sock = listener.accept()[0]
+            stream = Stream(loop, sock, owner)
+            stream.write(answer)
+            assert stream.unsent
+            stream.finish()
+            read = b""
+            while len(read) < len(answer):
+                assert select.select([there], [], [], 10)[0]
+                part = there.recv(65536)
+                assert part, f"{len(read)} bytes, then the end: {owner.ends}"
+                read += part
+                if stream.unsent and select.select([], [sock], [], 0)[1]:
+                    loop.turn(idle=False)
+    loop.close()
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -8,10 +8,14 @@
 class Connection:
     def __init__(self, idle=True):
         self.at_work = not idle
+        self.unread = False
 
     def idle(self):
         return not self.at_work
 
+    def silent(self):
+        return not self.unread
+
     def close(self):
         raise AssertionError("the places close nobody themselves")
 
@@ -54,3 +58,18 @@
 def test_only_those_that_have_sent_no_request_are_overdue():
     places, _, _, fresh = filled(9, fresh=3, kept=2)  # the fresh ones began at 2, 3 and 4 s
     assert places.overdue(timedelta(seconds=5), timedelta(seconds=2)) == fresh[:2]
+
+
+def test_one_with_something_unread_is_passed_over_in_every_order():
+    """Its request would be lost with it; and where nothing else is left, nobody makes room."""
+    places, kept, _, fresh = filled(5, fresh=3, kept=2)
+    fresh[0].unread = True
+    assert places.make_room() is fresh[1]
+    places.end(fresh[2])
+    fresh[2].unread = True
+    assert places.make_room() is kept[0]
+    kept[0].unread = True
+    assert places.make_room() is kept[1]
+    kept[1].unread = fresh[1].unread = True
+    assert places.make_room() is None
+    assert places.overdue(timedelta(minutes=1), timedelta(seconds=2)) == []
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,36 +1,18 @@
 """The order of a start: what is open to clients, and when."""
 
-import json
 import socket
 
 import pytest
-from world import HOST, SETTINGS, free_port, member
 
 from carthinge.net import program as net
-from carthinge.net.config import load
-
-
-@pytest.fixture
-def program(tmp_path):
-    """A program in this process that has not begun."""
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps({
-        "name": "n0", "listen": f"{HOST}:{free_port()}", "seed": "8c1f",
-        "discovery": f"127.0.0.1:{free_port()}",
-        "known": {"revision": 7, "complete": True, "members": [member("s-0", free_port())]},
-        "settings": SETTINGS}))
-    started = net.Program(load({"RELAY_CONFIG": str(path)}), lambda before: before)
-    yield started
-    started.watch.stop()
-    started.ingress.close()
-    started.loop.close()
-
-
-def test_it_listens_after_a_wait_so_that_what_the_start_took_is_paid_for_before(program, monkeypatch):
+
+
+def test_it_listens_after_a_wait_so_that_what_the_start_took_is_paid_for_before(make_program, monkeypatch):
     """Where processor time is metered, clients that came in after the bind waited unread for as long.
 
     Their deadlines run from their last byte: with seven in ten schedulers restarted they were answered late.
     """
+    program = make_program()
     order, bind, select = [], net.bind, program.loop._selector.select
 
     def noted_bind(*arguments):
@@ -53,6 +35,7 @@
     assert order[-1] == "poll"
 
 
-def test_nothing_listens_while_it_is_put_together(program):
+def test_nothing_listens_while_it_is_put_together(make_program):
+    program = make_program()
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection((program.config.listen.host, program.config.listen.port))
