Count a client's time from when its request may have come, and keep places for call-backs

All ten to thirty places were held by clients that waited; whoever came next stayed in the backlog for up to seconds, and had its whole patience counted from its first read (Ingress.patience took the turn's time). Workers' call-backs come to the same places, so that nothing could free one.

Changed, both without the module, which cannot see connections: - The loop tells since when what is ready may have been so, the listener since when somebody may have waited in its backlog. A job's patience counts from there. Requests that wait behind another on a connection keep the time they came. - With three quarters of all places taken by clients that wait, a further job is shed at once, and its connection ends (`shed_for_room`), as the settings' `max_open` would have it turned away before the module.

Tests force the order of a turn, in this process; each was seen to fail without its change or to guard the other side of it (a client that comes while the loop waits keeps all of its time).

--- a/carthinge/net/counters.py
+++ b/carthinge/net/counters.py
@@ -39,6 +39,7 @@
     connections_in_closed_early: int = 0  #: closed to make room for others, to stay within the descriptors
     connections_in_silent: int = 0  #: closed since no whole request came in time
     connections_out: int = 0  #: to workers: each costs a handshake
+    shed_for_room: int = 0  #: of those shed, the ones whose connections would have kept call-backs out
     accept_pauses: int = 0  #: times that no descriptor was left for a new client
     watch_answers: int = 0
     watch_failures: int = 0
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -37,6 +37,7 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    came: timedelta = timedelta()  #: its last byte was here no earlier; set by who reads it
 
 
 @dataclass(slots=True)
--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -31,6 +31,7 @@
 
 PIPELINED: Final = 8  # requests that may wait on one connection; clients of this protocol send one at a time
 PAUSE_TOLD: Final = timedelta(seconds=10)  # pauses that follow on one another are logged once in a while
+WAITING_SHARE: Final = 0.75  # of all places: workers' call-backs need some, or no job would ever end
 FIRST_REQUEST: Final = timedelta(milliseconds=2500)  # from connecting to the last byte of a first request
 FRESH_CHECKED: Final = timedelta(milliseconds=200)  # how often that is looked at
 SLOW_REQUEST: Final = timedelta(seconds=10)  # from the first byte of a later request to its last
@@ -60,6 +61,7 @@
         self.call_backs = CallBacks(book, egress, counters, elsewhere)
         self.durable: DurableFront | None = None
         self.places = Places(most)
+        self.waiting: set[IngressConnection] = set()  # their clients wait for the answer to a job
         self._listener: Listener | None = None
         self._checking = False
         self._pause_told = timedelta()
@@ -75,9 +77,13 @@
     def keeps_connections(self) -> bool:
         return self.draining is None or self.loop.now < self.draining.kept_until
 
-    def patience(self, asked: timedelta) -> timedelta:
-        """Guards against SIGKILL, which would find unanswered what came late in a drain."""
+    def patience(self, asked: timedelta, came: timedelta) -> timedelta:
+        """What is left of it, for a request that ``came`` then: its client's time ran while it was unread.
+
+        Guards against SIGKILL, too, which would find unanswered what came late in a drain.
+        """
         drain, now = self.draining, self.loop.now
+        asked -= now - came
         return asked if drain is None or now < drain.arriving_until else min(asked, drain.answered_by - now)
 
     def rest(self) -> None:
@@ -170,12 +176,12 @@
         holder.close()
         return None
 
-    def enter(self, sock: socket.socket) -> None:
+    def enter(self, sock: socket.socket, since: timedelta) -> None:
         self.counters.connections_in += 1
-        self._hold(sock)
+        self._hold(sock, since)
 
-    def _hold(self, sock: socket.socket) -> IngressConnection:
-        connection = IngressConnection(self, sock)
+    def _hold(self, sock: socket.socket, since: timedelta | None = None) -> IngressConnection:
+        connection = IngressConnection(self, sock, self.loop.now if since is None else since)
         self.places.enter(connection, self.loop.now)
         if not self._checking:
             self._checking = True
@@ -201,8 +207,10 @@
 class IngressConnection:
     """One connection of a client or of a worker that calls back.  Answers go out in the order of requests."""
 
-    def __init__(self, ingress: Ingress, sock: socket.socket) -> None:
+    def __init__(self, ingress: Ingress, sock: socket.socket, since: timedelta) -> None:
         self._ingress = ingress
+        self._since = since  # something may wait on it to be read since then
+        self._entered = ingress.loop.turns
         self._reader = RequestReader()
         self._waiting: deque[Request] = deque()
         self._current: Request | None = None
@@ -264,10 +272,12 @@
 
     def owe(self, exchange: Exchange) -> None:
         self._exchange = exchange
+        self._ingress.waiting.add(self)
 
     def release(self) -> socket.socket:
         """Lets go of the socket, for another process to go on with."""
         self._ingress.places.leave(self)
+        self._ingress.waiting.discard(self)
         return self._stream.release()
 
     def close(self) -> None:
@@ -279,6 +289,9 @@
     def received(self, data: bytes) -> None:
         try:
             requests = self._reader.feed(data)
+            loop = self._ingress.loop
+            for request in requests:
+                request.came = self._since if loop.turns <= self._entered + 1 else loop.since
             self._waiting.extend(requests)
             if len(self._waiting) > PIPELINED:
                 raise BadRequestError(HTTPStatus.BAD_REQUEST, "too many requests at once")
@@ -306,6 +319,7 @@
 
     def _abandon(self) -> None:
         exchange, self._exchange = self._exchange, None
+        self._ingress.waiting.discard(self)
         if exchange is not None:
             self._ingress.book.abandon(exchange)
         call, self._call = self._call, None
@@ -354,7 +368,8 @@
                 self.put_off = True
                 return
             ingress = self._ingress
-            call = durable.begin(self, request, path, ingress.translator, ingress.patience,
+            call = durable.begin(self, request, path, ingress.translator,
+                                 lambda asked: ingress.patience(asked, request.came),
                                  ingress.book.by_id.__contains__)
             if self._current is request:  # else it is answered already
                 self._call = call
@@ -383,8 +398,15 @@
         job, terms = self._ingress.translator.read(request)
         if job.id in self._ingress.book.by_id:  # its call-backs could not be told from the other's
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Id: in use by another request")
-        terms = replace(terms, patience=self._ingress.patience(terms.patience))
-        self._exchange = self._ingress.book.take(job, terms, self)
+        ingress = self._ingress
+        if len(ingress.waiting) >= ingress.places.most * WAITING_SHARE:
+            ingress.counters.shed += 1
+            ingress.counters.shed_for_room += 1
+            ingress.book.ended.refused[terms.class_name] += 1
+            self._shed(ingress.max_retry_after, keep_alive=False)
+            return
+        terms = replace(terms, patience=ingress.patience(terms.patience, request.came))
+        self.owe(ingress.book.take(job, terms, self))
 
     def _refuse(self, fault: BadRequestError, keep_alive: bool = True) -> None:
         self._ingress.counters.bad_input += 1
@@ -398,9 +420,11 @@
         self._answer(HTTPStatus.OK, result)
 
     def shed(self, stay_away: timedelta) -> None:
-        away = min(stay_away, self._ingress.max_retry_after)
+        self._shed(min(stay_away, self._ingress.max_retry_after))
+
+    def _shed(self, away: timedelta, keep_alive: bool = True) -> None:
         headers = [("Retry-After", f"{away.total_seconds():.3f}")] if away else []
-        self._answer(HTTPStatus.SERVICE_UNAVAILABLE, headers=headers)
+        self._answer(HTTPStatus.SERVICE_UNAVAILABLE, headers=headers, keep_alive=keep_alive)
 
     def fail(self, timed_out: bool) -> None:
         self._answer(HTTPStatus.GATEWAY_TIMEOUT if timed_out else HTTPStatus.BAD_GATEWAY)
@@ -412,6 +436,7 @@
     def _answer(self, status: int, body: bytes = b"", headers: list[tuple[str, str]] | None = None,
                 keep_alive: bool = True) -> None:
         request, self._current, self._exchange = self._current, None, None
+        self._ingress.waiting.discard(self)
         if request is not None and request.method == b"HEAD":
             body = b""
         keep_alive &= self._ingress.keeps_connections() and (request is None or request.keep_alive)
--- a/carthinge/net/listener.py
+++ b/carthinge/net/listener.py
@@ -24,8 +24,8 @@
     def room(self) -> str | None:
         """Makes room for one connection; where that is not possible, says why."""
 
-    def enter(self, sock: socket.socket) -> None:
-        """A connection has come in."""
+    def enter(self, sock: socket.socket, since: timedelta) -> None:
+        """A connection has come in; it may have waited here since then, with a request on it."""
 
     def resting(self, why: str) -> None:
         """Nothing is taken in for a while."""
@@ -52,6 +52,8 @@
         self._sock = sock
         self._owner = owner
         self._resting = self._paused = self._closed = self._registered = False
+        self._since = loop.now  # whoever waits to be accepted has come no earlier
+        self._left = -1  # the turn for which somebody was left waiting; later on, nobody was
         sock.setblocking(False)
         self._update()
 
@@ -64,14 +66,20 @@
 
     def pause(self) -> None:
         """Leaves those who come waiting, until ``resume`` or for another process that listens here."""
+        if not self._paused:
+            self._since = self._loop.now
         self._paused = True
         self._update()
 
     def resume(self) -> None:
         self._paused = False
+        self._left = self._loop.turns + 1
         self._update()
 
     def _accept(self, _: int) -> None:
+        if self._left != self._loop.turns:
+            self._since = self._loop.since
+        self._left = self._loop.turns + 1
         # Guards against room made for a connection that is not there: only the first is known to wait.
         for _ in range(min(ACCEPTED_AT_ONCE, max(1, self._owner.free()))):
             if not self._registered:
@@ -83,13 +91,14 @@
             try:
                 sock, _ = self._sock.accept()
             except BlockingIOError:
+                self._left = -1
                 return
             except OSError as fault:
                 if fault.errno in NO_DESCRIPTOR:
                     self._rest(str(fault))
                     return
                 continue  # that one was gone before it was accepted
-            self._owner.enter(sock)
+            self._owner.enter(sock, self._since)
 
     def _rest(self, why: str) -> None:
         """Guards against spinning on a listener that stays ready while no descriptor is left."""
@@ -100,6 +109,7 @@
 
     def _rested(self) -> None:
         self._resting = False
+        self._left = self._loop.turns + 1
         self._update()
 
     def _update(self) -> None:
--- a/carthinge/net/loop.py
+++ b/carthinge/net/loop.py
@@ -62,6 +62,8 @@
     def __init__(self) -> None:
         self.clock = Clock()
         self.now = self.clock.now()  # the time of this turn
+        self.since = self.now  # what is ready in this turn became so no earlier
+        self.turns = 0
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[timedelta, int, Timer]] = []
         self._sweep_at = SMALL_HEAP
@@ -96,8 +98,12 @@
 
     def turn(self, idle: bool = True) -> None:
         """Waits until something is ready or due (not at all unless ``idle``) and makes all its calls."""
+        asked = self.clock.now()
         ready = self._selector.select(self._patience(idle))
-        self.now = self.clock.now()
+        before, self.now = self.now, self.clock.now()
+        # What wakes the selector is news; what was there may have come at any time since the last look.
+        self.since = self.now if self.now - asked >= MILLISECOND else before
+        self.turns += 1
         for _ in range(len(self._soon)):
             self._soon.popleft()()
         for key, mask in ready:
--- a/carthinge/net/operator.py
+++ b/carthinge/net/operator.py
@@ -63,7 +63,7 @@
             next(iter(self.calls)).close()
         return None
 
-    def enter(self, sock: socket.socket) -> None:
+    def enter(self, sock: socket.socket, since: timedelta) -> None:
         self.calls[_Call(self, sock)] = None
 
     def resting(self, why: str) -> None:
--- a/tests/test_turn_order.py
+++ b/tests/test_turn_order.py
@@ -2,10 +2,15 @@
 
 import contextlib
 import socket
+import threading
 import time
+from datetime import timedelta
 
 import pytest
-from world import Peer
+from world import Peer, job
+
+from carthinge.net.exchange import ANSWER_MARGIN
+from carthinge.net.listener import ACCEPTED_AT_ONCE
 
 UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
 TIGHT = 64  # descriptors: what is not kept back leaves places for ten connections
@@ -81,3 +86,72 @@
     program.ingress._check_fresh()
     turns(program, lambda: program.ingress.places.fresh == {})
     assert peer.status() == 200
+
+
+def test_a_client_s_time_runs_while_its_request_waits_to_be_accepted_and_read(serve, dial):
+    """Counted from when it was read, the last answer would come as much too late as the loop was busy."""
+    program = serve()
+    turns(program, lambda: program.loop.turns > 3)
+    first = program.loop.now
+    peer = dial(program).send(job("a1", deadline="5000m"))
+    time.sleep(0.05)  # the loop is elsewhere
+    turns(program, lambda: program.book.exchanges)
+    exchange, = program.book.exchanges.values()
+    latest = first + timedelta(seconds=5)
+    assert exchange.give_up <= latest < program.loop.now + timedelta(seconds=5)
+    peer.close()
+
+
+def test_one_that_comes_while_the_loop_waits_has_all_of_its_time(serve, dial):
+    program = serve()
+    peer = dial(program)
+    turns(program, lambda: program.ingress.places.fresh)
+    turns(program, lambda: not program.book.events)
+    timer = threading.Timer(0.05, peer.send, [job("a1", deadline="5000m")])
+    timer.start()
+    while not program.book.exchanges:
+        program.loop.turn()
+    exchange, = program.book.exchanges.values()
+    assert exchange.give_up == program.loop.now + timedelta(seconds=5) - ANSWER_MARGIN
+    timer.join()
+
+
+def test_what_was_left_in_the_backlog_is_as_old_as_that(serve, dial):
+    """More than are accepted in a turn, and then nobody for a while: an old wait must not count then."""
+    program = serve()
+    turns(program, lambda: program.loop.turns > 3)
+    first = program.loop.now
+    peers = [dial(program).send(job(f"a{number}")) for number in range(ACCEPTED_AT_ONCE * 2)]
+    turns(program, lambda: len(program.book.exchanges) == len(peers))
+    given_up = {exchange.give_up for exchange in program.book.exchanges.values()}
+    assert given_up == {first + timedelta(seconds=5) - ANSWER_MARGIN}
+    time.sleep(0.05)
+    turns(program, lambda: program.loop.turns > 100)
+    later = program.loop.now
+    dial(program).send(job("b1"))
+    turns(program, lambda: "b1" in program.book.by_id)
+    assert program.book.by_id["b1"].give_up >= later + timedelta(seconds=5) - ANSWER_MARGIN
+
+
+def test_a_request_whose_time_was_over_before_it_was_read_is_refused_at_once(serve, dial):
+    program = serve()
+    turns(program, lambda: program.loop.turns > 3)
+    peer = dial(program).send(job("a1", deadline="20m"))
+    time.sleep(0.05)
+    turns(program, lambda: program.counters.shed)
+    assert peer.status() == 503 and program.counters.attempts == 0
+
+
+def test_clients_that_wait_leave_room_for_the_call_backs_that_end_their_jobs(serve, dial):
+    """With every place taken by a waiting client, no worker could say that a job is done."""
+    program = serve(sockets=TIGHT)
+    peers = [dial(program).send(job(f"a{number}")) for number in range(9)]
+    turns(program, lambda: program.counters.taken + program.counters.shed == len(peers))
+    counters = program.counters
+    assert (counters.taken, counters.shed_for_room) == (8, 1)  # three quarters of ten, and no less
+    first, headers, _ = peers[-1].read()
+    assert " 503 " in first and headers["connection"] == "close" and float(headers["retry-after"]) > 0
+    caller = dial(program).send(b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 39\r\n\r\n"
+                                b'{"id":"a0","from":"s-0","state":"done"}')
+    turns(program, lambda: counters.job_events)
+    assert caller.status() == 204
