--- /dev/null
+++ b/carthinge/serving.py
@@ -0,0 +1,42 @@
+"""One scheduler from its configuration to its exit code."""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import Final
+
+from carthinge.durable.errors import StoreError
+from carthinge.net import log
+from carthinge.net.config import Config, ConfigError, load, reload
+from carthinge.net.program import Program
+
+BAD_CONFIG: Final = 2
+CANNOT_LISTEN: Final = 3
+NO_STORE: Final = 4
+
+
+def configured(file: str | None) -> Config | None:
+    """The configuration; None where it cannot be used, after saying so on standard error."""
+    try:
+        return load(os.environ, file)
+    except ConfigError as fault:
+        print(f"carthinge: {fault}", file=sys.stderr)
+        return None
+
+
+def serve(log_level: str = "info", file: str | None = None) -> int:
+    """Runs until SIGTERM or SIGINT; returns the exit code."""
+    config = configured(file)
+    if config is None:
+        return BAD_CONFIG
+    log.set_up(log_level, config.name)
+    try:
+        Program(config, lambda before: reload(os.environ, before)).run()
+    except StoreError as fault:
+        log.logger().error("no_store", why=str(fault))
+        return NO_STORE
+    except OSError as fault:
+        log.logger().error("cannot_listen", listen=str(config.listen), why=str(fault))
+        return CANNOT_LISTEN
+    return 0
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -48,3 +48,13 @@
         listen = f"127.0.0.1:{taken.getsockname()[1]}"
         done = run("serve", config=GOOD, tmp_path=tmp_path, RELAY_LISTEN=listen)
     assert done.returncode == 3 and "cannot_listen" in done.stderr
+
+
+def test_a_start_without_a_word_on_the_line_does_not_load_the_command_line_s_library(tmp_path):
+    """A scheduler that was killed serves again the sooner the less it loads."""
+    clean = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+    done = subprocess.run([sys.executable, "-X", "importtime", "-m", "carthinge"], env=clean, text=True,
+                          capture_output=True, timeout=30, check=False)
+    assert done.returncode == 2 and "RELAY_CONFIG" in done.stderr
+    loaded = {line.rsplit("|", 1)[1].strip() for line in done.stderr.splitlines() if line.count("|") == 2}
+    assert "carthinge.policy" in loaded and not {"typer", "carthinge.cli", "carthinge.durable.jobs"} & loaded
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -67,7 +67,7 @@
 
 
 def test_check_config_covers_it(tmp_path, monkeypatch):
-    from carthinge.__main__ import app
+    from carthinge.cli import app
     monkeypatch.delenv("RELAY_CONFIG", raising=False)
     path = tmp_path / "file.toml"
     path.write_text("[durable]\nfoldr = 'x'")
