Draw workers by their kinds, so that a pick does not follow the fleet

Each draw weighed every worker of the pool, each further try looked at all of them twice, and whoever had just ended a job was searched for in the list (_candidates, _eligible).

Workers of a kind have the same strength, so a kind is drawn first, by all that its workers can do, and one of them then: the chances stay. A job that may be repeated anywhere is picked for from the pool as it is, and _may_take leaves out where it has been.

--- a/carthinge/net/route_table.py
+++ b/carthinge/net/route_table.py
@@ -24,6 +24,7 @@
 PATH: Final = "/discovery/hosts"
 WAIT: Final = timedelta(seconds=1)  # of a watch that has nothing to tell: a silent one is noticed soon after
 WAIT_EACH: Final = timedelta(milliseconds=50)  # at the least, for each scheduler: they share one discovery
+WAIT_MOST: Final = timedelta(seconds=60)  # by the protocol: a call that asks for more may be turned down
 OVERDUE: Final = timedelta(seconds=1)  # past its wait a call is taken for lost
 OVERDUE_MOST: Final = timedelta(seconds=8)  # after several in a row: discovery may be slow, and not gone
 BROKEN_OFF: Final = timedelta(milliseconds=300)  # between two parts of an answer
@@ -139,7 +140,7 @@
         self._table = table
         self._connect_timeout = connect_timeout
         self._overdue = OVERDUE
-        self._wait = max(WAIT, WAIT_EACH * instances)
+        self._wait = min(max(WAIT, WAIT_EACH * instances), WAIT_MOST)
         self._counters = counters
         self._tell = tell
         self._caller: Caller | None = None
--- a/carthinge/policy.py
+++ b/carthinge/policy.py
@@ -378,7 +378,9 @@
         if self._spent(job):
             return []
         pool = self.fleet.pool(job.spec.kind)
-        return pool if job.never_ran() else [worker for worker in pool if self._may_repeat(worker, job)]
+        if job.never_ran() or job.spec.scope is io.Scope.ALL and any(self._may_repeat(w, job) for w in pool):
+            return pool  # whole and as it is: to look through it would cost more the larger it is
+        return [worker for worker in pool if self._may_repeat(worker, job)]
 
     def _spent(self, job: Job) -> bool:
         """It has had all its attempts, by the settings that it came under and by those of now."""
@@ -402,27 +404,26 @@
         least, ties = math.inf, 0
         homes = self._homes_of(job)
         for worker in self._candidates(job, pool, homes):
-            if self._may_take(worker, job):
-                estimate = self._estimate(worker, job)
-                if estimate is not None:
-                    if homes:
-                        estimate += self._fetch(worker, homes)
-                    # Ties are drawn for; else the next in line after ineligible ones gets their part.
-                    ties = 1 if estimate < least else ties + (estimate == least)
-                    if estimate < least or (estimate == least and self.rng.random() * ties < 1):
-                        best, least = worker, estimate
+            if self._may_take(worker, job) and (estimate := self._estimate(worker, job)) is not None:
+                estimate += self._fetch(worker, homes) if homes else 0.0
+                # Ties are drawn for; else the next in line after ineligible ones gets their part.
+                ties = 1 if estimate < least else ties + (estimate == least)
+                if estimate < least or (estimate == least and self.rng.random() * ties < 1):
+                    best, least = worker, estimate
         return best
 
     def _candidates(self, job: Job, pool: list[Worker], homes: list[Worker]) -> Sequence[Worker]:
         if len(pool) <= SAMPLE:
             return pool
         # What all draw with nothing to go by adds up by chance alone: to what each worker can do.
-        drawn = self.rng.choices(pool, [worker.strength() for worker in pool], k=self.draws)
+        groups = self.fleet.by_kind(pool)
+        drawn = [group[int(self.rng.random() * len(group))] for group in self.rng.choices(
+            groups, [len(group) * group[0].strength() for group in groups], k=self.draws)]
         if self.asks:
             drawn.extend(worker for worker in self.reported if worker.free >= job.slots)
         elif self.blind:  # where a job from here has just ended is a slot that no other gateway was told of
             kept = self.now - self.settings.idle_close
-            drawn.extend(worker for worker in self.reported if worker.sent_at > kept and worker in pool)
+            drawn.extend(worker for worker in self.reported if worker.sent_at > kept)
         return drawn + homes
 
     def _fetch(self, worker: Worker, homes: list[Worker]) -> float:
@@ -576,8 +577,7 @@
             self._copy(job)
 
     def _copy(self, job: Job) -> None:
-        choice = self._pick(job, self._eligible(job)) if self.now < job.give_up else None
-        if choice:
+        if self.now < job.give_up and (choice := self._pick(job, self._eligible(job))):
             job.queue.deficit -= job.cost  # a copy is its tenant's to pay
             self._send(job, choice)
 
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -276,7 +276,7 @@
 class Fleet:
     """All known workers, and the listed ones by machine kind in an order that all dispatchers share."""
 
-    __slots__ = ("workers", "kinds", "tags", "near", "_together", "_part", "_pools", "_points")
+    __slots__ = ("workers", "kinds", "tags", "near", "_together", "_part", "_pools", "_points", "_groups")
 
     def __init__(self, together: bool, part: Callable[[list[Worker]], list[Worker]]) -> None:
         self.workers: dict[int, Worker] = {}
@@ -287,6 +287,7 @@
         self._part = part
         self._pools: dict[int, list[Worker]] = {}
         self._points: list[int] = []
+        self._groups: dict[int, list[list[Worker]]] = {}  # of the pools kept here and of ``near``, by id()
 
     def add(self, entry: io.WorkerEntry, cap: float) -> Worker:
         """Takes in a worker not met before."""
@@ -324,6 +325,7 @@
     def renew(self) -> None:
         """To be called when the list has changed."""
         self._pools.clear()
+        self._groups.clear()
         for worker in self.near:
             worker.near = False
         self.near = self._part(self.pool(-1))
@@ -341,6 +343,18 @@
                 self._points = [worker.point for worker in pool]
         return pool
 
+    def by_kind(self, pool: list[Worker]) -> list[list[Worker]]:
+        """A pool's workers by their kinds, which are few: whoever draws need not look at all of them."""
+        groups = self._groups.get(id(pool))
+        if groups is None:
+            found: dict[int, list[Worker]] = {}
+            for worker in pool:
+                found.setdefault(id(worker.pool), []).append(worker)
+            groups = list(found.values())
+            if pool is self.near or any(pool is kept for kept in self._pools.values()):
+                self._groups[id(pool)] = groups
+        return groups
+
     def homes(self, key: int, count: int) -> list[Worker]:
         """The workers that a consistent hash gives a key, the first most likely to keep it."""
         ring = self.pool(-1)
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -238,16 +238,19 @@
 
 def test_a_late_result_is_taken_while_nobody_has_the_job(world):
     paths = {f"a{step}": put(world, f"a{step}", key=f"k{step}") for step in range(8)}
-    taken = [world.take() for _ in range(8)]  # as many as the two workers get: one more has to wait
-    for number, peer, (_, headers, _) in taken[1:]:
-        peer.answer(202)
-        world.tell(headers["req-id"], "started", number)
-    number, peer, (_, headers, _) = taken[0]
+    number, peer, (_, headers, _) = world.take()
     req_id, token = headers["req-id"], int(headers["lease-token"])
     peer.answer(202, Lease_Token=token)
-    called_off = world.take()
-    assert called_off[2][0].startswith(f"DELETE /jobs/{req_id}")
-    called_off[1].answer(200)
+    begun, called_off = 0, False
+    while begun < 7 or not called_off:  # as many as the two workers get: one more has to wait
+        worker, peer, (line, others, _) = world.take()
+        if line.startswith(f"DELETE /jobs/{req_id}"):  # as soon as it was silent for long enough
+            peer.answer(200)
+            called_off = True
+        else:
+            peer.answer(202)
+            world.tell(others["req-id"], "started", worker)
+            begun += 1
     until = time.monotonic() + 5
     while world.metrics()["durable"]["leases"]:
         assert time.monotonic() < until
--- /dev/null
+++ b/tests/test_fleet_size.py
@@ -0,0 +1,101 @@
+"""Eleven hundred workers, and as many schedulers: nothing is capped below that, and a pick costs no more."""
+
+import re
+from pathlib import Path
+
+from helpers import arrival, listing, outcome, settings
+from test_discovery import told
+from world import SETTINGS, World, member
+
+from carthinge import Dispatcher
+from carthinge import interface as io
+from carthinge.records import Worker
+
+COUNT = 1100
+LARGE = {**SETTINGS, "instances": COUNT, "position": COUNT - 1, "prices": {"handshake": 0.02}}
+MEMORY_MB = 64  # of the 80 that the smallest drawn limit leaves
+
+
+class Fleet:
+    """As many workers at one address; the scheduler's log tells which of them was meant."""
+
+    def __init__(self, world):
+        self.world = world
+        world.names = [f"s-{number}" for number in range(COUNT)]
+
+    def members(self, phase="Ready", count=COUNT):
+        return [member(name, self.world.workers[0].port, phase) for name in self.world.names[:count]]
+
+    def serve(self, prefix, times):
+        """So many jobs, one after the other; returns the workers that they were sent to."""
+        used = set()
+        for step in range(times):
+            client = self.world.submit(f"{prefix}{step}")
+            self.world.take()[1].answer(202)
+            sent = re.findall(rf"event=attempt_sent id={prefix}{step} worker=s-(\d+)", self.world.log())
+            used.add(int(sent[-1]))
+            assert self.world.tell(f"{prefix}{step}", "done", int(sent[-1]), result="r") == 204
+            assert client.status() == 200
+        return used
+
+
+def test_a_fleet_of_eleven_hundred_is_served_listed_whole_changed_gone_and_back(tmp_path):
+    with World(tmp_path, settings=LARGE) as world:
+        fleet = Fleet(world)
+        peer, _ = world.watched()
+        peer.answer(200, told(8, *fleet.members(), complete=True))
+        peer.read()  # the next call: that answer has taken effect
+        assert world.metrics()["workers_known"] == COUNT and fleet.serve("a", 20)
+        peer.answer(200, told(9, *fleet.members("Terminating", COUNT - 50)))
+        peer.read()
+        assert all(number >= COUNT - 50 for number in fleet.serve("b", 20))
+        peer.answer(200, told(10, *fleet.members("Gone")))
+        peer.read()
+        assert world.submit("c1").status() == 503 and world.metrics()["workers_known"] == 0
+        peer.answer(200, told(11, *fleet.members(), complete=True))
+        peer.read()
+        fleet.serve("d", 5)
+        statm = Path(f"/proc/{world.process.pid}/statm").read_text()
+        assert int(statm.split()[1]) * 4096 < MEMORY_MB * 1_000_000
+
+
+def test_a_watch_waits_no_longer_than_discovery_allows_however_many_share_it(tmp_path):
+    with World(tmp_path, settings={**LARGE, "instances": 5000, "position": 0}) as world:
+        assert world.watched()[1].split()[1].endswith("&wait=60000")
+
+
+def test_a_pick_does_not_look_at_the_whole_fleet(monkeypatch):
+    looks = 0
+
+    def counted(of):
+        def call(*arguments):
+            nonlocal looks
+            looks += 1
+            return of(*arguments)
+        return call
+
+    monkeypatch.setattr(Worker, "strength", counted(Worker.strength))
+    monkeypatch.setattr(Dispatcher, "_may_repeat", counted(Dispatcher._may_repeat))
+    config = settings(io.JobClass(objective=100_000, deadline=5_000_000, late_worth=0.5), instances=COUNT,
+                      position=3, may_copy=False, kinds=3)
+    module = Dispatcher(config, 5)
+    module.handle(0, [listing(*(io.WorkerEntry(number, kind=number % 3) for number in range(1, COUNT + 1)))])
+    sent, = [a for a in module.handle(1000, [arrival(now=1000)]) if isinstance(a, io.Send)]
+    again, = [a for a in module.handle(2000, [outcome(1, 0, sent.worker, io.Result.RESET)])
+              if isinstance(a, io.Send)]
+    assert again.worker != sent.worker
+    assert looks < COUNT / 10
+
+
+def test_kinds_are_drawn_by_what_all_of_their_workers_can_do():
+    """Twenty workers of four times the strength get as many of the blind picks as eighty others."""
+    config = settings(instances=COUNT, may_copy=False, weights=io.Weights.NOMINAL)
+    drawn = {0: 0, 1: 0}
+    for seed in range(400):
+        module = Dispatcher(config, seed)
+        module.handle(0, [listing(*(io.WorkerEntry(n, kind=int(n > 20), rating=1.0 if n > 20 else 4.0)
+                                    for n in range(1, 101)))])
+        pool = module.fleet.pool(-1)
+        for worker in module._candidates(None, pool, []):
+            drawn[worker.entry.kind] += 1
+    assert 0.8 < drawn[0] / drawn[1] < 1.25
