Give a new connection the time to send its first request before it makes room

New connections were more than half of the places, so the oldest of them were closed, before their clients had written.

At fault: Places.make_room, which had no age for them.

--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -56,6 +56,7 @@
         self.counters = counters
         self.translator = Translator(site)
         self.max_retry_after = site.max_retry_after
+        self._greeting = site.connect_timeout  # whoever connects writes its first bytes within that, too
         self.ready = ready
         self.draining: Drain | None = None
         self.call_backs = CallBacks(book, egress, counters, elsewhere)
@@ -73,6 +74,7 @@
         """Requests that are read from now on are meant by this site's names."""
         self.translator = Translator(site)
         self.max_retry_after = site.max_retry_after
+        self._greeting = site.connect_timeout
 
     def keeps_connections(self) -> bool:
         return self.draining is None or self.loop.now < self.draining.kept_until
@@ -169,7 +171,7 @@
         """Makes room, where all places are taken, by closing a connection."""
         if len(self.places) < self.places.most:
             return None
-        holder = self.places.make_room()
+        holder = self.places.make_room(self.loop.now, self._greeting)
         if holder is None:
             return "every connection has a request under way or unread"
         self.counters.connections_in_closed_early += 1
--- a/carthinge/net/places.py
+++ b/carthinge/net/places.py
@@ -78,16 +78,19 @@
                 late.append(holder)
         return late
 
-    def make_room(self) -> Holder | None:
+    def make_room(self, now: timedelta, greeting: timedelta) -> Holder | None:
         """The one to be closed for a new one, where all places are taken; None where all are at work.
 
-        What waits to be read on one makes it at work too, though nothing has been read.
+        What waits to be read on one makes it at work too, though nothing has been read, and so does having
+        come within ``greeting``: its first request may be on its way.
         """
         # Guards against a request that has come and was not read yet: with the connection it would be lost.
         if done := _first_silent(self.ending):
             return done
-        pushed_out = _first_silent(self.fresh) if len(self.fresh) > self.most * FRESH_SHARE else None
-        return pushed_out or _first_silent(self.kept, idle=True) or _first_silent(self.fresh)
+        greeted = (holder for holder, since in self.fresh.items() if now >= since + greeting)
+        if len(self.fresh) > self.most * FRESH_SHARE:  # the kept ones do not suffer for these
+            return _first_silent(greeted)
+        return _first_silent(self.kept, idle=True) or _first_silent(greeted)
 
 
 def _first_silent(order: Iterable[Holder], idle: bool = False) -> Holder | None:
--- /dev/null
+++ b/tests/test_deployments.py
@@ -0,0 +1,196 @@
+"""Deployments drawn by seed, with bad workers and a bad discovery, against the real program.
+
+Each request that is taken gets one whole answer within its time, across a SIGKILL of the scheduler itself
+(what it held then is gone with it) and for whatever limits, classes, zones and reports the settings name.
+"""
+
+import asyncio
+import contextlib
+import json
+import random
+import time
+from functools import partial
+
+import pytest
+from world import HOST, SETTINGS, World
+
+LATE = 0.5  # seconds after its time: by then an answer is lost
+CLIENTS, EACH = 16, 5
+ANSWERS = {200, 502, 503, 504}  # 200 only with what a worker made for that request
+BAD = ["reset", "mute", "silent", "declined", "error", "garbage", "failed", "twice"]
+CALLS = 3  # of a worker, until it is heard
+
+
+def drawn(rng):
+    """Settings and limits that the protocol allows, though few days draw them together."""
+    deadline = rng.choice([400_000, 900_000])
+    effects = rng.sample(["read_like", "idempotency_key", "non_idempotent"], rng.randint(1, 3))
+    classes = [{"name": f"c{number}", "effect": effect, "objective": deadline // 4, "hard_limit": deadline,
+                "value": float(rng.choice([1, 10])), "late_worth": rng.choice([0.0, 0.5]),
+                "window": 15_000_000, "group": rng.choice(["all", "zone"])}
+               for number, effect in enumerate(effects)]
+    reports = rng.choice([{"how": "inline", "fields": ["util", "qps", "x0"]}, {"how": "off", "fields": []}])
+    instances = rng.choice([1, 2, 230])
+    settings = {**SETTINGS, "services": classes, "load_info": reports, "instances": instances,
+                "zones": rng.choice([[], ["a", "b"]]), "tenants": rng.choice([[], SETTINGS["tenants"]]),
+                "caps": {**SETTINGS["caps"], "try_limit": rng.choice([1, 3])},
+                "extra": {**SETTINGS["extra"], "class_kind": [-1] * len(classes),
+                          "class_stretch": [2.0] * len(classes), "tells_start": rng.random() < 0.7},
+                "prices": {"handshake": rng.choice([0.0, 0.02])}}
+    return settings, {"sockets": rng.choice([64, 96, 1024]), "workers": rng.choice([1, 3, 17])}
+
+
+class Workers:
+    """Stub workers, each of which does by seed what the protocol lets a bad one do; they watch the rules."""
+
+    def __init__(self, world, rng):
+        self.world = world
+        self.rng = rng
+        self.out = {}  # attempts that have not ended and were not given up, by request
+        self.breaches = []
+        self.tasks = set()
+
+    async def listen(self):
+        return [await asyncio.start_server(partial(self.serve, number), sock=stub.sock)
+                for number, stub in enumerate(self.world.workers)]
+
+    async def serve(self, number, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line)
+                await reader.readexactly(int(fields.get("content-length", 0)))
+                if head.startswith("DELETE"):
+                    self.out.pop(head.split()[1].removeprefix("/jobs/"), None)
+                    writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+                elif not await self.work(number, fields["req-id"], writer):
+                    break
+        writer.close()
+
+    async def work(self, number, job, writer):
+        """One attempt; False where its connection ends without an answer."""
+        if job in self.out:
+            self.breaches.append(f"{job}: a second copy, at worker {number} beside {self.out[job]}")
+        self.out[job] = number
+        way = self.rng.choice(["good"] * 8 + BAD)
+        answers = {"declined": b"503 X\r\nSrv-Declined: 1", "error": b"500 X", "garbage": b"2x2 \x00"}
+        if way in ("reset", *answers):
+            del self.out[job]
+        if way in answers:
+            writer.write(b"HTTP/1.1 " + answers[way] + b"\r\nContent-Length: 0\r\n\r\n")
+        if way in ("reset", "garbage"):
+            return False
+        if way in ("good", "silent", "failed", "twice"):
+            writer.write(b"HTTP/1.1 202 X\r\nContent-Length: 0\r\n\r\n")
+            if way != "silent":
+                task = asyncio.create_task(self.call_back(number, job, way))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+        return True
+
+    async def call_back(self, number, job, way):
+        states = [(0.005, "started"), (self.rng.uniform(0.0, 0.05), "failed" if way == "failed" else "done")]
+        for wait, state in states + states[1:] * (way == "twice"):
+            await asyncio.sleep(wait)  # its work
+            if state != "started" and self.out.get(job) == number:
+                del self.out[job]
+            body = json.dumps({"id": job, "from": f"s-{number}", "state": state, "result": f"of {job}",
+                               "load": {"util": 0.5, "qps": 9.0, "x0": 2.0}}).encode()
+            head = f"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+            call = head.encode() + body
+            for _ in range(CALLS):
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    await asyncio.wait_for(exchange(self.world.port, call), 1)
+                    break
+
+
+async def exchange(port, data, kept=None):
+    """Status, headers, body and connection of the answer to a request."""
+    reader, writer = kept or await asyncio.open_connection(HOST, port)
+    writer.write(data)
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in head[1:] if line)
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    if headers.get("connection") == "close":
+        assert await reader.read() == b"", "something follows the last answer"
+    if headers.get("connection") == "close" or kept is None and data.startswith(b"POST /v1"):
+        writer.close()
+        return int(head[0].split()[1]), headers, body, None
+    return int(head[0].split()[1]), headers, body, (reader, writer)
+
+
+async def client(world, number, rng, classes, killed, found):
+    """Requests one after the other; notes all that is not one whole answer in time."""
+    kept = None
+    for step in range(EACH):
+        name, job = rng.choice(classes)["name"], f"r{number}-{step}"
+        patience = rng.choice([0.15, 0.4])
+        lines = [f"POST /api/{job} HTTP/1.1", "Host: x", f"Req-Id: {job}", f"Req-Kind: {name}",
+                 "Req-Owner: acme", f"Req-Deadline: {patience * 1000:.0f}m", f"Idempotency-Key: {job}",
+                 "Content-Length: 2", "", "{}"]
+        before, sent = killed[0], time.monotonic()
+        if rng.random() < 0.3 and kept is not None:
+            kept[1].close()
+            kept = None
+        call = exchange(world.port, "\r\n".join(lines).encode(), kept)
+        try:
+            try:
+                status, headers, body, kept = await asyncio.wait_for(call, patience + LATE)
+            except (OSError, asyncio.IncompleteReadError):
+                if kept is None:
+                    raise
+                # The scheduler may close a kept connection: then the client sends once more on a new one.
+                sent = time.monotonic()
+                call = exchange(world.port, "\r\n".join(lines).encode())
+                status, headers, body, kept = await asyncio.wait_for(call, patience + LATE)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError) as fault:
+            kept = None
+            if killed[0] == before != 1 and not isinstance(fault, ConnectionRefusedError):
+                took = time.monotonic() - sent
+                found.append(f"{job}: {type(fault).__name__} after {took:.3f} s of {patience} s")
+            continue
+        if status not in ANSWERS or status == 200 and body.decode() != f"of {job}":
+            found.append(f"{job}: {status} {body!r}")
+        if status == 503 and not 0 < float(headers.get("retry-after", 0)) <= 2:
+            found.append(f"{job}: refused with Retry-After {headers.get('retry-after')}")
+
+
+async def discovery(kind, reader, writer):
+    if kind == "503":
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+    elif kind == "silent":
+        await reader.read()
+    writer.close()
+
+
+async def play(world, settings, rng):
+    workers, killed, found = Workers(world, rng), [0], []
+    kind = rng.choice(["503", "silent", "reset"])
+    servers = await workers.listen()
+    servers.append(await asyncio.start_server(partial(discovery, kind), sock=world.discovery.sock))
+    clients = [asyncio.create_task(client(world, number, rng, settings["services"], killed, found))
+               for number in range(CLIENTS)]
+    await asyncio.wait(clients[:CLIENTS // 4])
+    killed[0] += 1  # up to the next such line nobody is owed anything
+    await asyncio.to_thread(world.kill)
+    workers.out.clear()  # another process knows nothing of these
+    await asyncio.to_thread(world.restart)
+    killed[0] += 1
+    await asyncio.gather(*clients)
+    for number in range(CLIENTS, CLIENTS + 8):  # with all that the kill left behind
+        await client(world, number, rng, settings["services"], killed, found)
+    for server in servers:
+        server.close()
+    return found + workers.breaches
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_every_request_has_one_whole_answer_in_time(seed, tmp_path):
+    rng = random.Random(seed)
+    settings, limits = drawn(rng)
+    with World(tmp_path, settings=settings, **limits) as world:
+        found = asyncio.run(play(world, settings, rng))
+        assert world.process.poll() is None, f"seed {seed}: {world.log()}"
+        assert not found, f"seed {seed}, {limits}, {settings}: {found}"
