--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -402,6 +402,7 @@
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Id: in use by another request")
         ingress = self._ingress
         if len(ingress.waiting) >= ingress.places.most * WAITING_SHARE:
+            ingress.counters.taken += 1
             ingress.counters.shed += 1
             ingress.counters.shed_for_room += 1
             ingress.book.ended.refused[terms.class_name] += 1
