Do not take who comes in each turn for as old as the first of them

The listener takes whoever it accepts for as old as the turn since which somebody waited there. Where one connection a turn is accepted (all places taken) it never saw its backlog empty, so that steady arrivals kept that time, and jobs lost patience that they had: refused early, with a second of the clock for each second of such a chain. Found while reading for a test of upgrades that was answered 503 once in about ten runs (there the new process has few places at first); that this was its cause is not proven.

Listener._accept asks now, where it stopped before the backlog was empty, whether somebody waits. test_turn_order.py fails without it (80 ms too old after five turns).

--- a/carthinge/net/listener.py
+++ b/carthinge/net/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 from datetime import timedelta
 from typing import Final, Protocol
@@ -99,6 +100,14 @@
                     return
                 continue  # that one was gone before it was accepted
             self._owner.enter(sock, self._since)
+        if not self._somebody_waits():
+            self._left = -1
+
+    def _somebody_waits(self) -> bool:
+        """Guards against one who comes in each turn, and would be taken for as old as the first of them."""
+        poll = select.poll()
+        poll.register(self._sock, select.POLLIN)
+        return bool(poll.poll(0))
 
     def _rest(self, why: str) -> None:
         """Guards against spinning on a listener that stays ready while no descriptor is left."""
--- a/tests/test_turn_order.py
+++ b/tests/test_turn_order.py
@@ -155,3 +155,19 @@
                                 b'{"id":"a0","from":"s-0","state":"done"}')
     turns(program, lambda: counters.job_events)
     assert caller.status() == 204
+
+
+def test_one_who_comes_in_each_turn_is_not_taken_for_as_old_as_the_first_of_them(serve, dial):
+    """With all places taken one is accepted a turn: the backlog is empty after each, which has to be seen."""
+    program = serve(sockets=TIGHT)
+    kept(program, dial)
+    for _ in range(5):
+        sock = dial(program)
+        came = program.loop.turns
+        turns(program, lambda came=came: program.loop.turns == came + 1)
+        time.sleep(0.02)
+        sock.send(UP)
+    listener = program.ingress._listener
+    dial(program)
+    turns(program, lambda: program.loop.turns == came + 2)
+    assert listener._since >= program.loop.since - timedelta(milliseconds=30)
