--- a/carthinge/net/listener.py
+++ b/carthinge/net/listener.py
@@ -54,7 +54,7 @@
         self._owner = owner
         self._resting = self._paused = self._closed = self._registered = False
         self._since = loop.now  # whoever waits to be accepted has come no earlier
-        self._left = -1  # the turn for which somebody was left waiting; later on, nobody was
+        self._left = False  # somebody was left waiting, so that ``_since`` holds on
         sock.setblocking(False)
         self._update()
 
@@ -67,20 +67,21 @@
 
     def pause(self) -> None:
         """Leaves those who come waiting, until ``resume`` or for another process that listens here."""
-        if not self._paused:
+        if not (self._paused or self._left):
             self._since = self._loop.now
         self._paused = True
         self._update()
 
     def resume(self) -> None:
+        if self._paused and not self._closed:
+            self._left = self._somebody_waits()
         self._paused = False
-        self._left = self._loop.turns + 1
         self._update()
 
     def _accept(self, _: int) -> None:
-        if self._left != self._loop.turns:
+        if not self._left:
             self._since = self._loop.since
-        self._left = self._loop.turns + 1
+        self._left = True
         # Guards against room made for a connection that is not there: only the first is known to wait.
         for _ in range(min(ACCEPTED_AT_ONCE, max(1, self._owner.free()))):
             if not self._registered:
@@ -92,7 +93,7 @@
             try:
                 sock, _ = self._sock.accept()
             except BlockingIOError:
-                self._left = -1
+                self._left = False
                 return
             except OSError as fault:
                 if fault.errno in NO_DESCRIPTOR:
@@ -100,8 +101,7 @@
                     return
                 continue  # that one was gone before it was accepted
             self._owner.enter(sock, self._since)
-        if not self._somebody_waits():
-            self._left = -1
+        self._left = self._somebody_waits()
 
     def _somebody_waits(self) -> bool:
         """Guards against one who comes in each turn, and would be taken for as old as the first of them."""
@@ -118,7 +118,6 @@
 
     def _rested(self) -> None:
         self._resting = False
-        self._left = self._loop.turns + 1
         self._update()
 
     def _update(self) -> None:
--- a/carthinge/net/loop.py
+++ b/carthinge/net/loop.py
@@ -63,7 +63,7 @@
         self.clock = Clock()
         self.now = self.clock.now()  # the time of this turn
         self.since = self.now  # what is ready in this turn became so no earlier
-        self.turns = 0
+        self.turns = 0  # so many have begun
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[timedelta, int, Timer]] = []
         self._sweep_at = SMALL_HEAP
