Watch the agent where lists are pushed, from the first moment and at the pace of the grace

The program ran on the list that it was started with.

Changed: the route watch keeps itself up where lists are pushed. An attempt whose connection is not up when its worker leaves ends as moot.

--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -23,6 +23,7 @@
 DELETE_AGAIN_MOST: Final = timedelta(milliseconds=320)  # after several in a row
 ARRIVES_WITHIN: Final = timedelta(milliseconds=100)  # a DELETE, once it is written
 UNUSABLE: Final = (HTTPStatus.BAD_REQUEST, HTTPStatus.NOT_FOUND)  # the request's fault, not the worker's
+LEFT: Final = "its worker leaves"
 LATE_ANSWER: Final = timedelta(seconds=2)  # for an answer on which nothing depends any more
 
 
@@ -58,6 +59,9 @@
         if attempt.token:
             headers += [("Lease-Token", b"%d" % attempt.token),
                         ("Lease-Duration", b"%dm" % (self.lease // MILLISECOND))]
+        if attempt.target.left:  # since it was picked: a durable job's grant was being written meanwhile
+            self.ended(attempt, Result.MOOT, None, LEFT)
+            return
         address = attempt.target.address
         try:
             caller = self._connection(address)
@@ -67,6 +71,18 @@
         call = self._calls[attempt] = _AttemptCall(self, caller, attempt)
         caller.start(call, call_bytes("POST", job.subject, str(address), headers, job.body))
 
+    def stop_unsent(self) -> None:
+        """Of the attempts at workers that leave, those whose connection is not up yet.
+
+        Guards against a connection that takes longer to come up than the grace for drains is: with its
+        first byte after that, the attempt would be new work for a worker that takes none.
+        """
+        for attempt, call in list(self._calls.items()):
+            if attempt.target.left and call.caller.connecting:
+                del self._calls[attempt]
+                self._drop(call.caller)
+                self.ended(attempt, Result.MOOT, None, LEFT)
+
     def withdraw(self, attempt: Attempt, gone: Callable[[], None]) -> None:
         call = self._calls.pop(attempt, None)
         if call is not None:  # before its 202 has come, closing is enough; but that may be lost on its way
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -271,6 +271,11 @@
         """The other side broke the connection off, but is not known to be down."""
         return self._stream is not None and self._stream.reset
 
+    @property
+    def connecting(self) -> bool:
+        """Not up yet: nothing of a call has gone out."""
+        return self._stream is not None and self._stream.connecting
+
     @property
     def closed(self) -> bool:
         return self._stream is None or self._stream.closed
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 from types import FrameType
 from typing import TYPE_CHECKING, Any, Final
 
-from carthinge.interface import ByHand, Inherit, Leave, Listing, Message, Retune
+from carthinge.interface import ByHand, Inherit, Leave, Listing, Message, Retune, WorkerList
 from carthinge.memory import job_memory, memory_of
 from carthinge.net import log
 from carthinge.net.channel import Beat, Open, OpenAttempt, State, Waiting
@@ -71,8 +72,8 @@
         self.ingress = Ingress(self.loop, config.site, self.book, self.egress, self.counters, rest - out,
                                lambda: bool(self.table.ready), self.upgrade)
         self._most_in, self._most_out = rest - out, out
-        self.watch = RouteWatch(self.loop, config.discovery, self.table, config.site.connect_timeout,
-                                config.site.decisions.instances, self.counters, self.book.tell)
+        self.watch = RouteWatch(self.loop, config.discovery, self.table, config.site, self.counters,
+                                self._listed)
         self.book.target = self.egress
         self.book.watch = self.watch.start
         self.operator: Operator | None = None
@@ -153,12 +154,20 @@
         if self.durable is not None:
             self.durable.open()
         self.book.decide()
-        if state is None:
-            self.loop.call_after(SETTLE, self._listen)
+        listen = partial(self._listen, state is not None)
+        if self.config.site.pushed:
+            self.watch.begin(self.config.site, listen)
+        elif state is None:
+            self.loop.call_after(SETTLE, listen)
         else:
-            self._listen(taken_over=True)
+            listen()
+
+    def _listed(self, event: WorkerList) -> None:
+        """News of the list: the module hears of it before it hears of attempts that it stops."""
+        self.book.tell(event)
+        self.egress.stop_unsent()
 
-    def _listen(self, taken_over: bool = False) -> None:
+    def _listen(self, taken_over: bool) -> None:
         """The last act of a start, in a turn of its own: what comes in from now on is read at once.
 
         Guards against requests that wait in the backlog while a platform that meters the processor still
@@ -368,6 +377,7 @@
         self.ingress.retune(site)
         self.egress.retune(site)
         self.watch.move(config.discovery)
+        self.watch.retune(site)
 
     def _drain(self) -> None:
         if self.ingress.draining is not None:
--- a/carthinge/settings.py
+++ b/carthinge/settings.py
@@ -34,6 +34,8 @@
     connect_timeout: timedelta
     idle_close: timedelta  #: the other side closes a connection that was idle for so long
     max_retry_after: timedelta
+    pushed: bool  #: an agent beside the scheduler has the list; what it has counts as told
+    drain_grace: timedelta  #: so long after that was told nothing new may go to a worker that leaves
 
 
 class Facts:
@@ -146,9 +148,15 @@
         connect_timeout=facts.span("caps.dial_timeout", timedelta(milliseconds=250)),
         idle_close=facts.span("caps.idle_close", timedelta(seconds=5)),
         max_retry_after=facts.span("caps.max_retry_after", timedelta()),
+        pushed=_pushed(facts),
+        drain_grace=facts.span("rules.drain_grace", timedelta()),
     )
 
 
+def _pushed(facts: Facts) -> bool:
+    return facts.choice("membership_mode", {"automatic": True, "subscribe": False}, "automatic")
+
+
 def _names(facts: Facts, path: str) -> tuple[str, ...]:
     names = tuple(facts.text(f"{path}.{i}.name") for i in range(facts.whole(f"{path}.count", 0)))
     if len(set(names)) < len(names):
@@ -175,7 +183,7 @@
         report_fields=fields,
         tells_start=facts.flag("extra.tells_start"),
         progress=facts.whole("extra.progress", 0),
-        subscribe=facts.text("membership_mode", "automatic") == "subscribe",
+        subscribe=not _pushed(facts),
         worth_by_work=facts.text("counted_by", "request") == "work",
         over_share_worth=facts.number("over_share_worth", 1),
         may_probe=facts.flag("caps.probing"),
