Count a second copy's call-backs, carry out probes, and let spans follow the settings

Seen, by reading the program beside a second deployment's settings (second copies and probes allowed, grace 0.5 s): with two attempts out, a call-back was matched against the first of them only, so that all that the copy's worker told was dropped as stale, its result too. A probe asked for by the module had nobody to carry it out and would have ended the program with a KeyError, as would a message to another scheduler, for which no protocol is published. A figure missing from a load report, or null in it, took the free slots with it, and a null the whole call-back.

Changed: call-backs are matched by their worker among all attempts that are out; a hand-over waits for all of them. Probes go out as GET /metrics/load. A report needs only what the module reads. The margin before a client's deadline is at most a twentieth of its patience, the last answers of a drain at most half of the shortest grace, the wait for the disk at most half of the client's time. How long a written DELETE and a late 202 may take follows the time that a connection may take. No Retry-After is sent where the settings rule it out.

--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 import gc
-from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
+from heapq import heappop, heappush
 from http import HTTPStatus
 from pathlib import Path
 from typing import Final
@@ -35,6 +35,7 @@
 from carthinge.operator_file import Options
 
 ACCEPTED_WITHIN: Final = timedelta(seconds=1)  # else a job is shed: its client must not wait for a sick disk
+ACCEPTED_SHARE: Final = 0.5  # of its client's time, if that is less
 LOADED_AT_ONCE: Final = 500  # jobs, between two turns of the loop
 EPOCH_BITS: Final = 31  # of a number that counts within one opening of the store
 LONGEST_HINT: Final = timedelta(days=365)  # what is written down of an absurd one has to fit
@@ -68,7 +69,7 @@
         self._held: dict[int, Held] = {}
         self._by_key: dict[bytes, Held] = {}
         self._by_req: dict[str, Held] = {}
-        self._accepting: deque[tuple[timedelta, Held]] = deque()
+        self._accepting: list[tuple[timedelta, int, Held]] = []  # a heap: until when, number, job
         self._accept_timer: Timer | None = None
         self._deferred: list[Callable[[], None]] = []
         self._count = 0
@@ -114,9 +115,9 @@
 
     def under_way(self, busy: Callable[[Attempt], bool]) -> bool:
         """Something is on its way to a worker, or is about to be."""
-        out = (held.exchange.current() for held in self._held.values() if held.exchange is not None)
-        return any(attempt is not None and (attempt.held_back and attempt.token or busy(attempt))
-                   for attempt in out)
+        return any(attempt.held_back and attempt.token or busy(attempt)
+                   for held in self._held.values() if held.exchange is not None
+                   for attempt in held.exchange.out())
 
     def known(self, req_id: str) -> bool:
         """A durable job of that request is open here."""
@@ -242,9 +243,13 @@
         held = Held(self, accepted)
         self._add(held, waiter)
         self._hold(held)
-        self._accepting.append((self.loop.now + ACCEPTED_WITHIN, held))
-        if self._accept_timer is None:
-            self._accept_timer = self.loop.call_after(ACCEPTED_WITHIN, self._check_accepted)
+        now = self.loop.now
+        until = now + min(ACCEPTED_WITHIN, ACCEPTED_SHARE * (arrived + terms.patience - now))
+        heappush(self._accepting, (until, accepted.number, held))
+        if self._accept_timer is None or self._accepting[0][2] is held:
+            if self._accept_timer is not None:
+                self._accept_timer.cancel()
+            self._accept_timer = self.loop.call_at(until, self._check_accepted)
         writer.write(accepted, partial(self._on_disk, held))
 
     def _on_disk(self, held: Held, found: Found | None) -> None:
@@ -268,7 +273,7 @@
         """One timer for all that wait for the disk: there are many, and nearly all are on disk by then."""
         self._accept_timer = None
         while self._accepting and self._accepting[0][0] <= self.loop.now:
-            held = self._accepting.popleft()[1]
+            held = heappop(self._accepting)[2]
             if not held.on_disk and held.ending is None:
                 self._not_accepted(held)
         if self._accepting:
--- a/carthinge/net/call_backs.py
+++ b/carthinge/net/call_backs.py
@@ -32,7 +32,7 @@
     share: float = 0.0
     token: int = 0  # of the lease, from workers that take part
     result: str = ""
-    load: dict[str, float] = {}
+    load: dict[str, float | None] | None = None  # a figure that is not known takes nothing else with it
 
 
 _EVENTS: Final[msgspec.json.Decoder[JobEvent]] = msgspec.json.Decoder(JobEvent)
@@ -95,9 +95,9 @@
         if exchange is None and jobs is not None and jobs.when_loaded(lambda: self._job_event(event, done)):
             return
         self._counters.job_events += 1
-        attempt = exchange.current() if exchange is not None else None
-        if attempt is not None and (not attempt.arrived or attempt.target.id != event.sender
-                                    or event.token not in (0, attempt.token)):
+        # Guards against the call-backs of a second copy being held against the first attempt, and dropped.
+        attempt = exchange.out_at(event.sender) if exchange is not None else None
+        if attempt is not None and (not attempt.arrived or event.token not in (0, attempt.token)):
             attempt = None
         keeper = exchange.keeper if exchange is not None else None
         if attempt is None:
@@ -125,4 +125,8 @@
                             begun=event.state != "heartbeat")
             return
         self._egress.forsake(attempt)
-        self._book.end(attempt, result, self._egress.report(event.load), event.result.encode())
+        self._book.end(attempt, result, self._egress.report(_known(event.load)), event.result.encode())
+
+
+def _known(load: dict[str, float | None] | None) -> dict[str, float]:
+    return {name: figure for name, figure in (load or {}).items() if figure is not None}
--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import socket
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
@@ -15,15 +14,17 @@
 from carthinge.net.counters import Counters
 from carthinge.net.exchange import Attempt, Book
 from carthinge.net.http import Address, Answer, Caller, call_bytes
+from carthinge.net.load import read_load
 from carthinge.net.loop import MILLISECOND, Loop
 from carthinge.settings import Site
 
 IDLE_MARGIN: Final = timedelta(milliseconds=300)  # idle connections are closed so long before workers do
 DELETE_AGAIN: Final = timedelta(milliseconds=20)  # after one that was reset or could not be sent
 DELETE_AGAIN_MOST: Final = timedelta(milliseconds=320)  # after several in a row
-ARRIVES_WITHIN: Final = timedelta(milliseconds=100)  # a DELETE, once it is written
+ARRIVES_WITHIN: Final = 0.4  # of the time to connect, in which the network goes to and fro: a written DELETE
 UNUSABLE: Final = (HTTPStatus.BAD_REQUEST, HTTPStatus.NOT_FOUND)  # the request's fault, not the worker's
-LATE_ANSWER: Final = timedelta(seconds=2)  # for an answer on which nothing depends any more
+NEEDED: Final = ("free_slots",)  # of a load report
+LATE_ANSWER: Final = 8  # times that: for an answer on which nothing depends any more
 
 
 class Egress:
@@ -45,9 +46,13 @@
         self._site = site
 
     def report(self, values: dict[str, float]) -> tuple[float, ...]:
-        """A load report in the module's order; none unless it is whole."""
-        fields = self._site.report_fields
-        return tuple(values[name] for name in fields) if all(name in values for name in fields) else ()
+        """A load report in the module's order; none where a figure is missing that the module reads."""
+        site = self._site
+        # Guards against a figure that nobody reads, left out or worded otherwise, taking the others with it.
+        if not values or any(read in NEEDED and name not in values for name, read
+                             in zip(site.report_fields, site.decisions.report_fields, strict=True)):
+            return ()
+        return tuple(values.get(name, 0.0) for name in site.report_fields)
 
     # ---- attempts -------------------------------------------------------------------------
 
@@ -85,8 +90,9 @@
         except OSError as fault:
             self.not_withdrawn(attempt, gone, again, str(fault))
             return
-        withdrawal = _Withdrawal(self._loop, self, caller, attempt, gone, again)
-        self._loop.call_after(LATE_ANSWER, withdrawal.cut)
+        connect = self._site.connect_timeout
+        withdrawal = _Withdrawal(self._loop, self, caller, attempt, gone, again, ARRIVES_WITHIN * connect)
+        self._loop.call_after(LATE_ANSWER * connect, withdrawal.cut)
         path = f"/jobs/{attempt.exchange.job.id}".encode()
         caller.start(withdrawal, call_bytes("DELETE", path, str(address)))
 
@@ -138,21 +144,20 @@
         """An attempt has ended by a call-back; its 202 may be on its way still, but not for long."""
         call = self._calls.get(attempt)
         if call is not None:
-            self._loop.call_after(LATE_ANSWER, call.cut)
+            self._loop.call_after(LATE_ANSWER * self._site.connect_timeout, call.cut)
 
     def _report_of(self, answer: Answer | None) -> tuple[float, ...]:
         raw = answer.headers.get(b"srv-load") if answer is not None else None
         if raw is None:
             return ()
-        try:
-            pairs = (part.split("=", 1) for part in raw.decode("latin-1").split(","))
-            values = {name.strip(): float(value) for name, value in pairs}
-        except ValueError:
-            return ()
-        return self.report(values) if all(map(math.isfinite, values.values())) else ()
+        return self.report(read_load(raw))
 
     # ---- connections ----------------------------------------------------------------------
 
+    def connection(self, address: Address) -> Caller:
+        """For a call that is no attempt; ``free`` takes it back.  OSError where there is none to be had."""
+        return self._connection(address)
+
     def _connection(self, address: Address) -> Caller:
         """An idle connection, the one used last before all others, or a new one."""
         for caller in reversed(self._idle):
@@ -272,18 +277,19 @@
     """A DELETE; what the worker answers does not matter, but that it has got there does."""
 
     def __init__(self, loop: Loop, egress: Egress, caller: Caller, attempt: Attempt,
-                 gone: Callable[[], None], again: timedelta) -> None:
+                 gone: Callable[[], None], again: timedelta, arrives_within: timedelta) -> None:
         self._loop = loop
         self._egress = egress
         self._caller = caller
         self._attempt = attempt
         self._gone = gone
         self._again = again
+        self._arrives_within = arrives_within
         self._over = False
 
     def written(self) -> None:
         """On its way, on a connection of its own: it must not be overtaken by an attempt elsewhere."""
-        self._loop.call_after(ARRIVES_WITHIN, lambda: self._arrived("written"))
+        self._loop.call_after(self._arrives_within, lambda: self._arrived("written"))
 
     def answered(self, answer: Answer) -> None:
         self._arrived(f"answered {answer.status}")
--- a/carthinge/net/exchange.py
+++ b/carthinge/net/exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import partial
@@ -17,6 +17,7 @@
 
 #: Taken off the client's patience: the answer has a way to go, and has to arrive before the client leaves.
 ANSWER_MARGIN: Final = timedelta(milliseconds=10)
+ANSWER_SHARE: Final = 0.05  # of a patience, at the most: of a short one the margin would take all
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,8 +125,16 @@
     keeper: Keeper | None = None
 
     def current(self) -> Attempt | None:
-        """The attempt that is out."""
-        return next((attempt for attempt in self.attempts if attempt.open), None)
+        """The first attempt that is out; where second copies are allowed it need not be the only one."""
+        return next(self.out(), None)
+
+    def out(self) -> Iterator[Attempt]:
+        """All attempts that are out."""
+        return (attempt for attempt in self.attempts if attempt.open)
+
+    def out_at(self, worker: str) -> Attempt | None:
+        """The attempt that is out at a worker: no worker has two of one job."""
+        return next((attempt for attempt in self.out() if attempt.target.id == worker), None)
 
 
 class Book:
@@ -135,6 +144,7 @@
                  counters: Counters) -> None:
         self.target: Target
         self.watch: Callable[[], None]
+        self.probe: Callable[[EgressTarget], None]
         self.exchanges: dict[int, Exchange] = {}
         self.by_id: dict[str, Exchange] = {}
         self.events: list[io.Event] = []
@@ -147,7 +157,8 @@
         self._wake: Timer | None = None
         self._carriers: dict[type, Callable[..., None]] = {
             io.Send: self._send, io.Refuse: self._shed, io.Fail: self._fail, io.Cancel: self._cancel,
-            io.SetTimer: self._set_timer, io.Watch: self._watch, io.LogLine: self._log}
+            io.SetTimer: self._set_timer, io.Watch: self._watch, io.LogLine: self._log,
+            io.Probe: lambda action: self.probe(targets[action.worker])}
 
     # ---- what happens ---------------------------------------------------------------------
 
@@ -178,7 +189,7 @@
 
     def _enter(self, job: Job, terms: Terms, client: Client, keeper: Keeper | None) -> Exchange:
         self._count += 1
-        give_up = self._loop.now + terms.patience - ANSWER_MARGIN
+        give_up = self._loop.now + terms.patience - min(ANSWER_MARGIN, ANSWER_SHARE * terms.patience)
         exchange = Exchange(self._count, job, terms.class_name, terms.tenant_name, client, give_up,
                             keeper=keeper)
         self.exchanges[exchange.number] = self.by_id[job.id] = exchange
--- /dev/null
+++ b/carthinge/net/probes.py
@@ -0,0 +1,73 @@
+"""Probes: workers asked for their load, where the settings allow that and the module wants it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Final
+
+from carthinge.interface import ProbeResult, Result
+from carthinge.net.egress import Egress
+from carthinge.net.http import Answer, Caller, call_bytes
+from carthinge.net.load import read_load
+from carthinge.net.loop import MICROSECOND, Loop
+from carthinge.net.route_table import EgressTarget
+
+PATH: Final = b"/metrics/load"
+ANSWERED_WITHIN: Final = 2  # times what a connection may take: that, and as much again for the answer
+
+
+class Probes:
+    """Carries out what the module asks for; each probe has one result, which goes to ``tell``."""
+
+    def __init__(self, loop: Loop, egress: Egress, tell: Callable[[ProbeResult], None]) -> None:
+        self.loop = loop
+        self.egress = egress
+        self._tell = tell
+
+    def send(self, target: EgressTarget, connect_timeout: timedelta) -> None:
+        """Asks a worker; one that cannot be reached or says nothing within its time has not answered."""
+        probe = _Probe(self, target)
+        try:
+            caller = self.egress.connection(target.address)
+        except OSError:
+            probe.end(Result.CONNECT_FAILED)
+            return
+        self.loop.call_after(ANSWERED_WITHIN * connect_timeout, lambda: probe.cut(caller))
+        probe.caller = caller
+        caller.start(probe, call_bytes("GET", PATH, str(target.address)))
+
+    def ended(self, target: EgressTarget, result: Result, took: timedelta, report: tuple[float, ...]) -> None:
+        self._tell(ProbeResult(target.number, result, took // MICROSECOND, report))
+
+
+class _Probe:
+    """One probe, up to its result."""
+
+    def __init__(self, probes: Probes, target: EgressTarget) -> None:
+        self.caller: Caller | None = None
+        self._probes = probes
+        self._target = target
+        self._sent = probes.loop.now
+
+    def written(self) -> None:
+        """Nothing follows from that."""
+
+    def answered(self, answer: Answer) -> None:
+        well = answer.status == HTTPStatus.OK
+        self.end(Result.OK if well else Result.ERROR, read_load(answer.body))
+
+    def broken(self, written: bool, why: str) -> None:
+        self.end(Result.RESET if written else Result.CONNECT_FAILED)
+
+    def cut(self, caller: Caller) -> None:
+        if caller.call is self:
+            caller.close()
+            self.end(Result.TIMEOUT)
+
+    def end(self, result: Result, load: dict[str, float] | None = None) -> None:
+        probes = self._probes
+        if self.caller is not None:
+            probes.egress.free(self.caller)
+        probes.ended(self._target, result, probes.loop.now - self._sent, probes.egress.report(load or {}))
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -26,6 +26,7 @@
 from carthinge.net.listener import bind
 from carthinge.net.loop import MICROSECOND, READ, Loop
 from carthinge.net.operator import PLACES, Operator
+from carthinge.net.probes import Probes
 from carthinge.net.route_table import RouteTable, RouteWatch, number_of
 from carthinge.net.upgrade import Upgrade
 from carthinge.policy import Dispatcher
@@ -75,6 +76,8 @@
                                 config.site.decisions.instances, self.counters, self.book.tell)
         self.book.target = self.egress
         self.book.watch = self.watch.start
+        probes = Probes(self.loop, self.egress, self.book.tell)
+        self.book.probe = lambda target: probes.send(target, self.config.site.connect_timeout)
         self.operator: Operator | None = None
         self.durable: DurableJobs | None = None
         if config.options.durable.folder:
@@ -269,10 +272,11 @@
             for sock, waiting in self.ingress.release_waiting():
                 self.upgrade.pass_waiting(sock, waiting)
         for exchange in list(self.book.exchanges.values()):
-            client, attempt = exchange.client, exchange.current()
+            client = exchange.client
             if not (exchange.owed and isinstance(client, IngressConnection) and client.at_rest()):
                 continue
-            if attempt is None or attempt.arrived and not (attempt.leaving or self.egress.calling(attempt)):
+            if all(attempt.arrived and not (attempt.leaving or self.egress.calling(attempt))
+                   for attempt in exchange.out()):
                 self._pass_on(exchange, client)
         for sock, address, idle_since in self.egress.release_idle():
             self.upgrade.pass_outgoing(sock, address, idle_since)
@@ -376,7 +380,8 @@
         decisions = self.config.site.decisions
         longest = max(spec.deadline for spec in decisions.classes) * MICROSECOND
         arriving_until = self.loop.now + STILL_ARRIVING
-        last = arriving_until + min(longest, LONGEST_GRACE) - LAST_ANSWERS
+        grace = min(longest, LONGEST_GRACE)
+        last = arriving_until + grace - min(LAST_ANSWERS, grace / 2)  # some of a short one is left
         # Guards against clients with nobody to turn to: a lone scheduler's have none, and in a rolling
         # restart the scheduler before this one may not serve again yet.
         kept_until = last if decisions.instances == 1 else max(arriving_until, last - LAST_MOVES)
--- a/carthinge/settings.py
+++ b/carthinge/settings.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Any, Final, TypeVar
 
@@ -136,8 +136,10 @@
 
 def read_site(facts: Facts) -> Site:
     """The settings of the module and what else the real program needs."""
+    decisions = read_settings(facts)
     return Site(
-        decisions=read_settings(facts),
+        # Real schedulers have no way to talk to each other, whatever a site would allow.
+        decisions=replace(decisions, may_tell=False),
         classes=_names(facts, "services"),
         tenants=_names(facts, "tenants"),
         zones=tuple(facts.listed("zones")),
@@ -145,7 +147,7 @@
         report_fields=tuple(facts.listed("load_info.fields")),
         connect_timeout=facts.span("caps.dial_timeout", timedelta(milliseconds=250)),
         idle_close=facts.span("caps.idle_close", timedelta(seconds=5)),
-        max_retry_after=facts.span("caps.max_retry_after", timedelta()),
+        max_retry_after=timedelta(microseconds=decisions.max_retry_after * decisions.may_advise),
     )
 
 
@@ -158,7 +160,8 @@
 
 def read_settings(facts: Facts) -> Settings:
     """The settings of one instance; keys this reader does not know are ignored."""
-    names = {"rif": "held", "x0": facts.word("extra.report_x0"), "x1": facts.word("extra.report_x1")}
+    names = {"rif": "held", "inflight": "held",
+             "x0": facts.word("extra.report_x0"), "x1": facts.word("extra.report_x1")}
     fields = tuple(names.get(field, field) for field in facts.listed("load_info.fields"))
     return Settings(
         classes=tuple(_read_class(facts, i) for i in range(facts.whole("services.count"))),
