--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -379,7 +379,7 @@
         self.tenure.renew(self.writer, attempt, begun)
 
     def attempt_ended(self, held: Held, attempt: Attempt, result: io.Result) -> None:
-        if result is io.Result.OK:
+        if result is io.Result.OK and held.ending is None:  # of two copies the first to end has the result
             held.winner = attempt.token
         self.tenure.end(self.writer, attempt, result)
 
