--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -22,6 +22,7 @@
 DELETE_AGAIN: Final = timedelta(milliseconds=20)  # after one that was reset or could not be sent
 DELETE_AGAIN_MOST: Final = timedelta(milliseconds=320)  # after several in a row
 ARRIVES_WITHIN: Final = 0.4  # of the time to connect, in which the network goes to and fro: a written DELETE
+ARRIVES_LEAST: Final = timedelta(milliseconds=100)  # on a fast one it is the worker that may be slow to read
 UNUSABLE: Final = (HTTPStatus.BAD_REQUEST, HTTPStatus.NOT_FOUND)  # the request's fault, not the worker's
 NEEDED: Final = ("free_slots",)  # of a load report
 LATE_ANSWER: Final = 8  # times that: for an answer on which nothing depends any more
@@ -91,7 +92,8 @@
             self.not_withdrawn(attempt, gone, again, str(fault))
             return
         connect = self._site.connect_timeout
-        withdrawal = _Withdrawal(self._loop, self, caller, attempt, gone, again, ARRIVES_WITHIN * connect)
+        within = max(ARRIVES_LEAST, ARRIVES_WITHIN * connect)
+        withdrawal = _Withdrawal(self._loop, self, caller, attempt, gone, again, within)
         self._loop.call_after(LATE_ANSWER * connect, withdrawal.cut)
         path = f"/jobs/{attempt.exchange.job.id}".encode()
         caller.start(withdrawal, call_bytes("DELETE", path, str(address)))
