Show a repeat that waits for its cell keeping all of its tenant back, as an expected failure

A dear keyed job that has failed once may go to its own cell only. While that is full or avoided the job stands at the head of its tenant's heap, by its worth, and the ring looks at heads only: safe jobs of the same tenant wait behind it, beside free workers of other cells.

--- a/tests/test_deployment_settings.py
+++ b/tests/test_deployment_settings.py
@@ -139,3 +139,14 @@
             now, 0, worker, R.ERROR if worker == 1 else R.OK, report=(0.0, 9.0 if worker == 1 else 1.0)),
             io.Abandoned(now)])
     assert sent.count(1) == 2
+
+
+@pytest.mark.xfail(strict=True, reason="a blocked head keeps back all of its tenant, wherever that may go")
+def test_a_repeat_that_waits_for_its_cell_does_not_keep_its_tenant_s_other_jobs_back():
+    cells = [io.WorkerEntry(worker, cell=(worker + 1) // 2) for worker in (1, 2, 3, 4)]
+    dear = replace(KEYED, worth=8.0, window=40_000_000)
+    gateway = started(settings(dear, SAFE, may_copy=False), *cells)
+    first = of(io.Send, gateway.handle(1, [arrival()]))[0].worker
+    gateway.workers[{1: 2, 2: 1, 3: 4, 4: 3}[first]].avoid_until = 10**9  # the only other one of its cell
+    gateway.handle(2, [outcome(1, 0, first, R.ERROR)])
+    assert of(io.Send, gateway.handle(3, [arrival(2, job_class=1)]))
