Split the decision module into a package by concern; no decision changes

Each class owns its state and is handed the parts that it asks and the desk, which holds what all of them share: time, settings, fleet, open jobs, timers, the actions so far.

What only keeps and counts has left the module: the desk (desk.py), the fleet as lists, operators and peers tell of it (fleet.py, out of records.py), and what was bookkeeping of one worker, attempt, job or heap (records.py: an attempt's begin and end, whether a job's attempts are spent, whether a repeat does harm, which wake is due). What is out of it decides nothing: constants, budgets, orders and choices stay in the package.

Simpler on the way: a late look asks Attempt.over() instead of saying it again; the three look-ups of an event's attempt are one; whether a worker may take a job is the first part of its estimate; a list's version is the fleet's own.

--- /dev/null
+++ b/carthinge/desk.py
@@ -0,0 +1,51 @@
+"""What the parts of a dispatcher share: the time, the fleet, open jobs, meters, and what is to be done."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from carthinge import interface as io
+from carthinge.fleet import Fleet, Loads
+from carthinge.records import Attempt, Job, Rate, Timers, Worker
+
+
+class Desk:
+    """Each part is handed the desk of its dispatcher, and the parts that it asks.  No decisions."""
+
+    __slots__ = ("settings", "rng", "now", "actions", "jobs", "fleet", "freed", "timers", "after",
+                 "mean_work", "served", "arrivals")
+
+    def __init__(self, settings: io.Settings, seed: int,
+                 part: Callable[[io.Settings, list[Worker]], list[Worker]]) -> None:
+        self.settings = settings
+        self.rng = Random(seed)
+        self.now = 0
+        self.actions: list[io.Action] = []
+        self.jobs: dict[int, Job] = {}
+        self.fleet = Fleet(settings.price_connection > 0 and settings.price_fetch <= 0,
+                           lambda pool: part(self.settings, pool))
+        self.freed: list[Worker] = []  # where a slot may have come free in this call
+        self.timers = Timers()
+        self.after = self.timers.add
+        self.mean_work = float(self.shortest())
+        self.served, self.arrivals = Rate(), Rate()
+
+    def shortest(self) -> int:
+        """The least objective of all classes."""
+        return min(spec.objective for spec in self.settings.classes)
+
+    def attempt(self, event: io.Note | io.Outcome | io.StreamStarted) -> Attempt | None:
+        """The one that an event names, while its job is known."""
+        job = self.jobs.get(event.request)
+        return job.attempts[event.attempt] if job and event.attempt < len(job.attempts) else None
+
+    def loads(self) -> bytes:
+        """What is out from here, as a message."""
+        return Loads.pack(self.fleet.workers.values(), self.rng)
+
+    def watch(self) -> None:
+        self.actions.append(io.Watch())
+
+    def nothing(self, _: io.Timer | None = None) -> None:
+        """A wake matters for the clock alone: what is due is in the heap, and a release follows."""
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -7,30 +7,49 @@
 from typing import Any, Protocol
 
 from carthinge import interface as io
+from carthinge.desk import Desk
+from carthinge.fleet import Fleet
 from carthinge.interface import AttemptMemory, JobMemory, Memory, WorkerMemory
-from carthinge.records import Attempt, Bucket, Fleet, Job, Kind, Rate, TenantQueue, Worker
+from carthinge.records import Attempt, Bucket, Job, Kind, Rate, TenantQueue
 
 
-class Ring(Protocol):
-    """The tenants' classes, by their positions."""
+class Tenants(Protocol):
+    """The tenants' classes and quotas, by their positions."""
 
-    queues: list[TenantQueue]
+    quotas: list[Bucket]
+
+    def queue(self, tenant: int) -> TenantQueue: ...
+
+
+class Cold(Protocol):
+    """What cold workers may get."""
+
+    leaving: bool
+    warm_part: float
+
+
+class Signs(Protocol):
+    """When attempts ought to give a sign."""
+
+    patience: float
+    run_patience: float
+    prompt: float
 
 
 class Decisions(Protocol):
     """What of a dispatcher is handed over, and what it does with a job that it is handed."""
 
-    out: set[int]
-    jobs: dict[int, Job]
-    fleet: Fleet
-    workers: dict[int, Worker]
-    kinds: dict[int, Kind]
+    desk: Desk
     spans: list[int]
-    quotas: list[Bucket]
-    leaving: bool
 
     @property
-    def ring(self) -> Ring: ...
+    def tenants(self) -> Tenants: ...
+
+    @property
+    def cold(self) -> Cold: ...
+
+    @property
+    def signs(self) -> Signs: ...
 
     def arrive(self, event: io.Arrival, sent: Sequence[AttemptMemory] = ()) -> None:
         """Takes a job in, with the attempts that it has had elsewhere."""
@@ -45,20 +64,30 @@
 _LEARNED = tuple(item.name for item in fields(WorkerMemory) if item.name != "entry")
 _OF_JOB = tuple(item.name for item in fields(JobMemory) if item.name != "attempts")
 _OF_ATTEMPT = tuple(item.name for item in fields(AttemptMemory) if item.name != "worker")
-_METERS = ("mean_work", "patience", "run_patience", "prompt", "warm_part")
-_RATES = ("served", "arrivals")
+
+
+def _meters(dispatcher: Decisions) -> dict[str, Desk | Signs | Cold]:
+    """The part that keeps it, for each."""
+    signs = dispatcher.signs
+    return {"mean_work": dispatcher.desk, "patience": signs, "run_patience": signs, "prompt": signs,
+            "warm_part": dispatcher.cold}
+
+
+def _rates(dispatcher: Decisions) -> dict[str, Rate]:
+    return {"served": dispatcher.desk.served, "arrivals": dispatcher.desk.arrivals}
 
 
 def memory_of(dispatcher: Decisions) -> Memory:
     """Everything that ``recall`` takes."""
+    fleet = dispatcher.desk.fleet
     return Memory(
-        out=sorted(dispatcher.out),
-        workers=_of_fleet(dispatcher.fleet),
-        kinds=[(number, kind.pace, kind.slots, kind.size) for number, kind in dispatcher.kinds.items()],
-        meters={name: float(getattr(dispatcher, name)) for name in _METERS},
-        rates={name: (rate.per_s, rate.since) for name in _RATES for rate in [getattr(dispatcher, name)]},
+        out=sorted(fleet.out),
+        workers=_of_fleet(fleet),
+        kinds=[(number, kind.pace, kind.slots, kind.size) for number, kind in fleet.kinds.items()],
+        meters={name: float(getattr(part, name)) for name, part in _meters(dispatcher).items()},
+        rates={name: (rate.per_s, rate.since) for name, rate in _rates(dispatcher).items()},
         spans=list(dispatcher.spans),
-        quotas=[(bucket.level, bucket.since) for bucket in dispatcher.quotas],
+        quotas=[(bucket.level, bucket.since) for bucket in dispatcher.tenants.quotas],
     )
 
 
@@ -73,7 +102,7 @@
 
 def job_memory(dispatcher: Decisions, request: int) -> JobMemory:
     """Everything that is known of an open job."""
-    job = dispatcher.jobs[request]
+    job = dispatcher.desk.jobs[request]
     attempts = [AttemptMemory(worker=attempt.worker.id,
                               **{name: getattr(attempt, name) for name in _OF_ATTEMPT})
                 for attempt in job.attempts]
@@ -81,16 +110,15 @@
 
 
 def _leave(dispatcher: Decisions, event: io.Leave) -> None:
-    dispatcher.leaving = event.leaving
+    dispatcher.cold.leaving = event.leaving
 
 
 def _take_over(dispatcher: Decisions, event: io.TakeOver) -> None:
     known = event.memory
-    queues = dispatcher.ring.queues
-    queue = queues[event.tenant if event.tenant < len(queues) else 0]
+    queue = dispatcher.tenants.queue(event.tenant)
     job = Job(id=event.request, queue=queue, **{name: getattr(known, name) for name in _OF_JOB})
     job.waiting = False
-    dispatcher.jobs[job.id] = job
+    dispatcher.desk.jobs[job.id] = job
     attach(dispatcher, job, known.attempts)
     if not job.open:
         dispatcher.enqueue(job)
@@ -99,9 +127,9 @@
 def attach(dispatcher: Decisions, job: Job, attempts: Sequence[AttemptMemory]) -> None:
     """Gives a job the attempts that another dispatcher sent; one that is open is attended to from now on."""
     for number, sent in enumerate(attempts):
-        worker = dispatcher.workers.get(sent.worker)
+        worker = dispatcher.desk.fleet.workers.get(sent.worker)
         if worker is None:  # not listed here yet
-            worker = dispatcher.fleet.add(sent.entry, max(1.0, job.slots))
+            worker = dispatcher.desk.fleet.add(sent.entry, max(1.0, job.slots))
         attempt = Attempt(job=job, number=number, worker=worker,
                           **{name: getattr(sent, name) for name in _OF_ATTEMPT})
         attempt.expected = attempt.expected or float(job.spec.objective)
@@ -113,7 +141,7 @@
 
 
 def _give_away(dispatcher: Decisions, event: io.GiveAway) -> None:
-    job = dispatcher.jobs.pop(event.request)
+    job = dispatcher.desk.jobs.pop(event.request)
     job.answered, job.waiting = True, False
     for attempt in job.attempts:
         if attempt.open:
@@ -123,16 +151,16 @@
 
 def recall(dispatcher: Decisions, memory: Memory) -> None:
     """Of classes and tenants only where both know as many: they have no names here."""
-    dispatcher.out.update(memory.out)
-    _into_fleet(dispatcher.fleet, memory)
-    for name in _METERS:
-        setattr(dispatcher, name, memory.meters[name])
-    for name, (per_s, since) in memory.rates.items():
-        setattr(dispatcher, name, Rate(per_s, since))
+    dispatcher.desk.fleet.out.update(memory.out)
+    _into_fleet(dispatcher.desk.fleet, memory)
+    for name, part in _meters(dispatcher).items():
+        setattr(part, name, memory.meters[name])
+    for name, rate in _rates(dispatcher).items():
+        rate.per_s, rate.since = memory.rates[name]
     if len(memory.spans) == len(dispatcher.spans):
         dispatcher.spans[:] = memory.spans
-    if len(memory.quotas) == len(dispatcher.quotas):
-        for bucket, (level, since) in zip(dispatcher.quotas, memory.quotas, strict=True):
+    if len(memory.quotas) == len(dispatcher.tenants.quotas):
+        for bucket, (level, since) in zip(dispatcher.tenants.quotas, memory.quotas, strict=True):
             bucket.level, bucket.since = level, since
 
 
--- a/carthinge/net/program.py
+++ b/carthinge/net/program.py
@@ -93,7 +93,7 @@
         options = self.config.options
         self.durable = DurableJobs(
             self.loop, self.book, options, BOOT.read_text().strip(), self._terms_of,
-            lambda number: self.dispatcher.workers[number].entry, self.table.target)
+            lambda number: self.dispatcher.fleet.workers[number].entry, self.table.target)
         self.ingress.call_backs.durable = self.durable
         self.egress.lease = options.leases.duration
         self.ingress.durable = DurableFront(self.loop, self.durable, lambda: self.ingress.max_retry_after)
@@ -297,7 +297,7 @@
         return {"served": ended.served, "refused": ended.refused, "failed": ended.failed,
                 "attempts": counters.attempts_written, "in_flight": self.book.in_flight(),
                 "workers_known": len(self.table.listed),
-                "workers_excluded": fleet.excluded(self.dispatcher.out, self.loop.now // MICROSECOND),
+                "workers_excluded": fleet.excluded(self.loop.now // MICROSECOND),
                 "reloads_ok": counters.reloads_ok, "reloads_failed": counters.reloads_failed,
                 **({"durable": self.durable.figures()} if self.durable is not None else {})}
 
@@ -316,7 +316,7 @@
     def by_hand_here(self, worker: str, out: bool, sure: bool) -> bool:
         """The module hears of it in this turn, before it decides on anything else."""
         number = number_of(worker)
-        known = sure or worker in self.table.listed or number in self.dispatcher.out
+        known = sure or worker in self.table.listed or number in self.dispatcher.fleet.out
         if known:
             log.logger().info("worker_out" if out else "worker_back", worker=worker)
             self.book.tell(ByHand(number, out))
--- /dev/null
+++ b/carthinge/policy/dispatcher.py
@@ -0,0 +1,187 @@
+"""A job's way from its arrival to its answer, over the parts that decide on it (docs/design.md)."""
+
+import math
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from carthinge import interface as io
+from carthinge.desk import Desk
+from carthinge.memory import attach, handlers
+from carthinge.policy.attempts import GAIN, SIGN_LEAST, Attempts
+from carthinge.policy.health import ColdBudget, Doubts
+from carthinge.policy.news import CAP_START, Outside, Reports
+from carthinge.policy.pick import near
+from carthinge.policy.tenants import Tenants
+from carthinge.records import Attempt, Job
+
+HINT_MOST: Final = 10.0  # times a class's deadline: long jobs are hinted at several times that
+OVER_YIELD: Final = 2.5  # times its worth, of the objective: the wait that work beyond its share may add to
+
+
+class Dispatcher:
+    """One gateway.  ``handle`` takes the time and what happened, and returns what to do."""
+
+    def __init__(self, settings: io.Settings, seed: int) -> None:
+        self.desk = desk = Desk(settings, seed, near)
+        self.jobs, self.fleet, self.loads = desk.jobs, desk.fleet, desk.loads
+        self.tenants, self.reports = Tenants(), Reports(desk)
+        self.doubts, self.cold = Doubts(desk), ColdBudget(desk)
+        self.attempts = Attempts(desk, self.reports, self.doubts, self.cold)
+        self.pick, self.signs, self.attend = self.attempts.pick, self.attempts.signs, self.attempts.attend
+        self.spans: list[int] = []  # of each class, the longest time that a client has waited for at first
+        self.sequence = 0
+        self._adopt(io.Retune(settings, [-1] * len(settings.classes), [-1] * len(settings.tenants)))
+        self.handlers: dict[type, Callable[..., None]] = {
+            io.Arrival: self.arrive, io.Outcome: self._end, io.Note: self.attempts.hear,
+            io.Timer: desk.nothing, io.WorkerList: Outside(desk).listed,
+            io.ByHand: lambda event: desk.fleet.by_hand(event, CAP_START, desk.now),
+            io.ProbeResult: self.reports.probed, io.Message: desk.fleet.told, io.Abandoned: self._abandon,
+            io.StreamStarted: self._stream, io.Retune: self._adopt, **handlers(self)}
+
+    def handle(self, now: int, events: Sequence[io.Event]) -> list[io.Action]:
+        """What to do about ``events``, which all happened at ``now``."""
+        desk = self.desk
+        desk.now, desk.actions, desk.freed = now, [], []
+        for event in events:
+            self.handlers[type(event)](event)
+        desk.timers.run(now)
+        self._release()
+        if wake := desk.timers.wake(now):
+            desk.actions.append(io.SetTimer(wake, wake))
+        return desk.actions
+
+    def _adopt(self, event: io.Retune) -> None:
+        """Settings for what comes from now on; what was learned of classes and tenants holds."""
+        settings = self.desk.settings = event.settings
+        self.tenants.adopt(settings, event.tenants)
+        self.reports.asks = settings.reports is io.Reports.PROBES and settings.may_probe
+        self.pick.adopt(settings)
+        self.spans = [self.spans[was] if was >= 0 else 0 for was in event.classes]
+
+    def arrive(self, event: io.Arrival, sent: Sequence[io.AttemptMemory] = ()) -> None:
+        """Takes a job in, with the attempts that it has had elsewhere."""
+        desk, settings = self.desk, self.desk.settings
+        spec = settings.classes[event.job_class]
+        work = float(event.hint) if event.hint is not None else desk.mean_work
+        work = min(work, HINT_MOST * spec.deadline or work)  # an absurd one must not distort the mean of all
+        cost = max(1.0, work * event.slots)
+        rank = -spec.worth / (1.0 if settings.worth_by_work else cost)  # WSPT: worth for its work
+        # A repeat has less time left than a first try: that tells when its client began to wait.
+        left = event.give_up - desk.now
+        span = self.spans[event.job_class] = max(self.spans[event.job_class], left)
+        job = Job(event.request, spec, self.tenants.queue(event.tenant), event.key, event.give_up,
+                  desk.now - span + left, work, event.slots, cost, rank, settings.try_limit)
+        strict = spec.late_worth <= 0
+        job.hedged = strict and settings.tells_start and settings.may_copy and settings.may_cancel
+        job.bearable = float(spec.objective) if strict else math.inf
+        if left > 0.99 * span and not self.tenants.within(event.tenant, desk.now):
+            job.rank *= settings.over_share_worth
+            job.bearable = min(1.0, OVER_YIELD * settings.over_share_worth) * spec.objective
+        self.jobs[job.id] = job
+        desk.mean_work += (work - desk.mean_work) * GAIN / 5
+        desk.arrivals.add(1.0, desk.now)
+        self.attempts.earn()
+        attach(self, job, sent)
+        if not job.open:
+            self.enqueue(job)
+        if self.reports.asks:
+            self.reports.earn(job)
+
+    def enqueue(self, job: Job) -> None:
+        """Has it wait for a worker."""
+        desk = self.desk
+        job.waiting, job.queued = True, desk.now
+        self.sequence += 1
+        job.queue.push((job.rank, job.came, self.sequence, job))
+        last = job.give_up - desk.settings.answer_grace
+        if job.spec.late_worth <= 0 and (job.hedged or job.never_ran()):
+            # Held longer, it would only take the place of one in time.
+            pace = self.fleet.mean_pace() if job.hedged else 1.0  # else a pace has time in queues in it
+            slack = job.spec.objective + (job.spec.stretch - pace) * job.work
+            # Some are always tried, or nobody would learn that what was slow is not slow any more.
+            last = min(last, job.came + int(max(slack, job.spec.objective * SIGN_LEAST)))
+        if last <= desk.now:
+            self._expire(job)
+        else:
+            desk.after(last, self._expire, job)
+
+    def _expire(self, job: Job) -> None:
+        """A held job is answered in time; one that waits at a worker would only make others late as well."""
+        if job.waiting:
+            job.waiting = False
+            self._conclude(job)
+        elif job.hedged and not job.answered and not any(attempt.begun for attempt in job.attempts):
+            self.attempts.call_off(job)
+
+    def _conclude(self, job: Job) -> None:
+        """The final answer of a job that will not be served: a refusal only where nothing can have run."""
+        if job.answered or job.open:
+            return
+        job.answered = True
+        del self.jobs[job.id]
+        settings = self.desk.settings
+        away = settings.max_retry_after if settings.may_advise else 0
+        self.desk.actions.append(io.Refuse(job.id, away) if job.harmless() else io.Fail(job.id))
+
+    def _abandon(self, event: io.Abandoned) -> None:
+        if (job := self.jobs.get(event.request)) and not job.answered:
+            self._finish(job)
+
+    def _finish(self, job: Job) -> None:
+        """The request has its final answer: what is still out is called off, nothing more is sent."""
+        job.answered, job.waiting = True, False
+        self.attempts.call_off(job)
+        if not job.open:
+            self.jobs.pop(job.id, None)
+
+    def _stream(self, event: io.StreamStarted) -> None:
+        if (attempt := self.desk.attempt(event)) is not None:
+            attempt.job.streaming = True
+            self.doubts.heard(attempt.worker)
+
+    def _release(self) -> None:
+        ring = self.tenants.ring
+        while (queue := ring.select(self._dispatchable)) is not None:
+            job = ring.charge(queue)
+            if job.choice:
+                self.attempts.send(job, job.choice)
+            else:  # no eligible worker: it proceeds, to fail
+                self._conclude(job)
+
+    def _dispatchable(self, job: Job) -> bool:
+        """Unless every eligible worker is busy; a blocked head looks again when one frees up."""
+        desk = self.desk
+        if desk.now < job.look_at and job.list_seen == desk.fleet.version:
+            estimate = self.pick.estimate
+            job.choice = next((worker for worker in desk.freed if estimate(worker, job) is not None), None)
+            return job.choice is not None
+        job.choice = self.pick.best(job, pool := self.pick.eligible(job))
+        if job.choice or not pool:
+            return True
+        job.list_seen = desk.fleet.version
+        job.look_at = desk.now + max(4000, min(job.spec.objective // 8, 200_000))
+        desk.after(job.look_at, desk.nothing)
+        self.reports.ask(job)
+        return False
+
+    def _end(self, event: io.Outcome) -> None:
+        if not (attempt := self.desk.attempt(event)) or not attempt.open:
+            return
+        job = attempt.job
+        self.attempts.end(attempt, event)
+        if not job.answered and event.finished:
+            self._finish(job)
+        elif not job.open and job.answered:
+            self.jobs.pop(job.id, None)
+        elif not (job.open or job.streaming or job.waiting):
+            self._retry(job, attempt)
+
+    def _retry(self, job: Job, attempt: Attempt) -> None:
+        """Back to its heap where another try is allowed; else the final answer."""
+        settings = self.desk.settings
+        spent = job.spent(settings.try_limit) or self.desk.now >= job.give_up - settings.answer_grace
+        if spent or (job.spec.effect is io.Effect.UNSAFE and not job.never_ran()):
+            self._conclude(job)
+        else:
+            job.queue.deficit += 0.0 if attempt.may_have_run else job.cost  # as if it had never left the heap
+            self.enqueue(job)
--- /dev/null
+++ b/carthinge/policy/pick.py
@@ -0,0 +1,146 @@
+"""Which worker a job goes to: who may take it, who is looked at, and when each would have it done."""
+
+import math
+from typing import Final
+
+from carthinge import interface as io
+from carthinge.desk import Desk
+from carthinge.policy.health import ERRORS_ILL, ColdBudget
+from carthinge.policy.news import SAMPLE, Reports
+from carthinge.records import Job, Worker
+
+SAMPLE_LEAST: Final = 3  # with many gateways on the same late news, more would herd to the best
+SPARE_WORTH: Final = 0.5  # of the dearest work: what is worth less leaves one reported slot free
+PROBE_WAIT: Final = 1 / 16  # of the objective: how long a head waits for probes it caused
+FETCH_WORK: Final = 1.0  # of a mean job: what a worker that does not keep the key is taken to fetch
+TIE_WORK: Final = 0.1  # of outstanding work that fits its slots: least work decides among free workers
+STRETCH_USED: Final = 0.8  # of the stretch: the rest is for what a hint or a pace is off
+KEY_HOMES: Final = 3  # workers that may keep a key, the first most likely
+NEAR_COVER: Final = 8  # gateways to a worker, at the least, where each keeps to a part of the fleet
+
+
+def near(settings: io.Settings, pool: list[Worker]) -> list[Worker]:
+    """This gateway's part of a large fleet, where connections have a price: all are covered alike."""
+    size = max(SAMPLE, NEAR_COVER * len(pool) // settings.instances)
+    start = settings.position * len(pool) // settings.instances
+    return (pool + pool)[start:start + size] if settings.price_connection > 0 and size < len(pool) else pool
+
+
+class Pick:
+    """The eligible worker with the least estimated outstanding work."""
+
+    def __init__(self, desk: Desk, reports: Reports, cold: ColdBudget) -> None:
+        self.desk, self.reports, self.cold = desk, reports, cold
+
+    def adopt(self, settings: io.Settings) -> None:
+        self.draws = max(SAMPLE_LEAST, min(SAMPLE, 3 * SAMPLE // settings.instances))
+        self.blind = self.draws == SAMPLE_LEAST  # what is at a worker is hardly ever from here
+        self.top_worth = max(spec.worth for spec in settings.classes)
+
+    def eligible(self, job: Job) -> list[Worker]:
+        """The listed workers where a further attempt is allowed at all."""
+        if job.spent(self.desk.settings.try_limit):
+            return []
+        pool = self.desk.fleet.pool(job.spec.kind)
+        if job.never_ran() or job.spec.scope is io.Scope.ALL and any(self.may_repeat(w, job) for w in pool):
+            return pool  # whole and as it is: to look through it would cost more the larger it is
+        return [worker for worker in pool if self.may_repeat(worker, job)]
+
+    def best(self, job: Job, pool: list[Worker]) -> Worker | None:
+        """Of the eligible ones in ``pool``; None where all are busy."""
+        near = self.desk.fleet.near if job.spec.kind == -1 and job.never_ran() else pool
+        return self._least(job, near) or (self._least(job, pool) if near is not pool else None)
+
+    def _least(self, job: Job, pool: list[Worker]) -> Worker | None:
+        best: Worker | None = None
+        least, ties = math.inf, 0
+        # Gateways agree, without talking, where to look for a key.
+        keyed = job.key and self.desk.settings.price_fetch > 0
+        homes = self.desk.fleet.homes(job.key, KEY_HOMES) if keyed else []
+        for worker in self.candidates(job, pool, homes):
+            if (estimate := self.estimate(worker, job)) is not None:
+                if homes:  # the further from its first home, the likelier it has to fetch the key
+                    far = homes.index(worker) if worker in homes else KEY_HOMES
+                    estimate += FETCH_WORK * self.desk.mean_work * far / KEY_HOMES
+                # Ties are drawn for; else the next in line after ineligible ones gets their part.
+                ties = 1 if estimate < least else ties + (estimate == least)
+                if estimate < least or (estimate == least and self.desk.rng.random() * ties < 1):
+                    best, least = worker, estimate
+        return best
+
+    def candidates(self, job: Job, pool: list[Worker], homes: list[Worker]) -> list[Worker]:
+        """The workers that are looked at."""
+        if len(pool) <= SAMPLE:
+            return pool
+        # What all draw with nothing to go by adds up by chance alone: to what each worker can do.
+        desk, rng = self.desk, self.desk.rng
+        groups = desk.fleet.by_kind(pool)
+        drawn = [group[int(rng.random() * len(group))] for group in rng.choices(
+            groups, [len(group) * group[0].strength() for group in groups], k=self.draws)]
+        if self.reports.asks:
+            drawn.extend(worker for worker in self.reports.latest if worker.free >= job.slots)
+        elif self.blind:  # where a job from here has just ended is a slot that no other gateway was told of
+            kept = desk.now - desk.settings.idle_close
+            drawn.extend(worker for worker in self.reports.latest if worker.sent_at > kept)
+        return drawn + homes
+
+    def may_repeat(self, worker: Worker, job: Job) -> bool:
+        """Whether a job may run here too, where earlier attempts may have run (rule 2)."""
+        spec, here = job.spec, worker.entry
+        for attempt in job.attempts:
+            if attempt.may_have_run and (
+                    attempt.worker.id == worker.id or spec.effect is io.Effect.UNSAFE
+                    or spec.effect is io.Effect.KEYED and (
+                        self.desk.now >= attempt.sent + spec.window
+                        or spec.scope is io.Scope.ZONE and attempt.entry.zone != here.zone
+                        or spec.scope is io.Scope.CELL and attempt.entry.cell != here.cell)):
+                return False
+        return True
+
+    def estimate(self, worker: Worker, job: Job) -> float | None:
+        """Time until this worker would have the job done, None where it may not have it or is busy."""
+        desk, settings, asks = self.desk, self.desk.settings, self.reports.asks
+        now, pool, kind = desk.now, worker.pool, job.spec.kind
+        if not worker.ready or worker.avoid_until > now or kind not in (-1, worker.entry.kind):
+            return None
+        if worker.errors >= ERRORS_ILL and worker.slots_out:
+            return None  # one at a time, to see whether it serves again
+        if job.attempts and not self.may_repeat(worker, job):
+            return None
+        if self.cold.is_cold(worker) and not self.cold.allows(worker, job):
+            return None
+        pace = worker.pace or pool.pace
+        if worker.free_at >= 0 and now - worker.free_at < desk.mean_work * pace / max(1.0, pool.slots):
+            # A report is older than the outcome it came with: a slot that is free from here counts too.
+            free = worker.free if asks else max(worker.free, pool.slots - worker.held())
+            if free < job.slots + (asks and -job.rank < SPARE_WORTH * self.top_worth):
+                return None  # cheap work leaves a slot for dear work
+        else:
+            cap = min(worker.cap, pool.slots or worker.cap)  # more would wait there, out of reach of worth
+            if worker.slots_out and worker.held() + job.slots > cap:
+                return None
+            if asks and now < job.queued + job.spec.objective * PROBE_WAIT:
+                return None  # its probes are on their way
+        wait = self._wait(worker, job, pace)
+        if wait > job.bearable:
+            return None  # it would only come late, and make others late
+        if worker.entry.zone != settings.zone:
+            wait += settings.price_cross_zone * desk.mean_work
+        if self.blind and worker.sent_at <= now - settings.idle_close:  # its connection is closed by now
+            wait += settings.price_connection * desk.mean_work
+        # Its own run counts only beyond what its aim grants for it; else all would crowd the fast workers.
+        return wait + max(0.0, pace - STRETCH_USED * job.spec.stretch) * job.work
+
+    def _wait(self, worker: Worker, job: Job, pace: float) -> float:
+        """Time until a slot frees up, from the work that this gateway, peers and the list know of."""
+        settings = self.desk.settings
+        rated = settings.weights is not io.Weights.OFF and worker.entry.rating > 0
+        size = worker.pool.slots or (worker.pool.size if rated else 1.0)
+        slots = worker.held()
+        work = (worker.work_out + worker.peer_work) / size
+        queued = max(0.0, slots + job.slots - size) / max(slots, 1.0)
+        wait = work * (TIE_WORK + min(1.0, queued))
+        if rated and settings.weights is io.Weights.LIVE:
+            held = worker.pool.size / worker.entry.rating - 1.0
+            wait = max(wait / 2, (TIE_WORK * held + max(0.0, held - 0.9)) * self.desk.mean_work * pace)
+        return wait
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_left
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
-from random import Random
-from struct import Struct
 from typing import Final
 
 from carthinge import interface as io
@@ -17,7 +14,6 @@
 MASK: Final = (1 << 64) - 1
 STRONGEST: Final = 1e6  # slots
 RATE_MEMORY: Final = 10.0  # seconds
-LOAD_ENTRY: Final = Struct("<HBB")
 SMALL_HEAP: Final = 64  # entries; below that nothing is gained by sweeping what is over
 
 
@@ -76,6 +72,24 @@
         """Names it in messages."""
         return self.point & 0xFFFF
 
+    def renew(self, entry: io.WorkerEntry, out: bool) -> bool:
+        """Takes in what the list says; tells whether more than the rating has changed."""
+        old, self.entry = self.entry, entry
+        self.listed = entry.state is not io.State.GONE
+        self.ready = entry.state is io.State.READY and not out
+        self.pool.size = max(self.pool.size, entry.rating)
+        started = max(entry.started, self.back)
+        if started != self.started:  # a restart: nothing learned of its state holds
+            self.started = started
+            self.free_at = self.cold_slot = -1
+            self.avoid_until = self.strikes = self.refusals = self.errors = 0
+            return True
+        return entry.state is not old.state or entry.zone != old.zone
+
+    def avoid(self, until: int) -> None:
+        """It gets nothing before that time, or before a later one that was set already."""
+        self.avoid_until = max(self.avoid_until, until)
+
     def carry(self, job: Job) -> None:
         """An attempt of this job is out here from now on."""
         self.slots_out += job.slots
@@ -116,6 +130,17 @@
     alone: bool = True  # a slot was free: its time is its own, not the queue's
     may_have_run: bool = True  # until an outcome proves the contrary
 
+    def close(self, result: io.Result) -> None:
+        """It has ended."""
+        self.open = False
+        self.job.open -= 1
+        self.worker.put_down(self.job)
+        self.may_have_run &= result not in io.NEVER_RAN
+
+    def span(self) -> float:
+        """What its run takes by its hint, and its aim on top, for what the hint may be off."""
+        return self.job.work * self.worker.known_pace() + self.job.spec.objective
+
     def over(self) -> bool:
         """No timer can do anything about it any more, now or later."""
         job = self.job
@@ -155,6 +180,26 @@
         """The same for the job: once it is answered, it neither waits nor can be called off."""
         return self.answered
 
+    def sent(self, worker: Worker, now: int, expected: float) -> Attempt:
+        """Notes an attempt that is out from now on."""
+        attempt = Attempt(self, len(self.attempts), worker, worker.entry, now, expected)
+        attempt.alone = worker.held() < 1
+        self.attempts.append(attempt)
+        self.open += 1
+        worker.carry(self)
+        worker.sent_at = now
+        worker.free -= self.slots
+        return attempt
+
+    def spent(self, limit: int) -> bool:
+        """It has had all its attempts, by the settings that it came under and by the limit of now."""
+        return len(self.attempts) >= min(self.tries, limit)
+
+    def harmless(self) -> bool:
+        """Whoever sends it again does no harm, whatever has run of it by now."""
+        everywhere = self.spec.effect is io.Effect.KEYED and self.spec.scope is io.Scope.ALL
+        return self.spec.effect is io.Effect.SAFE or everywhere or self.never_ran()
+
     def never_ran(self) -> bool:
         return not any(attempt.may_have_run for attempt in self.attempts)
 
@@ -178,6 +223,12 @@
             self.most = max(SMALL_HEAP, 2 * len(self.heap))
         heappush(self.heap, entry)
 
+    def pop(self) -> Job:
+        """Takes the first job, which is known to wait, out of the heap."""
+        job = heappop(self.heap)[-1]
+        job.waiting = False
+        return job
+
     def head(self) -> Job | None:
         """The first job still waiting; those answered meanwhile are dropped here."""
         heap = self.heap
@@ -220,27 +271,6 @@
         return True
 
 
-class Loads:
-    """A message that tells other dispatchers, coarsely, what this one has out."""
-
-    MOST: Final = 64  # entries fill a message
-
-    @staticmethod
-    def pack(workers: Iterable[Worker], rng: Random) -> bytes:
-        out = [worker for worker in workers if worker.slots_out > 0]
-        if len(out) > Loads.MOST:
-            out = rng.sample(out, Loads.MOST)
-        return b"".join(
-            LOAD_ENTRY.pack(worker.tag, min(255, round(worker.slots_out * 8)),
-                            min(255, round(8 * math.log2(1 + worker.work_out)))) for worker in out)
-
-    @staticmethod
-    def unpack(body: bytes) -> Iterator[tuple[int, float, float]]:
-        """Tag, slots and work of each entry."""
-        for tag, slots, work in LOAD_ENTRY.iter_unpack(body):
-            yield tag, slots / 8, 2 ** (work / 8) - 1
-
-
 class Timers:
     """Calls that are due at a time, in the order of their times and then of their entry.
 
@@ -248,11 +278,11 @@
     follows what is open, and not the rate of jobs times their deadlines.
     """
 
-    __slots__ = ("heap", "count", "most")
+    __slots__ = ("heap", "count", "most", "wake_at")
 
     def __init__(self) -> None:
         self.heap: list[tuple[int, int, Callable[..., None], Job | Attempt | None]] = []
-        self.count = 0
+        self.count = self.wake_at = 0
         self.most = SMALL_HEAP
 
     def add(self, due: int, call: Callable[..., None], subject: Job | Attempt | None = None) -> None:
@@ -269,97 +299,9 @@
             _, _, call, subject = heappop(self.heap)
             call(subject) if subject is not None else call()
 
-    def next(self) -> int | None:
-        return self.heap[0][0] if self.heap else None
-
-
-class Fleet:
-    """All known workers, and the listed ones by machine kind in an order that all dispatchers share."""
-
-    __slots__ = ("workers", "kinds", "tags", "near", "_together", "_part", "_pools", "_points", "_groups")
-
-    def __init__(self, together: bool, part: Callable[[list[Worker]], list[Worker]]) -> None:
-        self.workers: dict[int, Worker] = {}
-        self.kinds: dict[int, Kind] = {}
-        self.tags: dict[int, Worker] = {}
-        self.near: list[Worker] = []  # the part of the whole fleet that ``part`` chooses
-        self._together = together  # workers of a cell stand side by side
-        self._part = part
-        self._pools: dict[int, list[Worker]] = {}
-        self._points: list[int] = []
-        self._groups: dict[int, list[list[Worker]]] = {}  # of the pools kept here and of ``near``, by id()
-
-    def add(self, entry: io.WorkerEntry, cap: float) -> Worker:
-        """Takes in a worker not met before."""
-        worker = Worker(entry, entry.worker, self.kinds.setdefault(entry.kind, Kind()), cap)
-        self.workers[worker.id] = worker
-        self.tags.setdefault(worker.tag, worker)
-        return worker
-
-    def anew(self, old: Worker, cap: float, now: int) -> Worker:
-        """Forgets a worker's past; attempts from before go on counting on the old record."""
-        old.ready = False
-        worker = self.add(old.entry, cap)
-        worker.listed = old.listed
-        worker.started = worker.back = now
-        self.tags[worker.tag] = worker
-        return worker
-
-    def excluded(self, out: set[int], now: int) -> int:
-        """How many of the listed workers get nothing just now, by hand (``out``) or by choice."""
-        return sum(worker.listed and (worker.id in out or worker.avoid_until > now)
-                   for worker in self.workers.values())
-
-    def shown(self, kind: Kind, slots: float, rated: bool) -> None:
-        """A worker of a kind has shown so many slots; where ratings tell sizes, others have theirs by size.
-
-        Guards against a kind that is never seen with its slots free, since another dispatcher fills them:
-        this one would leave it to the other, and its own jobs would wait.
-        """
-        if slots <= kind.slots:
-            return
-        kind.slots = slots
-        for other in self.kinds.values() if rated and kind.size > 0 else ():
-            other.slots = max(other.slots, round(slots * other.size / kind.size))
-
-    def renew(self) -> None:
-        """To be called when the list has changed."""
-        self._pools.clear()
-        self._groups.clear()
-        for worker in self.near:
-            worker.near = False
-        self.near = self._part(self.pool(-1))
-        for worker in self.near:
-            worker.near = True
-
-    def pool(self, kind: int) -> list[Worker]:
-        """The listed workers that run such jobs (-1: all), put together again only after a change."""
-        pool = self._pools.get(kind)
-        if pool is None:
-            ready = [worker for worker in self.workers.values() if worker.ready]
-            pool = sorted((w for w in ready if kind in (-1, w.entry.kind)), key=self._place)
-            self._pools[kind] = pool
-            if kind == -1:
-                self._points = [worker.point for worker in pool]
-        return pool
-
-    def by_kind(self, pool: list[Worker]) -> list[list[Worker]]:
-        """A pool's workers by their kinds, which are few: whoever draws need not look at all of them."""
-        groups = self._groups.get(id(pool))
-        if groups is None:
-            found: dict[int, list[Worker]] = {}
-            for worker in pool:
-                found.setdefault(id(worker.pool), []).append(worker)
-            groups = list(found.values())
-            if pool is self.near or any(pool is kept for kept in self._pools.values()):
-                self._groups[id(pool)] = groups
-        return groups
-
-    def homes(self, key: int, count: int) -> list[Worker]:
-        """The workers that a consistent hash gives a key, the first most likely to keep it."""
-        ring = self.pool(-1)
-        start = bisect_left(self._points, mix(key))
-        return [ring[(start + step) % len(ring)] for step in range(min(count, len(ring)))]
-
-    def _place(self, worker: Worker) -> int:
-        return worker.point + (mix(worker.entry.cell + 1) << 64 if self._together else 0)
+    def wake(self, now: int) -> int:
+        """When to wake, 0 for no need: at most one wake is pending, unless an earlier need comes up."""
+        if not self.heap or self.heap[0][0] >= self.wake_at > now:
+            return 0
+        self.wake_at = max(self.heap[0][0], now + 1)
+        return self.wake_at
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -9,6 +9,7 @@
 
 from carthinge import Dispatcher
 from carthinge import interface as io
+from carthinge.policy.pick import Pick
 from carthinge.records import Worker
 
 COUNT = 1100
@@ -75,7 +76,7 @@
         return call
 
     monkeypatch.setattr(Worker, "strength", counted(Worker.strength))
-    monkeypatch.setattr(Dispatcher, "_may_repeat", counted(Dispatcher._may_repeat))
+    monkeypatch.setattr(Pick, "may_repeat", counted(Pick.may_repeat))
     config = settings(io.JobClass(objective=100_000, deadline=5_000_000, late_worth=0.5), instances=COUNT,
                       position=3, may_copy=False, kinds=3)
     module = Dispatcher(config, 5)
@@ -96,6 +97,6 @@
         module.handle(0, [listing(*(io.WorkerEntry(n, kind=int(n > 20), rating=1.0 if n > 20 else 4.0)
                                     for n in range(1, 101)))])
         pool = module.fleet.pool(-1)
-        for worker in module._candidates(None, pool, []):
+        for worker in module.pick.candidates(None, pool, []):
             drawn[worker.entry.kind] += 1
     assert 0.8 < drawn[0] / drawn[1] < 1.25
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -25,7 +25,7 @@
     gateway = started(settings(), 1)
     gateway.handle(1, [arrival(hint=700, slots=2.0)])
     job = gateway.jobs[1]
-    gateway.kinds[0].pace = 9.0
+    gateway.fleet.kinds[0].pace = 9.0
     assert job.cost == 1400.0
     gateway.handle(2, [arrival(2, hint=0)])
     assert gateway.jobs[2].cost == 1.0
@@ -33,10 +33,11 @@
 
 def test_quanta_follow_shares_even_where_some_are_missing():
     uneven = settings(tenants=(io.Tenant(0.6), io.Tenant(0.2), io.Tenant(0.0)))
-    quanta = [queue.quantum for queue in Dispatcher(uneven, 1).ring.queues]
+    quanta = [queue.quantum for queue in Dispatcher(uneven, 1).tenants.ring.queues]
     assert quanta[0] == pytest.approx(3 * quanta[1]) and quanta[2] > 0
-    assert len(Dispatcher(settings(tenants=()), 1).ring.queues) == 1
-    assert all(q.quantum > 0 for q in Dispatcher(settings(tenants=(io.Tenant(), io.Tenant())), 1).ring.queues)
+    assert len(Dispatcher(settings(tenants=()), 1).tenants.ring.queues) == 1
+    unshared = Dispatcher(settings(tenants=(io.Tenant(), io.Tenant())), 1)
+    assert all(q.quantum > 0 for q in unshared.tenants.ring.queues)
 
 
 def test_least_outstanding_work_is_picked():
@@ -70,7 +71,7 @@
     gateway = started(settings(reports=io.Reports.ANSWERS, report_fields=("free_slots",)), 1)
     gateway.handle(1, [arrival(1)])
     gateway.handle(2, [outcome(1, 0, 1, R.OK, report=(0.0,))])
-    gateway.workers[1].avoid_until = 10**9
+    gateway.fleet.workers[1].avoid_until = 10**9
     gateway.handle(3, [arrival(2)])
     assert of(io.Refuse, gateway.handle(5_000_000 - 16_000, [io.Timer(0)])) == [io.Refuse(2, 0)]
 
@@ -79,7 +80,7 @@
     config = settings(WORTHLESS_LATE, tells_start=False, may_advise=True, max_retry_after=2_000_000)
     gateway = started(config, 1)
     gateway.handle(1, [arrival(1, hint=10_000)])
-    gateway.workers[1].avoid_until = 10**9
+    gateway.fleet.workers[1].avoid_until = 10**9
     gateway.handle(2, [arrival(2, hint=10_000)])
     assert of(io.Refuse, gateway.handle(200_000, [io.Timer(0)])) == [io.Refuse(2, 2_000_000)]
 
@@ -167,7 +168,7 @@
     sent = of(io.Send, gateway.handle(1, [arrival()]))[0].worker
     copies = of(io.Send, gateway.handle(400_000, [io.Timer(0)]))
     assert [copy.worker for copy in copies] == [3 - sent]
-    assert gateway.workers[sent].strikes == 1
+    assert gateway.fleet.workers[sent].strikes == 1
 
 
 def test_a_worker_that_gives_any_sign_is_not_doubted():
@@ -175,7 +176,7 @@
     gateway.handle(1, [arrival(1), arrival(2)])
     gateway.handle(90_000, [io.Note(2, 0, 1)])
     gateway.handle(150_000, [io.Timer(0)])
-    assert gateway.workers[1].strikes == 0
+    assert gateway.fleet.workers[1].strikes == 0
 
 
 def test_an_unsafe_job_is_never_copied():
@@ -207,9 +208,9 @@
     for request in range(3):
         gateway.handle(now, [arrival(request, now=now)])
         gateway.handle(now + 1, [outcome(request, 0, 1, R.FULL)])
-        pauses.append(gateway.workers[1].avoid_until - now)
+        pauses.append(gateway.fleet.workers[1].avoid_until - now)
         gateway.handle(now + 2, [io.Abandoned(request)])
-        now = gateway.workers[1].avoid_until + 1
+        now = gateway.fleet.workers[1].avoid_until + 1
     assert pauses[2] > 1.3 * pauses[0]
 
 
@@ -230,7 +231,7 @@
         sent.append(submit(request, now))
         ends(request, now + 1, sent[-1], R.ERROR if sent[-1] == 1 else R.OK)
     assert sent.count(1) == 2
-    now = gateway.workers[1].avoid_until + 1  # then one job at a time, until one is served
+    now = gateway.fleet.workers[1].avoid_until + 1  # then one job at a time, until one is served
     at_once = [submit(request, now) for request in range(50, 62)]
     assert at_once.count(1) == 1
     ends(50 + at_once.index(1), now + 1, 1, R.OK)
@@ -242,9 +243,9 @@
     gateway.handle(now, [io.Note(request, 0, worker)])
     for step in range(1, 300):
         then = now + step * 20_000
-        gateway.workers[worker].heard_at = then  # other jobs begin there meanwhile
+        gateway.fleet.workers[worker].heard_at = then  # other jobs begin there meanwhile
         if well:  # and end within their usual span
-            gateway.workers[worker].well_at = then
+            gateway.fleet.workers[worker].well_at = then
         if io.Cancel(request, 0) in gateway.handle(then, [io.Timer(0)]):
             return step * 20_000
     raise AssertionError("never called off")
@@ -265,12 +266,12 @@
 def test_what_silent_jobs_turned_out_to_be_is_learned(run, compare):
     """Lost ones end soon elsewhere, long ones take as long there."""
     gateway, first, left = begun_alone(well=True)
-    now, before = left + 10, gateway.run_patience
+    now, before = left + 10, gateway.signs.run_patience
     gateway.handle(now, [outcome(1000, 0, first, R.CANCELLED)])
     gateway.handle(now + 1, [io.Note(1000, 1, 3 - first)])
-    gateway.workers[3 - first].well_at = now + run - 1
+    gateway.fleet.workers[3 - first].well_at = now + run - 1
     gateway.handle(now + run, [outcome(1000, 1, 3 - first, R.OK)])
-    assert compare(gateway.run_patience, before)
+    assert compare(gateway.signs.run_patience, before)
 
 
 def test_errors_everywhere_stop_no_worker():
@@ -278,13 +279,13 @@
     for request in range(40):
         sent = of(io.Send, gateway.handle(request, [arrival(request)]))
         gateway.handle(request, [outcome(request, 0, sent[0].worker, R.ERROR), io.Abandoned(request)])
-    assert sum(worker.avoid_until > 40 for worker in gateway.workers.values()) < 4
+    assert sum(worker.avoid_until > 40 for worker in gateway.fleet.workers.values()) < 4
 
 
 def test_an_absurd_hint_does_not_distort_the_mean_of_the_work():
     gateway = started(settings(), 1)
     gateway.handle(1, [arrival(1, hint=10**15)])
-    assert gateway.mean_work < 2 * SAFE.deadline
+    assert gateway.desk.mean_work < 2 * SAFE.deadline
 
 
 def test_one_huge_job_does_not_distort_a_learned_pace():
@@ -292,7 +293,7 @@
     gateway.handle(1, [arrival(1, hint=1000)])
     gateway.handle(2, [io.Note(1, 0, 1)])
     gateway.handle(4_000_000, [outcome(1, 0, 1, R.OK, 4_000_000)])
-    assert gateway.workers[1].pace <= 1.3
+    assert gateway.fleet.workers[1].pace <= 1.3
 
 
 def test_peers_work_counts():
@@ -348,7 +349,7 @@
         actions = gateway.handle(2, [outcome(1, attempt, sends[0].worker, R.CONNECT_FAILED)])
         attempt += 1
     assert attempt == 10
-    assert all(gateway.workers[worker].avoid_until > 2 for worker in range(1, 11))
+    assert all(gateway.fleet.workers[worker].avoid_until > 2 for worker in range(1, 11))
 
 
 @pytest.mark.parametrize(("when", "again"), [(900_000, [io.Send]), (1_000_001, [io.Fail])])
@@ -401,15 +402,15 @@
     sent = of(io.Send, gateway.handle(1, [arrival()]))[0].worker
     for now in (30_000, 60_000, 200_000, 900_000):
         gateway.handle(now, [io.Timer(0)])
-    assert gateway.workers[sent].strikes == 0
+    assert gateway.fleet.workers[sent].strikes == 0
     gateway.handle(3_000_000, [io.Timer(0)])
-    assert gateway.workers[sent].strikes == 1  # two notes missed and no other sign: it is silent
+    assert gateway.fleet.workers[sent].strikes == 1  # two notes missed and no other sign: it is silent
 
 
 def test_some_jobs_are_tried_however_slow_the_fleet_seems():
     """All were refused at once after a slow spell, and nothing was left to learn from (i4460a8)."""
     gateway = started(settings(WORTHLESS_LATE), 1)
-    gateway.kinds[0].pace = 50.0
+    gateway.fleet.kinds[0].pace = 50.0
     assert of(io.Send, gateway.handle(1, [arrival()]))
 
 
@@ -441,10 +442,10 @@
     for position in range(200):
         gateway = started(blind(position=position), *(io.WorkerEntry(n, kind=n % 2) for n in range(1, 41)),
                           seed=position)
-        gateway.kinds[0].slots, gateway.kinds[0].pace = 3, 0.4
-        gateway.kinds[1].slots, gateway.kinds[1].pace = 2, 1.6
+        gateway.fleet.kinds[0].slots, gateway.fleet.kinds[0].pace = 3, 0.4
+        gateway.fleet.kinds[1].slots, gateway.fleet.kinds[1].pace = 2, 1.6
         for send in of(io.Send, gateway.handle(1, [arrival(n) for n in range(3)])):
-            got[gateway.workers[send.worker].entry.kind] += 1
+            got[gateway.fleet.workers[send.worker].entry.kind] += 1
     # Half of the workers can do six times as much as the other half.
     assert got[0] + got[1] == 600 and 4 < got[0] / got[1] < 9
 
@@ -470,11 +471,11 @@
 def test_a_cold_worker_gets_nothing_from_gateways_that_others_stand_in_for():
     config = settings(SAFE, price_connection=0.1, instances=40)
     gateway = started(config, *range(1, 101))
-    far = next(worker for worker in gateway.workers.values() if not worker.near)
+    far = next(worker for worker in gateway.fleet.workers.values() if not worker.near)
     far.started = 1
-    gateway.served.per_s = 1e9
-    gateway.now = 2
-    assert gateway._cold_allowance(far) == 0
+    gateway.desk.served.per_s = 1e9
+    gateway.desk.now = 2
+    assert gateway.cold.allowance(far) == 0
 
 
 def test_a_cold_worker_alone_gets_no_more_than_what_was_served_tells():
@@ -484,7 +485,7 @@
     now = 4_000_000
     gateway.handle(now, [listing(io.WorkerEntry(1, started=now), io.WorkerEntry(2, state=io.State.GONE),
                                  kind=io.Listing.CHANGES)])
-    gateway.workers[1].cap = 10**9
+    gateway.fleet.workers[1].cap = 10**9
     sent = 0
     for step in range(190):
         now += 10_000
@@ -504,7 +505,7 @@
         send = of(io.Send, gateway.handle(step + 1, [arrival(step)]))[0]
         met[send.worker] += 1
         gateway.handle(step + 1, [outcome(step, 0, send.worker, R.FULL, finished=True)])
-        gateway.workers[send.worker].avoid_until = 0
+        gateway.fleet.workers[send.worker].avoid_until = 0
     assert max(met.values()) < 150
 
 
@@ -514,7 +515,7 @@
     gateway = started(config, *range(1, 60))
     gateway.handle(1, [io.ProbeResult(worker, R.OK, 9, (float(worker == 8),)) for worker in range(1, 9)])
     gateway.handle(2, [arrival()])
-    looked_at = gateway._candidates(gateway.jobs[1], [gateway.workers[50]] * 17, [])
+    looked_at = gateway.pick.candidates(gateway.jobs[1], [gateway.fleet.workers[50]] * 17, [])
     assert {worker.id for worker in looked_at} <= {8, 50}
 
 
@@ -536,7 +537,7 @@
 
 def test_a_worker_gets_no_more_than_its_slots_however_well_it_has_served():
     gateway = reporting(1)
-    gateway.workers[1].cap = 50.0
+    gateway.fleet.workers[1].cap = 50.0
     late = 2_000_000  # the report is old by then
     assert of(io.Send, gateway.handle(late, [arrival(1, now=late), arrival(2, now=late)]))
     assert not of(io.Send, gateway.handle(late + 1, [arrival(3, now=late)]))
@@ -574,9 +575,9 @@
     for now, event in enumerate([listing(1, kind=io.Listing.CHANGES), restarted], 10):
         sends = of(io.Send, gateway.handle(now, [event, arrival(now, now=now)]))
         assert [send.worker for send in sends] == [2]
-    assert gateway.fleet.excluded(gateway.out, 20) == 1
+    assert gateway.fleet.excluded(20) == 1
     gateway.handle(21, [listing(2, kind=io.Listing.WHOLE)])  # what is not listed is not counted
-    assert gateway.fleet.excluded(gateway.out, 22) == 0
+    assert gateway.fleet.excluded(22) == 0
 
 
 def test_a_job_that_arrives_with_the_call_is_not_sent_there_any_more():
@@ -589,7 +590,7 @@
     gateway = started(settings(), 1, 2)
     serve(gateway, 400, 20_000)
     now = 8_000_000
-    gateway.workers[1].avoid_until, gateway.workers[1].slots_out = now + 10**9, 50.0
+    gateway.fleet.workers[1].avoid_until, gateway.fleet.workers[1].slots_out = now + 10**9, 50.0
     gateway.handle(now, [io.ByHand(1, True)])
     gateway.handle(now + 1, [io.ByHand(1, False)])
     gateway.handle(now + 2, [listing(1, 2, kind=io.Listing.WHOLE)])  # as it was listed before
@@ -604,9 +605,9 @@
     gateway.handle(1, [arrival(1, now=1)])
     for out in (True, False):
         gateway.handle(2, [io.ByHand(1, out)])
-    assert gateway.workers[1].slots_out == 0
+    assert gateway.fleet.workers[1].slots_out == 0
     gateway.handle(3, [outcome(1, 0, 1, io.Result.OK)])
-    assert gateway.workers[1].slots_out == 0
+    assert gateway.fleet.workers[1].slots_out == 0
 
 
 def test_what_may_have_run_at_a_worker_is_not_repeated_there_once_it_is_back():
@@ -645,7 +646,7 @@
     for step in range(5000):
         for sent in of(io.Send, gateway.handle(step, [arrival(step, now=step)])):
             gateway.handle(step, [outcome(step, 0, sent.worker, io.Result.OK)])
-    assert not gateway.jobs and len(gateway.timers.heap) <= 128
+    assert not gateway.jobs and len(gateway.desk.timers.heap) <= 128
 
 
 def test_jobs_given_up_while_they_wait_do_not_lengthen_the_queue():
@@ -655,4 +656,4 @@
     for step in range(20, 5000):
         gateway.handle(step, [arrival(step, now=step)])
         gateway.handle(step, [io.Abandoned(step)])
-    assert len(gateway.jobs) == 20 and all(len(queue.heap) <= 128 for queue in gateway.ring.queues)
+    assert len(gateway.jobs) == 20 and all(len(queue.heap) <= 128 for queue in gateway.tenants.ring.queues)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -127,15 +127,16 @@
 def test_what_is_waiting_keeps_its_class_and_its_tenant_s_credit_goes_by_name():
     old = settings(SAFE, UNSAFE, tenants=(io.Tenant(0.5), io.Tenant(0.3), io.Tenant(0.2)), may_copy=False)
     gateway = started(old, 1, 2)
-    first, second, third = gateway.ring.queues
+    ring = gateway.tenants.ring
+    first, second, third = ring.queues
     second.deficit = 7.0
-    gateway.workers[1].avoid_until = gateway.workers[2].avoid_until = 500
+    gateway.fleet.workers[1].avoid_until = gateway.fleet.workers[2].avoid_until = 500
     gateway.handle(1, [arrival(1, 1, now=1, tenant=2)])
     assert third.head() is not None
     new = settings(SAFE, tenants=(io.Tenant(0.6), io.Tenant(0.4)), may_copy=False)
     gateway.handle(2, [io.Retune(new, [0], [1, -1])])
-    assert gateway.ring.queues[0] is second and second.deficit == 0.0  # an empty class keeps no credit
-    assert gateway.ring.queues[2] is third and first not in gateway.ring.queues  # until its job has left
+    assert ring.queues[0] is second and second.deficit == 0.0  # an empty class keeps no credit
+    assert ring.queues[2] is third and first not in ring.queues  # until its job has left
     sends = of(io.Send, gateway.handle(300_000, []))
     assert [send.request for send in sends] == [1]
     final = gateway.handle(300_001, [outcome(1, 0, sends[0].worker, io.Result.RESET)])
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from carthinge.policy import DeficitRing
+from carthinge.policy.tenants import DeficitRing
 
 
 @dataclass
