--- /dev/null
+++ b/carthinge/model/scheduler.py
@@ -0,0 +1,261 @@
+"""A scheduler of the model: does with a module's actions what the real program does (net/exchange.py)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any, Final, Protocol
+
+from carthinge import interface as io
+from carthinge.model.agenda import Agenda, micros
+from carthinge.model.tally import Tally
+from carthinge.model.workers import MUTE, ModelWorker
+
+#: As in the real program: the answer has to arrive before the client leaves.
+ANSWER_MARGIN: Final = micros(timedelta(milliseconds=10))
+NO_ANSWER: Final = frozenset({io.Result.CONNECT_FAILED, io.Result.RESET, io.Result.TIMEOUT,
+                              io.Result.CANCELLED})
+
+
+class Module(Protocol):
+    """What decides: ``carthinge.Dispatcher``, or another that takes the same events."""
+
+    def handle(self, now: int, events: Sequence[io.Event]) -> Sequence[io.Action]: ...
+
+
+#: Makes a module from its settings and a seed.
+Make = Callable[[io.Settings, int], Module]
+
+
+class Client(Protocol):
+    """Who waits for an answer; the scheduler calls at the time when it is sent."""
+
+    def served(self) -> None: ...
+
+    def refused(self, stay_away: int) -> None: ...
+
+    def failed(self) -> None: ...
+
+
+class World(Protocol):
+    """What is around a scheduler."""
+
+    agenda: Agenda
+    tally: Tally
+    workers: dict[int, ModelWorker]
+
+    def worker_delay(self) -> int:
+        """Draws how long news to or from a worker is under way."""
+
+    def watch(self, scheduler: Scheduler) -> None:
+        """It asks discovery for the whole list and all changes."""
+
+    def tell(self, sender: Scheduler, body: bytes, to: int | None) -> None:
+        """A message to other schedulers."""
+
+    def attempt_work(self, work: int, job_class: int) -> int:
+        """Draws what an attempt takes of a job that takes ``work`` in the mean."""
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send."""
+
+    exchange: Exchange
+    number: int
+    worker: ModelWorker
+    sent: int
+    due: int
+    work: int = 0
+    open: bool = True
+    leaving: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """A client's request."""
+
+    number: int
+    client: Client
+    job_class: int
+    work: int
+    give_up: int
+    owed: bool = True
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+class Scheduler:
+    """One scheduler: its module, and the book of what is owed and what is out."""
+
+    def __init__(self, world: World, position: int) -> None:
+        self.position = position
+        self.module: Module | None = None  # None while it is down
+        self.watching = False
+        self.exchanges: dict[int, Exchange] = {}
+        self.attempts: set[Attempt] = set()  # that are open
+        self._world, self._agenda, self._tally = world, world.agenda, world.tally
+        self._events: list[io.Event] = []
+        self._count = self._wake = 0
+        self._carriers: dict[type, Callable[[Any], None]] = {
+            io.Send: self._send, io.Refuse: self._refuse, io.Fail: self._fail, io.Cancel: self._cancel,
+            io.SetTimer: self._set_timer, io.Probe: self._probe, io.Watch: self._watch, io.Tell: self._tell,
+            io.LogLine: lambda _: None}
+
+    def start(self, module: Module, listed: Sequence[io.WorkerEntry]) -> None:
+        """With nothing but the last list."""
+        self.module = module
+        self.hear(io.WorkerList(io.Listing.CACHED, listed))
+
+    def kill(self) -> list[Client]:
+        """All that it knew is gone, and all connections break; returns the clients that waited."""
+        clients = [exchange.client for exchange in self.exchanges.values() if exchange.owed]
+        for attempt in self.attempts:
+            attempt.open = False
+        self.module, self.watching = None, False
+        self.attempts.clear()
+        self.exchanges.clear()
+        self._events.clear()
+        self._wake = 0
+        return clients
+
+    # ---- what happens ---------------------------------------------------------------------
+
+    def take(self, client: Client, work: int, patience: int, arrival: io.Arrival) -> Exchange:
+        """A request has come; its number and the time up to which it may be answered are set here."""
+        self._count += 1
+        give_up = self._agenda.now + patience - ANSWER_MARGIN
+        exchange = Exchange(self._count, client, arrival.job_class, work, give_up)
+        self.exchanges[exchange.number] = exchange
+        arrival.request, arrival.give_up = exchange.number, give_up
+        self.hear(arrival)
+        return exchange
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Its client has left."""
+        if exchange.owed and self.exchanges.get(exchange.number) is exchange:
+            exchange.owed = False
+            self.hear(io.Abandoned(exchange.number))
+            self._forget_if_over(exchange)
+
+    def note(self, attempt: Attempt, done: float | None) -> None:
+        """News of an attempt has come."""
+        if attempt.open:
+            self.hear(io.Note(attempt.exchange.number, attempt.number, attempt.worker.entry.worker, done))
+
+    def end(self, attempt: Attempt, result: io.Result, report: tuple[float, ...]) -> None:
+        """An attempt has ended; only its first end counts."""
+        if attempt.open:
+            self._close(attempt, result, report)
+            self._decide()
+
+    def _close(self, attempt: Attempt, result: io.Result, report: tuple[float, ...] = ()) -> None:
+        attempt.open = False
+        self.attempts.discard(attempt)
+        exchange, worker = attempt.exchange, attempt.worker
+        if result in NO_ANSWER and worker.ill in MUTE:
+            worker.found = True
+        if result is io.Result.OK and exchange.owed:
+            exchange.owed = False
+            exchange.client.served()
+        self._events.append(io.Outcome(exchange.number, attempt.number, worker.entry.worker, result,
+                                       self._agenda.now - attempt.sent, not exchange.owed, report))
+        self._forget_if_over(exchange)
+
+    def _time_out(self, attempt: Attempt) -> None:
+        if attempt.open:
+            self._withdraw(attempt)
+            if attempt.due >= attempt.exchange.give_up:
+                self.end(attempt, io.Result.TIMEOUT, ())
+
+    def hear(self, event: io.Event) -> None:
+        """Something has happened; what is decided about it is done at once."""
+        if self.module is not None:
+            self._events.append(event)
+            self._decide()
+
+    def _decide(self) -> None:
+        while self._events and self.module is not None:
+            events, self._events = self._events, []
+            for action in self.module.handle(self._agenda.now, events):
+                self._carriers[type(action)](action)
+
+    # ---- what is decided ------------------------------------------------------------------
+
+    def _send(self, action: io.Send) -> None:
+        exchange, now = self.exchanges[action.request], self._agenda.now
+        due = min(exchange.give_up, now + action.timeout) if action.timeout else exchange.give_up
+        worker = self._world.workers[action.worker]
+        attempt = Attempt(exchange, len(exchange.attempts), worker, now, due)
+        exchange.attempts.append(attempt)
+        if not exchange.owed or due <= now:
+            self._close(attempt, io.Result.MOOT)
+            return
+        self.attempts.add(attempt)
+        attempt.work = self._world.attempt_work(exchange.work, exchange.job_class)
+        self._count_send(worker).attempts += 1
+        self._agenda.at(due, self._time_out, attempt)
+        self._agenda.at(now + self._world.worker_delay(), worker.take, attempt, self)
+
+    def _count_send(self, worker: ModelWorker) -> Any:
+        second = self._tally.at(self._agenda.now)
+        second.to_bad += worker.found and worker.ill in MUTE
+        return second
+
+    def _cancel(self, action: io.Cancel) -> None:
+        exchange = self.exchanges.get(action.request)
+        if exchange is not None and (attempt := exchange.attempts[action.attempt]).open:
+            self._withdraw(attempt)
+
+    def _withdraw(self, attempt: Attempt) -> None:
+        """The end is told once the worker knows: the module may send the next attempt at once."""
+        if not attempt.leaving:
+            attempt.leaving = True
+            self._agenda.at(self._agenda.now + self._world.worker_delay(), attempt.worker.withdraw, attempt,
+                            self)
+
+    def _refuse(self, action: io.Refuse) -> None:
+        exchange = self.exchanges.get(action.request)
+        if exchange is not None and exchange.owed:
+            exchange.owed = False
+            exchange.client.refused(action.stay_away)
+            self._forget_if_over(exchange)
+
+    def _fail(self, action: io.Fail) -> None:
+        exchange = self.exchanges.get(action.request)
+        if exchange is not None and exchange.owed:
+            exchange.owed = False
+            exchange.client.failed()
+            self._forget_if_over(exchange)
+
+    def _set_timer(self, action: io.SetTimer) -> None:
+        """An earlier wake takes the place of the one before."""
+        self._wake = action.due
+        self._agenda.at(action.due, self._wake_up, action, self.module)
+
+    def _wake_up(self, action: io.SetTimer, module: Module) -> None:
+        if self._wake == action.due and self.module is module:
+            self._wake = 0
+            self.hear(io.Timer(action.token))
+
+    def _probe(self, action: io.Probe) -> None:
+        worker, now = self._world.workers[action.worker], self._agenda.now
+        self._count_send(worker).probes += 1
+        module = self.module
+
+        def answer(number: int, result: io.Result, report: tuple[float, ...]) -> None:
+            worker.found |= result is not io.Result.OK
+            if self.module is module:
+                self.hear(io.ProbeResult(number, result, self._agenda.now - now, report))
+
+        self._agenda.at(now + self._world.worker_delay(), worker.probe, answer)
+
+    def _watch(self, _: io.Watch) -> None:
+        self._world.watch(self)
+
+    def _tell(self, action: io.Tell) -> None:
+        self._world.tell(self, action.body, action.to)
+
+    def _forget_if_over(self, exchange: Exchange) -> None:
+        if not exchange.owed and not any(attempt.open for attempt in exchange.attempts):
+            self.exchanges.pop(exchange.number, None)
