--- a/carthinge/model/scheduler.py
+++ b/carthinge/model/scheduler.py
@@ -69,7 +69,7 @@
     due: int
     work: int = 0
     open: bool = True
-    leaving: bool = False
+    leaves_as: io.Result | None = None  # it was given up, but its worker may not know yet
 
 
 @dataclass(slots=True, eq=False)
@@ -146,7 +146,8 @@
     def end(self, attempt: Attempt, result: io.Result, report: tuple[float, ...]) -> None:
         """An attempt has ended; only its first end counts."""
         if attempt.open:
-            self._close(attempt, result, report)
+            given_up = attempt.leaves_as if result is io.Result.CANCELLED else None
+            self._close(attempt, given_up or result, report)
             self._decide()
 
     def _close(self, attempt: Attempt, result: io.Result, report: tuple[float, ...] = ()) -> None:
@@ -164,7 +165,7 @@
 
     def _time_out(self, attempt: Attempt) -> None:
         if attempt.open:
-            self._withdraw(attempt)
+            self._withdraw(attempt, io.Result.TIMEOUT)
             if attempt.due >= attempt.exchange.give_up:
                 self.end(attempt, io.Result.TIMEOUT, ())
 
@@ -205,12 +206,12 @@
     def _cancel(self, action: io.Cancel) -> None:
         exchange = self.exchanges.get(action.request)
         if exchange is not None and (attempt := exchange.attempts[action.attempt]).open:
-            self._withdraw(attempt)
+            self._withdraw(attempt, io.Result.CANCELLED)
 
-    def _withdraw(self, attempt: Attempt) -> None:
+    def _withdraw(self, attempt: Attempt, result: io.Result) -> None:
         """The end is told once the worker knows: the module may send the next attempt at once."""
-        if not attempt.leaving:
-            attempt.leaving = True
+        if attempt.leaves_as is None:
+            attempt.leaves_as = result
             self._agenda.at(self._agenda.now + self._world.worker_delay(), attempt.worker.withdraw, attempt,
                             self)
 
