--- a/benchmarks/fleet_overload.py
+++ b/benchmarks/fleet_overload.py
@@ -172,7 +172,7 @@
         for schedulers in (20, 200):
             tally = play(replace(world, schedulers=schedulers, troubles=(trouble,),
                                  loads=spans((before + lasts, 0.6))), make, seed)
-            count = round(0.05 * world.workers)
+            count = max(1, round(0.05 * world.workers))
             rates = [second.to_bad / count for second in tally.seconds[before:before + lasts]]
             figures[f"{ill.value}_{schedulers}"] = round(sum(rates) / lasts, 2)
             figures[f"{ill.value}_{schedulers}_later_half"] = round(sum(rates[lasts // 2:]) * 2 / lasts, 2)
--- a/carthinge/model/play.py
+++ b/carthinge/model/play.py
@@ -127,7 +127,8 @@
     def _befall(self, trouble: Trouble, rng: Random) -> None:
         """Workers that are ill already are passed over."""
         now, well = self.agenda.now, [worker for worker in self.workers.values() if worker.ill is None]
-        for worker in rng.sample(well, min(len(well), round(trouble.part * len(self.workers)))):
+        count = max(1, round(trouble.part * len(self.workers)))
+        for worker in rng.sample(well, min(len(well), count)):
             worker.fall_ill(trouble.ill, trouble.size)
             over = now + micros(trouble.lasts)
             if trouble.noticed is not None and trouble.noticed < trouble.lasts:
--- a/carthinge/model/world.py
+++ b/carthinge/model/world.py
@@ -107,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Trouble:
-    """Something that befalls a share of the workers, or so many, for a span of time."""
+    """Something that befalls a share of the workers, and one at the least, for a span of time."""
 
     ill: Ill
     at: timedelta
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -1,7 +1,12 @@
 """The model of a fleet: what it must conserve, and that it does with actions what the real program does."""
 
+import json
+import os
+import subprocess
+import sys
 from dataclasses import replace
 from datetime import timedelta
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -320,3 +325,15 @@
     again = [time for time, _ in came[len(first):]]
     assert min(again) >= min(first) + (700_000 if honour else 50_000)
     assert max(again) > 1_400_000 if honour else max(again) < 400_000
+
+
+def test_the_benchmark_ends_with_its_figures_as_json():
+    bench = Path(__file__).parent.parent / "benchmarks" / "fleet_overload.py"
+    command = [sys.executable, bench, "--quick", "--schedulers", "3", "--workers", "3", "--family", "blind"]
+    shown = subprocess.run(command, capture_output=True, text=True, check=True, cwd=bench.parent.parent,
+                           env={**os.environ, "PYTHONPATH": "."}).stdout
+    figures = json.loads(shown.splitlines()[-1])["blind"]
+    assert 0 < figures["worth_share"] < 1 < figures["attempts_per_job_peak"]
+    assert {"recovery_s", "retry_after_peak_ratio", "calm", "herd"} < figures.keys()
+    assert {f"{ill}_{count}" for ill in ("refuses", "silent") for count in (20, 200)} < set(
+        figures["probes_per_bad_worker_s"])
