--- a/carthinge/model/scheduler.py
+++ b/carthinge/model/scheduler.py
@@ -14,6 +14,7 @@
 
 #: As in the real program: the answer has to arrive before the client leaves.
 ANSWER_MARGIN: Final = micros(timedelta(milliseconds=10))
+ANSWER_SHARE: Final = 0.05  # of a patience, at the most, as in the real program's book
 NO_ANSWER: Final = frozenset({io.Result.CONNECT_FAILED, io.Result.RESET, io.Result.TIMEOUT,
                               io.Result.CANCELLED})
 
@@ -124,7 +125,7 @@
     def take(self, client: Client, work: int, patience: int, arrival: io.Arrival) -> Exchange:
         """A request has come; its number and the time up to which it may be answered are set here."""
         self._count += 1
-        give_up = self._agenda.now + patience - ANSWER_MARGIN
+        give_up = self._agenda.now + patience - min(ANSWER_MARGIN, int(ANSWER_SHARE * patience))
         exchange = Exchange(self._count, client, arrival.job_class, work, give_up)
         self.exchanges[exchange.number] = exchange
         arrival.request, arrival.give_up = exchange.number, give_up
--- a/tests/test_deployment_settings.py
+++ b/tests/test_deployment_settings.py
@@ -121,7 +121,7 @@
 def test_classes_with_unlike_deadlines_wait_each_up_to_its_own(job_class, patience):
     gateway = started(settings(SAFE, LONG, **TOLD), 1)
     fill(gateway, 1)
-    gateway.workers[1].avoid_until = 10**9
+    gateway.fleet.workers[1].avoid_until = 10**9
     grace = gateway.settings.answer_grace
     gateway.handle(2, [io.Arrival(1, job_class, 2 + patience, hint=50_000)])
     assert io.Refuse(1) not in gateway.handle(patience - grace - 10, [io.Timer(0)])
@@ -147,6 +147,6 @@
     dear = replace(KEYED, worth=8.0, window=40_000_000)
     gateway = started(settings(dear, SAFE, may_copy=False), *cells)
     first = of(io.Send, gateway.handle(1, [arrival()]))[0].worker
-    gateway.workers[{1: 2, 2: 1, 3: 4, 4: 3}[first]].avoid_until = 10**9  # the only other one of its cell
+    gateway.fleet.workers[{1: 2, 2: 1, 3: 4, 4: 3}[first]].avoid_until = 10**9  # the only other one of its cell
     gateway.handle(2, [outcome(1, 0, first, R.ERROR)])
     assert of(io.Send, gateway.handle(3, [arrival(2, job_class=1)]))
