--- a/tests/test_deployment_settings.py
+++ b/tests/test_deployment_settings.py
@@ -122,7 +122,7 @@
     gateway = started(settings(SAFE, LONG, **TOLD), 1)
     fill(gateway, 1)
     gateway.fleet.workers[1].avoid_until = 10**9
-    grace = gateway.settings.answer_grace
+    grace = gateway.desk.settings.answer_grace
     gateway.handle(2, [io.Arrival(1, job_class, 2 + patience, hint=50_000)])
     assert io.Refuse(1) not in gateway.handle(patience - grace - 10, [io.Timer(0)])
     assert io.Refuse(1) in gateway.handle(2 + patience - grace, [io.Timer(0)])
@@ -147,6 +147,7 @@
     dear = replace(KEYED, worth=8.0, window=40_000_000)
     gateway = started(settings(dear, SAFE, may_copy=False), *cells)
     first = of(io.Send, gateway.handle(1, [arrival()]))[0].worker
-    gateway.fleet.workers[{1: 2, 2: 1, 3: 4, 4: 3}[first]].avoid_until = 10**9  # the only other one of its cell
+    # The only other one of its cell is avoided.
+    gateway.fleet.workers[{1: 2, 2: 1, 3: 4, 4: 3}[first]].avoid_until = 10**9
     gateway.handle(2, [outcome(1, 0, first, R.ERROR)])
     assert of(io.Send, gateway.handle(3, [arrival(2, job_class=1)]))
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -203,7 +203,7 @@
     class Recorded(Dispatcher):
         def handle(self, now, events):
             actions = super().handle(now, events)
-            seen.append((now, self.settings.position, [repr(event) for event in events],
+            seen.append((now, self.desk.settings.position, [repr(event) for event in events],
                          [repr(action) for action in actions]))
             return actions
 
