Keep a key's jobs together, count waits seen without reports, and give silence a budget

Keys were ignored unless a fetch had a price. Workers fetch programs while jobs hold their slots, from one store; with jobs anywhere nearly all are fetched. Silent attempts were called off and sent again without limit, by workers that do withdrawn work all the same.

--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -7,29 +7,30 @@
 
 from carthinge import interface as io
 from carthinge.fleet import Fleet, Loads
-from carthinge.records import Attempt, Job, Rate, Timers, Worker
+from carthinge.records import Attempt, Heat, Job, Queue, Rate, Timers, Worker
 
 
 class Desk:
     """Each part is handed the desk of its dispatcher, and the parts that it asks.  No decisions."""
 
     __slots__ = ("settings", "rng", "now", "actions", "jobs", "fleet", "freed", "timers", "after",
-                 "mean_work", "served", "arrivals")
+                 "mean_work", "served", "arrivals", "heat", "queue")
 
     def __init__(self, settings: io.Settings, seed: int,
-                 part: Callable[[io.Settings, list[Worker]], list[Worker]]) -> None:
+                 part: Callable[[Desk, list[Worker]], list[Worker]]) -> None:
         self.settings = settings
         self.rng = Random(seed)
         self.now = 0
         self.actions: list[io.Action] = []
         self.jobs: dict[int, Job] = {}
         self.fleet = Fleet(settings.price_connection > 0 and settings.price_fetch <= 0,
-                           lambda pool: part(self.settings, pool))
+                           lambda pool: part(self, pool))
         self.freed: list[Worker] = []  # where a slot may have come free in this call
         self.timers = Timers()
         self.after = self.timers.add
         self.mean_work = float(self.shortest())
         self.served, self.arrivals = Rate(), Rate()
+        self.heat, self.queue = Heat(), Queue()
 
     def shortest(self) -> int:
         """The least objective of all classes."""
--- a/carthinge/fleet.py
+++ b/carthinge/fleet.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_left
 from collections.abc import Callable, Iterable, Iterator
+from heapq import nlargest
 from random import Random
 from struct import Struct
 from typing import Final
@@ -13,6 +13,7 @@
 from carthinge.records import Kind, Worker, mix
 
 LOAD_ENTRY: Final = Struct("<HBB")
+HOMES_KEPT: Final = 2048  # keys whose workers are not looked for anew: to hash with all costs time
 
 
 class Loads:
@@ -40,7 +41,7 @@
     """All known workers, and the listed ones by machine kind in an order that all dispatchers share."""
 
     __slots__ = ("workers", "kinds", "tags", "near", "out", "version", "_together", "_part", "_pools",
-                 "_points", "_groups", "_peers")
+                 "_homes", "_groups", "_peers")
 
     def __init__(self, together: bool, part: Callable[[list[Worker]], list[Worker]]) -> None:
         self.workers: dict[int, Worker] = {}
@@ -52,7 +53,7 @@
         self._together = together  # workers of a cell stand side by side
         self._part = part
         self._pools: dict[int, list[Worker]] = {}
-        self._points: list[int] = []
+        self._homes: dict[int, list[Worker]] = {}
         self._peers: dict[int, list[tuple[Worker, float, float]]] = {}  # what each has told of last
         self._groups: dict[int, list[list[Worker]]] = {}  # of the pools kept here and of ``near``, by id()
 
@@ -133,6 +134,7 @@
         self.version += 1
         self._pools.clear()
         self._groups.clear()
+        self._homes.clear()
         for worker in self.near:
             worker.near = False
         self.near = self._part(self.pool(-1))
@@ -146,8 +148,6 @@
             ready = [worker for worker in self.workers.values() if worker.ready]
             pool = sorted((w for w in ready if kind in (-1, w.entry.kind)), key=self._place)
             self._pools[kind] = pool
-            if kind == -1:
-                self._points = [worker.point for worker in pool]
         return pool
 
     def by_kind(self, pool: list[Worker]) -> list[list[Worker]]:
@@ -163,10 +163,16 @@
         return groups
 
     def homes(self, key: int, count: int) -> list[Worker]:
-        """The workers that a consistent hash gives a key, the first most likely to keep it."""
-        ring = self.pool(-1)
-        start = bisect_left(self._points, mix(key))
-        return [ring[(start + step) % len(ring)] for step in range(min(count, len(ring)))]
+        """The workers that a key belongs to, the first most likely to keep it: those of the highest hashes
+        with it, so that each worker gets as many keys as any other, and only a leaving one's keys move.
+        """
+        homes = self._homes.get(key, [])
+        if len(homes) < min(count, len(pool := self.pool(-1))):
+            if len(self._homes) >= HOMES_KEPT:
+                self._homes.clear()
+            mixed = mix(key)
+            homes = self._homes[key] = nlargest(count, pool, key=lambda worker: mix(worker.point ^ mixed))
+        return homes[:count]
 
     def _place(self, worker: Worker) -> int:
         return worker.point + (mix(worker.entry.cell + 1) << 64 if self._together else 0)
--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -14,7 +14,8 @@
 CAP_FLOOR: Final = 0.5
 CAP_FALL: Final = 0.7
 UNTROUBLED: Final = frozenset({io.Result.OK, io.Result.CANCELLED, io.Result.MOOT})
-COPY_SHARE: Final = 0.1  # second copies as a share of arrivals, so that trouble everywhere starts no storm
+AGAIN_SHARE: Final = 0.1  # of served jobs: attempts made again, or twice, because one is silent
+AGAIN_MOST: Final = 10.0
 HEDGE_AFTER: Final = 3.0  # times the usual time to a start: what has not begun by then waits in a queue
 PATIENCE_START: Final = 4.0  # of the expected time to a sign, until a better one is learned
 RUN_PATIENCE: Final = (3.0, 8.0, 30.0)  # times a run's span: the least, at the start, the most
@@ -81,11 +82,7 @@
     def __init__(self, desk: Desk, reports: Reports, doubts: Doubts, cold: ColdBudget) -> None:
         self.desk, self.reports, self.doubts, self.cold = desk, reports, doubts, cold
         self.pick, self.signs = Pick(desk, reports, cold), Signs(desk)
-        self._copies = 1.0
-
-    def earn(self) -> None:
-        """Each job has its part of a second copy."""
-        self._copies = min(self._copies + COPY_SHARE, 10.0)
+        self._again = 1.0  # attempts that silence may cost; without it, slowness everywhere starts a storm
 
     def send(self, job: Job, worker: Worker) -> None:
         desk = self.desk
@@ -114,7 +111,9 @@
             if event.begun and not attempt.begun:
                 self.signs.begun(attempt)
                 self.signs.started(attempt)
-                attempt.begun = self.desk.now
+                now = attempt.begun = self.desk.now
+                attempt.worker.queue.add(now - attempt.sent, now)
+                self.desk.queue.add(now - attempt.sent, now, GAIN)
                 if attempt.job.open > 1 and attempt.job.hedged:
                     self.call_off(attempt.job, attempt)
                 self.attend(attempt)
@@ -130,6 +129,7 @@
         if result is io.Result.OK:
             self.doubts.heard(worker)
             worker.refusals = worker.errors = 0
+            self._again = min(self._again + AGAIN_SHARE, AGAIN_MOST)
             self.desk.served.add(job.work, now)
             (self.signs.ran if attempt.begun else self.signs.begun)(attempt)
             worker.cap += 1.0 / max(1.0, worker.cap)
@@ -151,10 +151,12 @@
             self.signs.prompt *= 1 + GAIN / 2
             self._copy(attempt.job)
 
-    def _copy(self, job: Job) -> None:
-        if self.desk.now < job.give_up and (choice := self.pick.best(job, self.pick.eligible(job))):
+    def _copy(self, job: Job) -> bool:
+        choice = self.pick.best(job, self.pick.eligible(job)) if self.desk.now < job.give_up else None
+        if choice:
             job.queue.deficit -= job.cost  # a copy is its tenant's to pay
             self.send(job, choice)
+        return choice is not None
 
     def _check(self, attempt: Attempt) -> None:
         """No start, progress or answer in time: the worker may take jobs and answer none (hang)."""
@@ -168,11 +170,13 @@
                 self.desk.after(due, self._check, attempt)
             return
         self.doubts.doubt(worker)
-        if settings.may_copy:
-            if not job.answered and job.open < 2 and self._copies >= 1:
-                self._copies -= 1
-                self._copy(job)
+        if self._again < 1:
+            if attempt.open and not settings.may_copy:
+                self.attend(attempt)
+        elif settings.may_copy:
+            self._again -= not job.answered and job.open < 2 and (self._copy(job) or True)
         elif worker.strikes and settings.may_cancel and any(
                 self.pick.may_repeat(other, job) for other in self.pick.eligible(job)):
+            self._again -= 1
             job.silent = attempt.begun > 0  # it is called off, and its end sends the job back to its heap
             self.desk.actions.append(io.Cancel(job.id, attempt.number))
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -80,7 +80,11 @@
         self.jobs[job.id] = job
         desk.mean_work += (work - desk.mean_work) * GAIN / 5
         desk.arrivals.add(1.0, desk.now)
-        self.attempts.earn()
+        if event.key:
+            first = not desk.heat
+            desk.heat.add(event.key)
+            if first:
+                self.fleet.renew()
         attach(self, job, sent)
         if not job.open:
             self.enqueue(job)
@@ -151,7 +155,8 @@
     def _dispatchable(self, job: Job) -> bool:
         """Unless every eligible worker is busy; a blocked head looks again when one frees up."""
         desk = self.desk
-        if desk.now < job.look_at and job.list_seen == desk.fleet.version:
+        known = desk.now < job.look_at and job.list_seen == desk.fleet.version
+        if known and not (job.key and desk.freed):  # one of them may be the key's home
             estimate = self.pick.estimate
             job.choice = next((worker for worker in desk.freed if estimate(worker, job) is not None), None)
             return job.choice is not None
--- a/carthinge/policy/pick.py
+++ b/carthinge/policy/pick.py
@@ -16,14 +16,20 @@
 TIE_WORK: Final = 0.1  # of outstanding work that fits its slots: least work decides among free workers
 STRETCH_USED: Final = 0.8  # of the stretch: the rest is for what a hint or a pace is off
 KEY_HOMES: Final = 3  # workers that may keep a key, the first most likely
+QUEUE_USUAL: Final = 0.5  # of the least objective, at the most: what is not seen keeps no worker out
 NEAR_COVER: Final = 8  # gateways to a worker, at the least, where each keeps to a part of the fleet
 
 
-def near(settings: io.Settings, pool: list[Worker]) -> list[Worker]:
-    """This gateway's part of a large fleet, where connections have a price: all are covered alike."""
+def near(desk: Desk, pool: list[Worker]) -> list[Worker]:
+    """This gateway's part of a large fleet, where connections have a price: all are covered alike.
+
+    Not where jobs carry keys: those of a key belong together, whichever gateway has them.
+    """
+    settings = desk.settings
     size = max(SAMPLE, NEAR_COVER * len(pool) // settings.instances)
     start = settings.position * len(pool) // settings.instances
-    return (pool + pool)[start:start + size] if settings.price_connection > 0 and size < len(pool) else pool
+    apart = settings.price_connection > 0 and size < len(pool) and not desk.heat
+    return (pool + pool)[start:start + size] if apart else pool
 
 
 class Pick:
@@ -54,13 +60,11 @@
     def _least(self, job: Job, pool: list[Worker]) -> Worker | None:
         best: Worker | None = None
         least, ties = math.inf, 0
-        # Gateways agree, without talking, where to look for a key.
-        keyed = job.key and self.desk.settings.price_fetch > 0
-        homes = self.desk.fleet.homes(job.key, KEY_HOMES) if keyed else []
+        wide, homes = self.homes(job)
         for worker in self.candidates(job, pool, homes):
             if (estimate := self.estimate(worker, job)) is not None:
-                if homes:  # the further from its first home, the likelier it has to fetch the key
-                    far = homes.index(worker) if worker in homes else KEY_HOMES
+                if homes:  # the further from its first homes, the likelier it has to fetch the key
+                    far = max(0, homes.index(worker) - wide) if worker in homes else KEY_HOMES
                     estimate += FETCH_WORK * self.desk.mean_work * far / KEY_HOMES
                 # Ties are drawn for; else the next in line after ineligible ones gets their part.
                 ties = 1 if estimate < least else ties + (estimate == least)
@@ -68,6 +72,15 @@
                     best, least = worker, estimate
         return best
 
+    def homes(self, job: Job) -> tuple[int, list[Worker]]:
+        """Where gateways agree, without talking, to look for a job's key, and at how many besides the first
+        it is as likely: a key that many jobs carry needs many workers, and others' jobs are not seen."""
+        if not job.key:
+            return 0, []
+        desk, instances = self.desk, self.desk.settings.instances
+        wide = int(desk.heat.share(job.key) * len(desk.fleet.pool(-1)) * (1 - 1 / instances))
+        return wide, desk.fleet.homes(job.key, wide + KEY_HOMES)
+
     def candidates(self, job: Job, pool: list[Worker], homes: list[Worker]) -> list[Worker]:
         """The workers that are looked at."""
         if len(pool) <= SAMPLE:
@@ -140,6 +153,10 @@
         work = (worker.work_out + worker.peer_work) / size
         queued = max(0.0, slots + job.slots - size) / max(slots, 1.0)
         wait = work * (TIE_WORK + min(1.0, queued))
+        if settings.reports is io.Reports.OFF:  # nothing else tells what others have sent there
+            now, others = self.desk.now, 1 - 1 / settings.instances
+            usual = min(self.desk.queue.left(now), QUEUE_USUAL * self.desk.shortest())
+            wait = max(wait, others * worker.queue.left(now, usual))
         if rated and settings.weights is io.Weights.LIVE:
             held = worker.pool.size / worker.entry.rating - 1.0
             wait = max(wait / 2, (TIE_WORK * held + max(0.0, held - 0.9)) * self.desk.mean_work * pace)
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -58,6 +58,7 @@
     refusals: int = 0  # in a row
     errors: int = 0  # in a row
     heard_at: int = 0
+    queue: Queue = field(default_factory=lambda: Queue())
     sent_at: int = -(1 << 62)  # when it last got a job from here, long ago for never
     well_at: int = 0  # when a job last ended there within its usual span
     cold_slot: int = -1  # while cold: the span of time that the allowance is for
@@ -237,6 +238,47 @@
         return heap[0][-1] if heap else None
 
 
+@dataclass(slots=True, eq=False)
+class Queue:
+    """How long jobs that began at a worker, or at any, had waited for it: what others send shows there."""
+
+    wait: float = 0.0
+    seen: int = 0
+
+    def add(self, wait: float, now: int, gain: float = 1.0) -> None:
+        self.wait += (wait - self.wait) * gain
+        self.seen = now
+
+    def left(self, now: int, usual: float = 0.0) -> float:
+        """What is likely now: the older the news, the nearer to what is usual."""
+        return usual + (self.wait - usual) * math.exp((self.seen - now) / 1e6 / RATE_MEMORY)
+
+
+class Heat:
+    """What part of the jobs each key has lately: the last thousand count in full, those before half."""
+
+    MOST: Final = 1000
+
+    def __init__(self) -> None:
+        self._counts: dict[int, float] = {}
+        self._total = 0.0
+
+    def __bool__(self) -> bool:
+        """Whether jobs carry keys here at all."""
+        return bool(self._counts)
+
+    def add(self, key: int) -> None:
+        self._counts[key] = self._counts.get(key, 0.0) + 1
+        self._total += 1
+        if self._total >= self.MOST:
+            self._counts = {key: count / 2 for key, count in self._counts.items() if count > 1}
+            self._total /= 2
+
+    def share(self, key: int) -> float:
+        """Of all jobs; a few of them say little, and one that comes first may be one of many elsewhere."""
+        return self._counts.get(key, 0.0) / max(self._total, self.MOST / 50)
+
+
 @dataclass(slots=True, eq=False)
 class Rate:
     """A decaying rate of what is added to it."""
