--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -36,7 +36,9 @@
     def expected(self, worker: Worker, job: Job) -> float:
         """Time to the first sign of an attempt: its start where that is told, else its answer."""
         run = 0.0 if self.desk.settings.tells_start else job.work * worker.known_pace()
-        return job.spec.objective * SIGN_LEAST + run + worker.work_out / max(1.0, worker.pool.slots)
+        blind = self.desk.settings.reports is io.Reports.OFF  # what is usual at all workers is not silence
+        seen = self.desk.queue.left(self.desk.now) if blind else 0.0
+        return job.spec.objective * SIGN_LEAST + run + seen + worker.work_out / max(1.0, worker.pool.slots)
 
     def due(self, attempt: Attempt) -> int:
         """How long from its send, its start or its last sign it is waited for."""
--- a/carthinge/policy/pick.py
+++ b/carthinge/policy/pick.py
@@ -15,6 +15,7 @@
 FETCH_WORK: Final = 1.0  # of a mean job: what a worker that does not keep the key is taken to fetch
 TIE_WORK: Final = 0.1  # of outstanding work that fits its slots: least work decides among free workers
 STRETCH_USED: Final = 0.8  # of the stretch: the rest is for what a hint or a pace is off
+KEY_WIDE: Final = 3.0  # times the workers that a key's part of all jobs fills: each has other keys as well
 KEY_HOMES: Final = 3  # workers that may keep a key, the first most likely
 QUEUE_USUAL: Final = 0.5  # of the least objective, at the most: what is not seen keeps no worker out
 NEAR_COVER: Final = 8  # gateways to a worker, at the least, where each keeps to a part of the fleet
@@ -78,7 +79,7 @@
         if not job.key:
             return 0, []
         desk, instances = self.desk, self.desk.settings.instances
-        wide = int(desk.heat.share(job.key) * len(desk.fleet.pool(-1)) * (1 - 1 / instances))
+        wide = int(KEY_WIDE * desk.heat.share(job.key) * len(desk.fleet.pool(-1)) * (1 - 1 / instances))
         return wide, desk.fleet.homes(job.key, wide + KEY_HOMES)
 
     def candidates(self, job: Job, pool: list[Worker], homes: list[Worker]) -> list[Worker]:
