Send nothing more to a worker where a job from here waits in line

Cause: with three schedulers each sends by its own count of a worker's slots, or by a report up to 1.4 s old; half of the light jobs that came late had stood 0.7 to 1 s in a worker's line, behind close-run of others. An attempt that has not begun in three times the usual time to a start (what a second copy goes by already) marks its worker busy until it begins or ends. The heap also drops an entry once its job was placed anew.

--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -146,7 +146,7 @@
     for attempt in job.attempts:
         if attempt.open:
             attempt.open = attempt.may_have_run = False  # for this one: no check of it is due any more
-            attempt.worker.put_down(job)
+            attempt.leave()
 
 
 def recall(dispatcher: Decisions, memory: Memory) -> None:
--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -94,8 +94,8 @@
             worker.cold_left -= job.work
         desk.actions.append(io.Send(job.id, worker.id))
         self.attend(attempt)
-        if job.hedged:
-            desk.after(desk.now + int(HEDGE_AFTER * self.signs.prompt), self._hedge, attempt)
+        if desk.settings.tells_start:
+            desk.after(desk.now + int(HEDGE_AFTER * self.signs.prompt), self._waits, attempt)
 
     def attend(self, attempt: Attempt) -> None:
         """Looks at it again when it ought to have given a sign."""
@@ -114,7 +114,8 @@
             if event.begun and not attempt.begun:
                 self.signs.begun(attempt)
                 self.signs.started(attempt)
-                attempt.begun = self.desk.now
+                attempt.begin(self.desk.now)
+                self.desk.freed.append(attempt.worker)
                 if attempt.job.open > 1 and attempt.job.hedged:
                     self.call_off(attempt.job, attempt)
                 self.attend(attempt)
@@ -144,9 +145,12 @@
             self.doubts.failed(worker, result)
         self.desk.freed.append(worker)
 
-    def _hedge(self, attempt: Attempt) -> None:
+    def _waits(self, attempt: Attempt) -> None:
         """An attempt that has not begun waits in a queue: a copy may begin sooner elsewhere."""
-        if attempt.open and not attempt.begun and not attempt.job.answered:
+        if not attempt.open or attempt.begun:
+            return
+        attempt.stand(True)  # more would wait there, out of reach of worth
+        if attempt.job.hedged and not attempt.job.answered:
             attempt.alone = False  # and its delay is counted here, not again at its start
             self.signs.prompt *= 1 + GAIN / 2
             self._copy(attempt.job)
--- a/carthinge/policy/pick.py
+++ b/carthinge/policy/pick.py
@@ -105,6 +105,8 @@
             return None
         if worker.errors >= ERRORS_ILL and worker.slots_out:
             return None  # one at a time, to see whether it serves again
+        if worker.in_line:
+            return None  # others have its slots, whatever a report or the count here says
         if job.attempts and not self.may_repeat(worker, job):
             return None
         if self.cold.is_cold(worker) and not self.cold.allows(worker, job):
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -48,6 +48,7 @@
     near: bool = False  # in this gateway's part of the fleet
     slots_out: float = 0.0
     work_out: float = 0.0
+    in_line: int = 0  # attempts from here that were found to wait there
     peer_slots: float = 0.0
     peer_work: float = 0.0
     pace: float = 0.0  # 0 until one of its own jobs was timed
@@ -127,6 +128,7 @@
     begun: int = 0
     sign: int = 0  # when its worker last told of it, 0 for never
     open: bool = True
+    in_line: bool = False  # it did not begin in the usual time: others are before it
     alone: bool = True  # a slot was free: its time is its own, not the queue's
     may_have_run: bool = True  # until an outcome proves the contrary
 
@@ -134,9 +136,24 @@
         """It has ended."""
         self.open = False
         self.job.open -= 1
-        self.worker.put_down(self.job)
+        self.leave()
         self.may_have_run &= result not in io.NEVER_RAN
 
+    def leave(self) -> None:
+        """Its worker has it no more, as far as this dispatcher counts."""
+        self.worker.put_down(self.job)
+        self.stand(False)
+
+    def begin(self, now: int) -> None:
+        """It runs from now on."""
+        self.begun = now
+        self.stand(False)
+
+    def stand(self, in_line: bool) -> None:
+        """Whether it is known to wait at its worker."""
+        self.worker.in_line += in_line - self.in_line
+        self.in_line = in_line
+
     def span(self) -> float:
         """What its run takes by its hint, and its aim on top, for what the hint may be off."""
         return self.job.work * self.worker.known_pace() + self.job.spec.objective
@@ -168,6 +185,7 @@
     queued: int = 0  # when it last joined its heap
     answered: bool = False
     waiting: bool = False
+    place: int = 0  # the number of its entry in the heap: earlier ones are void
     streaming: bool = False
     silent: bool = False  # called off at a worker where it had begun and gave no sign
     hedged: bool = False  # a copy may be sent as soon as it seems to wait in a queue
@@ -216,13 +234,18 @@
         self.most = SMALL_HEAP  # entries at which those that wait no more are swept out
 
     def push(self, entry: tuple[float, int, int, Job]) -> None:
-        """Guards against a long queue that is kept longer by jobs answered while they waited in it."""
+        """Guards against a queue kept long by jobs that were answered or placed anew while they waited."""
         if len(self.heap) >= self.most:
-            self.heap = [other for other in self.heap if other[-1].waiting]
+            self.heap = [other for other in self.heap if self._stands(other)]
             heapify(self.heap)
             self.most = max(SMALL_HEAP, 2 * len(self.heap))
+        entry[-1].place = entry[2]
         heappush(self.heap, entry)
 
+    @staticmethod
+    def _stands(entry: tuple[float, int, int, Job]) -> bool:
+        return entry[-1].waiting and entry[2] == entry[-1].place
+
     def pop(self) -> Job:
         """Takes the first job, which is known to wait, out of the heap."""
         job = heappop(self.heap)[-1]
@@ -230,9 +253,9 @@
         return job
 
     def head(self) -> Job | None:
-        """The first job still waiting; those answered meanwhile are dropped here."""
+        """The first job still waiting; what is void is dropped here."""
         heap = self.heap
-        while heap and not heap[0][-1].waiting:
+        while heap and not self._stands(heap[0]):
             heappop(heap)
         return heap[0][-1] if heap else None
 
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -12,6 +12,7 @@
     cost: float
     blocked: bool = False
     waiting: bool = True
+    place: int = 0
 
 
 def ring_of(*quanta):
@@ -20,7 +21,7 @@
 
 def fill(ring, index, *costs, blocked=False):
     for number, cost in enumerate(costs, len(ring.queues[index].heap)):
-        ring.queues[index].heap.append((0.0, 0, number, Item(cost, blocked)))
+        ring.queues[index].push((0.0, 0, number, Item(cost, blocked)))
 
 
 def take(ring):
