What can no longer be in time waits behind what earns as much in time

Cause: in a heap what came first went first at equal worth, though it could only be late by then, so that under overload all that came after it was late as well. A job takes a new place when its time to start runs out: by the worth that it still earns, at equal worth behind all in time. Nothing is refused sooner for it.

--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -91,20 +91,29 @@
         """Has it wait for a worker."""
         desk = self.desk
         job.waiting, job.queued = True, desk.now
-        self.sequence += 1
-        job.queue.push((job.rank, job.came, self.sequence, job))
         last = job.give_up - desk.settings.answer_grace
-        if job.spec.late_worth <= 0 and (job.hedged or job.never_ran()):
-            # Held longer, it would only take the place of one in time.
-            pace = self.fleet.mean_pace() if job.hedged else 1.0  # else a pace has time in queues in it
-            slack = job.spec.objective + (job.spec.stretch - pace) * job.work
-            # Some are always tried, or nobody would learn that what was slow is not slow any more.
-            last = min(last, job.came + int(max(slack, job.spec.objective * SIGN_LEAST)))
+        strict, told = job.spec.late_worth <= 0, desk.settings.tells_start
+        pace = self.fleet.mean_pace() if (job.hedged if strict else told) else 1.0  # else it has queues in it
+        slack = job.spec.objective + (job.spec.stretch - pace) * job.work
+        # Some are always tried, or nobody would learn that what was slow is not slow any more.
+        in_time = job.came + int(max(slack, job.spec.objective * SIGN_LEAST))
+        self._place(job, not strict and in_time <= desk.now)
+        if not strict:
+            desk.after(in_time, self._place, job)
+        elif job.hedged or job.never_ran():
+            last = min(last, in_time)  # held longer, it would only take the place of one in time
         if last <= desk.now:
             self._expire(job)
         else:
             desk.after(last, self._expire, job)
 
+    def _place(self, job: Job, late: bool = True) -> None:
+        """Late ones stand by what they still earn, at equal worth behind all that can be in time."""
+        if job.waiting:
+            self.sequence += 1
+            rank, order = (job.rank * job.spec.late_worth, job.give_up) if late else (job.rank, job.came)
+            job.queue.push((rank, order, self.sequence, job))
+
     def _expire(self, job: Job) -> None:
         """A held job is answered in time; one that waits at a worker would only make others late as well."""
         if job.waiting:
--- a/tests/test_deployment_settings.py
+++ b/tests/test_deployment_settings.py
@@ -151,3 +151,31 @@
     gateway.fleet.workers[{1: 2, 2: 1, 3: 4, 4: 3}[first]].avoid_until = 10**9
     gateway.handle(2, [outcome(1, 0, first, R.ERROR)])
     assert of(io.Send, gateway.handle(3, [arrival(2, job_class=1)]))
+
+
+def test_a_worker_where_a_job_waits_in_line_gets_no_more_until_that_begins_or_ends():
+    """Others hold its slots: what is sent there as well would wait out of reach of worth and shares."""
+    for told in (io.Note(1, 0, 1), outcome(1, 0, 1, R.OK)):
+        gateway = started(settings(may_copy=False, may_cancel=False), 1)
+        assert of(io.Send, gateway.handle(1, [arrival()]))
+        assert of(io.Send, gateway.handle(2, [arrival(2)]))  # no news yet is none of a line
+        gateway.handle(3, [outcome(2, 0, 1, R.OK)])
+        gateway.handle(30_000, [io.Timer(0)])
+        assert not of(io.Send, gateway.handle(30_001, [arrival(3)]))
+        assert [send.request for send in of(io.Send, gateway.handle(30_002, [told]))] == [3]
+
+
+@pytest.mark.parametrize(("worth", "first"), [(1.0, 900), (2.0, 900), (4.0, 104)])
+def test_a_job_that_can_only_come_late_waits_behind_what_earns_as_much_in_time(worth, first):
+    """Half its worth is left: one that came first is not first any more, unless that is the dearer still."""
+    dear = replace(SAFE, worth=worth)
+    gateway = started(settings(dear, SAFE), 1)
+    sent = fill(gateway, 1)
+    assert len(sent) == 4
+    gateway.handle(2, [io.Note(100 + number, 0, 1) for number in range(4)])
+    order = []
+    for now, ended in ((200_000, 100), (200_001, 101)):
+        events = [arrival(900, job_class=1, now=now)] if ended == 100 else []
+        order += [send.request for send in
+                  of(io.Send, gateway.handle(now, [*events, outcome(ended, 0, 1, R.OK)]))]
+    assert order[0] == first and set(order) <= {104, 900}
