A begun job is waited for no longer than its own run allows where notes are far between

Cause: with notes every 2 s silence was noticed after 2.5 intervals, the whole deadline of a short class, however short the run. The patience of a run without notes bounds it now; one expected failure is a test again.

--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -42,10 +42,9 @@
         notes = self.desk.settings.progress * NOTE_PATIENCE
         if not attempt.begun:  # a queue is not silence
             return int(max(attempt.expected * self.patience, notes if attempt.job.hedged else 0))
-        if notes:
-            return int(notes)
         span = attempt.span()
-        return int(span * (self.run_patience if self._runs_well(attempt, span) else PATIENCE_START))
+        span *= self.run_patience if self._runs_well(attempt, span) else PATIENCE_START
+        return int(min(span, notes or span))
 
     def begun(self, attempt: Attempt) -> None:
         """A running quantile: hints may be far off, and slowness everywhere must not look like silence."""
--- a/tests/test_deployment_settings.py
+++ b/tests/test_deployment_settings.py
@@ -103,7 +103,6 @@
     assert [send.request for batch in told for send in of(io.Send, batch)] == [1]
 
 
-@pytest.mark.xfail(strict=True, reason="2.5 intervals are waited for, however soon the job is given up")
 def test_silence_is_noticed_before_the_client_leaves_though_notes_are_far_between():
     gateway = started(settings(progress=NOTES), 1, 2)
     begun(gateway, patience=5_000_000)
