--- a/carthinge/policy/pick.py
+++ b/carthinge/policy/pick.py
@@ -119,6 +119,8 @@
             return None
         if worker.errors >= ERRORS_ILL and worker.slots_out:
             return None  # one at a time, to see whether it serves again
+        if worker.in_line and not job.key:  # elsewhere a key would have to be fetched
+            return None  # others have its slots, whatever a report or the count here says
         if job.attempts and not self.may_repeat(worker, job):
             return None
         if self.cold.is_cold(worker) and not self.cold.allows(worker, job):
