--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -36,17 +36,18 @@
     def expected(self, worker: Worker, job: Job) -> float:
         """Time to the first sign of an attempt: its start where that is told, else its answer."""
         run = 0.0 if self.desk.settings.tells_start else job.work * worker.known_pace()
-        return job.spec.objective * SIGN_LEAST + run + worker.work_out / max(1.0, worker.pool.slots)
+        blind = self.desk.settings.reports is io.Reports.OFF  # what is usual at all workers is not silence
+        seen = self.desk.queue.left(self.desk.now) if blind else 0.0
+        return job.spec.objective * SIGN_LEAST + run + seen + worker.work_out / max(1.0, worker.pool.slots)
 
     def due(self, attempt: Attempt) -> int:
         """How long from its send, its start or its last sign it is waited for."""
         notes = self.desk.settings.progress * NOTE_PATIENCE
         if not attempt.begun:  # a queue is not silence
             return int(max(attempt.expected * self.patience, notes if attempt.job.hedged else 0))
-        if notes:
-            return int(notes)
         span = attempt.span()
-        return int(span * (self.run_patience if self._runs_well(attempt, span) else PATIENCE_START))
+        span *= self.run_patience if self._runs_well(attempt, span) else PATIENCE_START
+        return int(min(span, notes or span))
 
     def begun(self, attempt: Attempt) -> None:
         """A running quantile: hints may be far off, and slowness everywhere must not look like silence."""
@@ -91,8 +92,8 @@
             worker.cold_left -= job.work
         desk.actions.append(io.Send(job.id, worker.id))
         self.attend(attempt)
-        if job.hedged:
-            desk.after(desk.now + int(HEDGE_AFTER * self.signs.prompt), self._hedge, attempt)
+        if desk.settings.tells_start:
+            desk.after(desk.now + int(HEDGE_AFTER * self.signs.prompt), self._waits, attempt)
 
     def attend(self, attempt: Attempt) -> None:
         """Looks at it again when it ought to have given a sign."""
@@ -111,9 +112,11 @@
             if event.begun and not attempt.begun:
                 self.signs.begun(attempt)
                 self.signs.started(attempt)
-                now = attempt.begun = self.desk.now
-                attempt.worker.queue.add(now - attempt.sent, now)
-                self.desk.queue.add(now - attempt.sent, now, GAIN)
+                wait, now = self.desk.now - attempt.sent, self.desk.now
+                attempt.begin(now)
+                attempt.worker.queue.add(wait, now)
+                self.desk.queue.add(wait, now, GAIN)
+                self.desk.freed.append(attempt.worker)
                 if attempt.job.open > 1 and attempt.job.hedged:
                     self.call_off(attempt.job, attempt)
                 self.attend(attempt)
@@ -144,9 +147,12 @@
             self.doubts.failed(worker, result)
         self.desk.freed.append(worker)
 
-    def _hedge(self, attempt: Attempt) -> None:
+    def _waits(self, attempt: Attempt) -> None:
         """An attempt that has not begun waits in a queue: a copy may begin sooner elsewhere."""
-        if attempt.open and not attempt.begun and not attempt.job.answered:
+        if not attempt.open or attempt.begun:
+            return
+        attempt.stand(True)  # more would wait there, out of reach of worth
+        if attempt.job.hedged and not attempt.job.answered:
             attempt.alone = False  # and its delay is counted here, not again at its start
             self.signs.prompt *= 1 + GAIN / 2
             self._copy(attempt.job)
