Bound how often a failing discovery is asked where no time to ask within is told

With rules.ask_within missing or 0 the pause after a failure was nothing: a call in each turn. Now the grace for drains takes its place.

--- a/carthinge/policy/news.py
+++ b/carthinge/policy/news.py
@@ -23,10 +23,10 @@
         self._tries = 0  # lists that failed in a row
 
     def listed(self, event: io.WorkerList) -> None:
-        desk = self.desk
-        if event.listing is io.Listing.FAILED:
+        desk, settings = self.desk, self.desk.settings
+        if event.listing is io.Listing.FAILED:  # where no time to ask within is told, the grace bounds it
             self._tries += 1
-            spread = desk.settings.ask_within * min(1.0, WATCH_AGAIN * 2**self._tries)
+            spread = (settings.ask_within or settings.drain_grace) * min(1.0, WATCH_AGAIN * 2**self._tries)
             desk.after(desk.now + int(desk.rng.uniform(0.3, 1.0) * spread), desk.watch)
             return
         if event.listing is io.Listing.CACHED:
--- a/tests/test_deployment_settings.py
+++ b/tests/test_deployment_settings.py
@@ -178,3 +178,10 @@
         order += [send.request for send in
                   of(io.Send, gateway.handle(now, [*events, outcome(ended, 0, 1, R.OK)]))]
     assert order[0] == first and set(order) <= {104, 900}
+
+
+def test_a_failing_discovery_is_not_asked_in_a_busy_loop_where_no_time_to_ask_within_is_told():
+    gateway = started(settings(SAFE, ask_within=0, subscribe=True), 1)
+    failed = io.WorkerList(io.Listing.FAILED, ())
+    assert not of(io.Watch, gateway.handle(1, [failed])) and not of(io.Watch, gateway.handle(100, [failed]))
+    assert of(io.Watch, gateway.handle(600_000, [io.Timer(0)]))  # within the grace
