--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -157,12 +157,10 @@
             self.signs.prompt *= 1 + GAIN / 2
             self._copy(attempt.job)
 
-    def _copy(self, job: Job) -> bool:
-        choice = self.pick.best(job, self.pick.eligible(job)) if self.desk.now < job.give_up else None
-        if choice:
+    def _copy(self, job: Job) -> None:
+        if self.desk.now < job.give_up and (choice := self.pick.best(job, self.pick.eligible(job))):
             job.queue.deficit -= job.cost  # a copy is its tenant's to pay
             self.send(job, choice)
-        return choice is not None
 
     def _check(self, attempt: Attempt) -> None:
         """No start, progress or answer in time: the worker may take jobs and answer none (hang)."""
@@ -176,13 +174,14 @@
                 self.desk.after(due, self._check, attempt)
             return
         self.doubts.doubt(worker)
-        if self._again < 1:
-            if attempt.open and not settings.may_copy:
-                self.attend(attempt)
-        elif settings.may_copy:
-            self._again -= not job.answered and job.open < 2 and (self._copy(job) or True)
+        if settings.may_copy:
+            if self._again >= 1 and not job.answered and job.open < 2:
+                self._again -= 1
+                self._copy(job)
+        elif settings.reports is io.Reports.OFF and self._again < 1:
+            self.attend(attempt)  # with reports queues are seen, and silence mostly is a worker that hangs
         elif worker.strikes and settings.may_cancel and any(
                 self.pick.may_repeat(other, job) for other in self.pick.eligible(job)):
-            self._again -= 1
+            self._again = max(0.0, self._again - 1)
             job.silent = attempt.begun > 0  # it is called off, and its end sends the job back to its heap
             self.desk.actions.append(io.Cancel(job.id, attempt.number))
