Call the list of known workers a roster, to free the name of the package to come

carthinge/fleet/ is to hold what schedulers decide as one; carthinge/fleet.py, the workers that one scheduler knows, becomes carthinge/roster.py.

--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -6,8 +6,8 @@
 from random import Random
 
 from carthinge import interface as io
-from carthinge.fleet import Fleet, Loads
 from carthinge.records import Attempt, Heat, Job, Queue, Rate, Timers, Worker
+from carthinge.roster import Fleet, Loads
 
 
 class Desk:
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -8,9 +8,9 @@
 
 from carthinge import interface as io
 from carthinge.desk import Desk
-from carthinge.fleet import Fleet
 from carthinge.interface import AttemptMemory, JobMemory, Memory, WorkerMemory
 from carthinge.records import Attempt, Bucket, Job, Kind, Rate, TenantQueue
+from carthinge.roster import Fleet
 
 
 class Tenants(Protocol):
