Let schedulers know which of them are there: a pure machine after SWIM, and its messages

Each scheduler finds out for itself what the others knew already. Before they can tell each other, each has to know who is there: pings in random rounds, checks through three others, suspicion before death, incarnations.

--- /dev/null
+++ b/benchmarks/virtual_net.py
@@ -0,0 +1,126 @@
+"""Schedulers' talk in virtual time: a net of pure machines whose messages are lost, repeated and delayed.
+
+A machine is anything with ``due``, ``tick`` and ``hear``; addresses are names.  Used by tests as well.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from heapq import heappop, heappush
+from random import Random
+from typing import Any, Protocol
+
+from carthinge.fleet.packets import Packet
+
+SECOND = timedelta(seconds=1)
+
+
+class Machine(Protocol):
+    def due(self) -> timedelta: ...
+    def tick(self, now: timedelta) -> list[tuple[str, Packet]]: ...
+    def hear(self, now: timedelta, packet: Packet) -> list[tuple[str, Packet]]: ...
+
+
+@dataclass
+class Rough:
+    """What happens to messages."""
+
+    loss: float = 0.0
+    twice: float = 0.0
+    delay: tuple[float, float] = (0.001, 0.01)  # seconds, drawn evenly: what overtakes is reordered
+
+
+@dataclass
+class Net:
+    seed: int
+    rough: Rough = field(default_factory=Rough)
+    passes: Callable[[str, str], bool] = lambda sender, to: True  # cuts
+    size: Callable[[Packet], int] | None = None  # of a message, for the count of bytes
+    now: timedelta = timedelta()
+    nodes: dict[str, Any] = field(default_factory=dict)
+    stopped: set[str] = field(default_factory=set)  # SIGSTOP: what comes waits, as far as a buffer goes
+    messages: int = 0
+    bytes: int = 0
+    longest: int = 0
+
+    def __post_init__(self) -> None:
+        self.rng = Random(self.seed)
+        self._heap: list[tuple[timedelta, int, str, Packet | None]] = []
+        self._count = 0
+        self._waiting: dict[str, list[Packet]] = {}
+        self._wakes: dict[str, timedelta] = {}
+
+    def add(self, name: str, machine: Machine) -> None:
+        self.nodes[name] = machine
+        self._wakes.pop(name, None)
+        self._wake(name)
+
+    def kill(self, name: str) -> None:
+        del self.nodes[name]
+        self.stopped.discard(name)
+
+    def stop(self, name: str) -> None:
+        self.stopped.add(name)
+
+    def go_on(self, name: str) -> None:
+        self.stopped.discard(name)
+        for packet in self._waiting.pop(name, []):
+            self._take(name, packet)
+        self.send(name, self.nodes[name].tick(self.now))
+        self._wake(name)
+
+    def send(self, sender: str, sendings: list[tuple[str, Packet]]) -> None:
+        for to, packet in sendings:
+            if self.size is not None:
+                size = self.size(packet)
+                self.bytes += size
+                self.longest = max(self.longest, size)
+            self.messages += 1
+            if not self.passes(sender, to):
+                continue
+            for _ in range(1 + (self.rng.random() < self.rough.twice)):
+                if self.rng.random() >= self.rough.loss:
+                    self._push(self.now + self.rng.uniform(*self.rough.delay) * SECOND, to, packet)
+
+    def run(self, span: timedelta, until: Callable[[], bool] | None = None) -> bool:
+        """Plays on; True as soon as ``until`` holds, which is looked at after each event."""
+        end = self.now + span
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, name, packet = heappop(self._heap)
+            node = self.nodes.get(name)
+            if node is None:
+                continue
+            if packet is None:
+                if self._wakes.get(name) != self.now:
+                    continue  # an earlier one was asked for since
+                del self._wakes[name]
+                if name in self.stopped:
+                    continue
+                if node.due() <= self.now:
+                    self.send(name, node.tick(self.now))
+            elif name in self.stopped:
+                self._waiting.setdefault(name, []).append(packet)
+                del self._waiting[name][200:]
+                continue
+            else:
+                self._take(name, packet)
+            self._wake(name)
+            if until is not None and until():
+                return True
+        self.now = end
+        return False
+
+    def _take(self, name: str, packet: Packet) -> None:
+        self.send(name, self.nodes[name].hear(self.now, packet))
+
+    def _wake(self, name: str) -> None:
+        due = max(self.nodes[name].due(), self.now)
+        if name not in self._wakes or due < self._wakes[name]:
+            self._wakes[name] = due
+            self._push(due, name, None)
+
+    def _push(self, due: timedelta, name: str, packet: Packet | None) -> None:
+        self._count += 1
+        heappush(self._heap, (due, self._count, name, packet))
--- /dev/null
+++ b/carthinge/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What schedulers decide together, or each alone in the same way: no I/O, no clock."""
--- /dev/null
+++ b/carthinge/fleet/voice.py
@@ -0,0 +1,116 @@
+"""What a scheduler says to the others: who it is, news of third ones that ride along, pages of its list."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from heapq import nsmallest
+from typing import Final
+
+from carthinge.fleet.packets import RUMOR_BYTES, Kind, Packet, Rumor, Standing, Summary
+
+HERE: Final = (Standing.ALIVE, Standing.SUSPECT)
+WITH_SUMMARY: Final = (Kind.PING, Kind.ACK, Kind.BEAT)
+RUMORS_MOST: Final = 24  # in a message
+
+Sending = tuple[str, Packet]
+
+
+@dataclass(slots=True, eq=False)
+class Member:
+    """Another scheduler, as this one sees it."""
+
+    name: str
+    address: str
+    incarnation: int
+    standing: Standing
+    since: timedelta  #: when it came to stand so
+    failed: int = 0  #: checks in a row
+
+
+class Rumors:
+    """News, each told a few times the logarithm of all members, the least told first."""
+
+    def __init__(self) -> None:
+        self._rumors: dict[str, tuple[int, Rumor]] = {}
+
+    def add(self, rumor: Rumor) -> None:
+        """In place of what was to be told of that member before."""
+        self._rumors[rumor.name] = (0, rumor)
+
+    def drop(self, name: str) -> None:
+        self._rumors.pop(name, None)
+
+    def clear(self) -> None:
+        self._rumors.clear()
+
+    def ride(self, members: int) -> list[Rumor]:
+        """As many as fit in a message."""
+        if not self._rumors:
+            return []
+        most, room = 2 * (members + 1).bit_length(), RUMOR_BYTES
+        chosen = []
+        for told, rumor in nsmallest(RUMORS_MOST, self._rumors.values(), key=lambda entry: entry[0]):
+            room -= rumor.size()
+            if room < 0:
+                break
+            chosen.append(rumor)
+            if told + 1 >= most:
+                del self._rumors[rumor.name]
+            else:
+                self._rumors[rumor.name] = (told + 1, rumor)
+        return chosen
+
+
+class Voice:
+    """Messages of one scheduler, gathered until they are taken."""
+
+    def __init__(self, name: str, address: str, incarnation: int) -> None:
+        self.name, self.address, self.incarnation = name, address, incarnation
+        self.rumors = Rumors()
+        self.summary: Summary | None = None  #: rides along with most messages
+        self.known = 0  #: members, by which news is told more often or less
+        self._out: list[Sending] = []
+
+    def sent(self) -> list[Sending]:
+        """Takes what was gathered."""
+        out, self._out = self._out, []
+        return out
+
+    def spread(self, member: Member) -> None:
+        """News of a member rides along from now on."""
+        self.rumors.add(Rumor(member.name, member.standing, member.incarnation, member.address))
+
+    def deny(self, incarnation: int) -> None:
+        """Somebody holds this one for away: a higher incarnation says no, to all."""
+        self.incarnation = incarnation + 1
+        self.rumors.add(Rumor(self.name, Standing.ALIVE, self.incarnation, self.address))
+
+    def say(self, kind: Kind, to: Member, number: int = 0, about: str = "", about_at: int = 0, back: str = "",
+            rumors: list[Rumor] | None = None, purse: int = 0, units: int = 0) -> None:
+        """A message to a member; how it stands here is in each."""
+        self._out.append((to.address, Packet(
+            kind, self.name, self.address, self.incarnation, to.standing, to.incarnation, number, about,
+            about_at, back, self.rumors.ride(self.known) if rumors is None else rumors,
+            self.summary if kind in WITH_SUMMARY else None, purse, units)))
+
+    def knock(self, address: str) -> None:
+        """A ping to an address where nobody is known."""
+        self._out.append((address, Packet(Kind.PING, self.name, self.address, self.incarnation,
+                                          rumors=self.rumors.ride(self.known), summary=self.summary)))
+
+    def page(self, here: Iterable[Member], start: int, to: Member) -> None:
+        """Some of those that are here, in the order of their names, and where to go on (0: that was all)."""
+        ordered = sorted(here, key=lambda member: member.name)
+        page: list[Rumor] = []
+        room, at = RUMOR_BYTES, start
+        while at < len(ordered):
+            member = ordered[at]
+            rumor = Rumor(member.name, Standing.ALIVE, member.incarnation, member.address)
+            room -= rumor.size()
+            if room < 0:
+                break
+            page.append(rumor)
+            at += 1
+        self.say(Kind.PAGE, to, number=at if page and at < len(ordered) else 0, rumors=page)
