--- /dev/null
+++ b/carthinge/fleet/agreement.py
@@ -0,0 +1,27 @@
+"""One shed level by tenant and class, out of what the members say.
+
+The rule is the lower median, each member's own level among the others: of three voices and more one liar
+moves it from one true level to the next true one at the most, and never beyond what some true member says.
+Of one or two voices nothing can be agreed on: each keeps its own level.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Final
+
+VOICES: Final = 3  # with fewer a single one could decide
+
+
+def agreed(own: float, others: Sequence[float]) -> float:
+    """The lower median of all voices; the own one where they are too few."""
+    voices = sorted([own, *others])
+    return voices[(len(voices) - 1) // 2] if len(voices) >= VOICES else own
+
+
+def agreed_levels(own: Mapping[int, int], others: Iterable[Mapping[int, int]]) -> dict[int, int]:
+    """Of each cell that anybody names; zeros are left out, as they are in what is told."""
+    told = list(others)
+    cells = {cell for levels in [own, *told] for cell in levels}
+    levels = {cell: int(agreed(own.get(cell, 0), [other.get(cell, 0) for other in told])) for cell in cells}
+    return {cell: level for cell, level in sorted(levels.items()) if level}
--- a/carthinge/fleet/packets.py
+++ b/carthinge/fleet/packets.py
@@ -9,10 +9,11 @@
 
 NAME_MOST: Final = 64  # bytes
 LIFE_MOST: Final = 1 << 48  # no incarnation or number is as high as that
-PACKET_MOST: Final = 1400  # bytes: a datagram of that size travels in one piece
-RUMOR_BYTES: Final = 700  # of a message, for what is told of others
-CELLS_MOST: Final = 48  # levels of a summary that are not zero
-DOUBTS_MOST: Final = 12
+PACKET_MOST: Final = 1452  # bytes: a datagram of that size travels in one piece
+RUMOR_BYTES: Final = 500  # of a message, for what is told of others
+PAGE_BYTES: Final = 1000  # the same in a page of the members, which has no summary
+CELLS_MOST: Final = 32  # levels of a summary that are not zero
+DOUBTS_MOST: Final = 8
 LEVEL_MOST: Final = 100
 UNITS_MOST: Final = 1 << 20
 
--- a/carthinge/fleet/voice.py
+++ b/carthinge/fleet/voice.py
@@ -8,7 +8,7 @@
 from heapq import nsmallest
 from typing import Final
 
-from carthinge.fleet.packets import RUMOR_BYTES, Kind, Packet, Rumor, Standing, Summary
+from carthinge.fleet.packets import PAGE_BYTES, RUMOR_BYTES, Kind, Packet, Rumor, Standing, Summary
 
 HERE: Final = (Standing.ALIVE, Standing.SUSPECT)
 WITH_SUMMARY: Final = (Kind.PING, Kind.ACK, Kind.BEAT)
@@ -104,7 +104,7 @@
         """Some of those that are here, in the order of their names, and where to go on (0: that was all)."""
         ordered = sorted(here, key=lambda member: member.name)
         page: list[Rumor] = []
-        room, at = RUMOR_BYTES, start
+        room, at = PAGE_BYTES, start
         while at < len(ordered):
             member = ordered[at]
             rumor = Rumor(member.name, Standing.ALIVE, member.incarnation, member.address)
