Move the fronts and the program out of net/, so that packages import downward only

carthinge/net/ imported carthinge/durable/ and was imported by it. Ingress, translator, call-backs, the front of durable jobs and the operators' address are carthinge/front/ now, the program and its upgrade carthinge/scheduler/; both stand above durable/, which stands above net/.

--- a/carthinge/durable/handover.py
+++ b/carthinge/durable/handover.py
@@ -2,7 +2,7 @@
 
 The next one recovers open jobs from the store as after a crash, so that there is one way in which jobs change
 hands.  What makes it more than a crash: nothing is under way when the store changes hands, all is written
-down, and the clients who wait follow with their connections (net/upgrade.py).
+down, and the clients who wait follow with their connections (scheduler/upgrade.py).
 """
 
 from __future__ import annotations
--- a/carthinge/net/durable_front.py
+++ b/carthinge/front/durable_front.py
@@ -16,9 +16,9 @@
 from carthinge.durable.jobs import DurableJobs
 from carthinge.durable.limits import Shed
 from carthinge.durable.records import Found, JobState
+from carthinge.front.translator import JOBS, Translator, text
 from carthinge.net.http import BadRequestError, Request
 from carthinge.net.loop import Loop, Timer
-from carthinge.net.translator import JOBS, Translator, text
 
 BY_NAME: Final = b"/v1/jobs/"
 BASE: Final = BY_NAME.decode()
--- a/carthinge/net/ingress.py
+++ b/carthinge/front/ingress.py
@@ -12,8 +12,9 @@
 
 import msgspec
 
+from carthinge.front.call_backs import CALL_BACK, NO_ANSWER, CallBacks, Elsewhere
+from carthinge.front.translator import JOBS, Translator
 from carthinge.net import log
-from carthinge.net.call_backs import CALL_BACK, NO_ANSWER, CallBacks, Elsewhere
 from carthinge.net.channel import Waiting
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
@@ -23,11 +24,10 @@
 from carthinge.net.loop import MICROSECOND, Loop, Timer
 from carthinge.net.places import Places
 from carthinge.net.stream import Stream
-from carthinge.net.translator import JOBS, Translator
 from carthinge.settings import Site
 
 if TYPE_CHECKING:  # not loaded where no job is durable
-    from carthinge.net.durable_front import DurableFront, JobCall
+    from carthinge.front.durable_front import DurableFront, JobCall
 
 PIPELINED: Final = 8  # requests that may wait on one connection; clients of this protocol send one at a time
 PAUSE_TOLD: Final = timedelta(seconds=10)  # pauses that follow on one another are logged once in a while
--- a/carthinge/net/program.py
+++ b/carthinge/scheduler/program.py
@@ -14,6 +14,8 @@
 from types import FrameType
 from typing import TYPE_CHECKING, Any, Final
 
+from carthinge.front.ingress import Drain, Ingress, IngressConnection
+from carthinge.front.operator import PLACES, Operator
 from carthinge.interface import ByHand, Inherit, Leave, Listing, Message, Retune, WorkerList
 from carthinge.memory import job_memory, memory_of
 from carthinge.net import log
@@ -23,14 +25,12 @@
 from carthinge.net.egress import Egress
 from carthinge.net.exchange import Attempt, Book, Exchange, Job, Terms
 from carthinge.net.http import Address
-from carthinge.net.ingress import Drain, Ingress, IngressConnection
 from carthinge.net.listener import bind
 from carthinge.net.loop import MICROSECOND, READ, Loop
-from carthinge.net.operator import PLACES, Operator
 from carthinge.net.probes import Probes
 from carthinge.net.route_table import RouteTable, RouteWatch, number_of
-from carthinge.net.upgrade import Upgrade
 from carthinge.policy import Dispatcher
+from carthinge.scheduler.upgrade import Upgrade
 
 if TYPE_CHECKING:  # not loaded where no job is durable
     from carthinge.durable.jobs import DurableJobs
@@ -90,7 +90,7 @@
     def _make_durable(self) -> None:
         """Loads the parts that only durable jobs need."""
         from carthinge.durable.jobs import DurableJobs
-        from carthinge.net.durable_front import DurableFront
+        from carthinge.front.durable_front import DurableFront
 
         sys.setswitchinterval(SWITCH_INTERVAL.total_seconds())
         gc.set_threshold(*COLLECTIONS)
--- a/carthinge/serving.py
+++ b/carthinge/serving.py
@@ -9,7 +9,7 @@
 from carthinge.durable.errors import StoreError
 from carthinge.net import log
 from carthinge.net.config import Config, ConfigError, load, reload
-from carthinge.net.program import Program
+from carthinge.scheduler.program import Program
 
 BAD_CONFIG: Final = 2
 CANNOT_LISTEN: Final = 3
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 from world import HOST, SETTINGS, free_port, member
 
 from carthinge.net.config import load
-from carthinge.net.program import Program
+from carthinge.scheduler.program import Program
 
 
 def nowhere(name):
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,82 @@
+"""The layout: packages import downward only, and no file is too long to be read at one go."""
+
+import ast
+from pathlib import Path
+
+HOUSE = Path(__file__).resolve().parent.parent
+LONGEST = 400  # lines of one file
+STILL_LONGER = {"carthinge/interface.py", "carthinge/scheduler/program.py", "carthinge/front/ingress.py",
+                "carthinge/durable/jobs.py", "tests/test_policy.py", "tests/test_durable.py",
+                "tests/test_serve.py", "tests/test_store.py"}  # to be split; no others
+
+# Packages, and the modules beside them, each above all that it may import. Those of a line may not meet.
+FLOORS = (
+    ("__main__",),
+    ("cli",),
+    ("serving",),
+    ("scheduler",),
+    ("front",),
+    ("durable", "benchlink", "model"),
+    ("net", "wire"),
+    ("carthinge",),  # its face, which is the module
+    ("policy",),
+    ("memory",),
+    ("desk",),
+    ("roster",),
+    ("records", "settings"),
+    ("interface", "operator_file", "leases"),
+)
+
+
+def part_of(module: str) -> str:
+    """The package or single module of carthinge that a module belongs to; "carthinge" for the face itself."""
+    names = module.split(".")
+    return names[1] if len(names) > 1 else names[0]
+
+
+def imports(file: Path) -> set[str]:
+    """The modules of carthinge that a file imports, wherever in it, for types only too."""
+    found: set[str] = set()
+    for node in ast.walk(ast.parse(file.read_text())):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            assert node.level == 0, f"{file}: imports are written out"
+            module = node.module or ""
+            for alias in node.names:  # `from carthinge import interface` is of the module interface
+                path = HOUSE.joinpath(*module.split("."), alias.name)
+                inner = path.is_dir() or path.with_suffix(".py").exists()
+                found.add(f"{module}.{alias.name}" if inner else module)
+    return {module for module in found if module.split(".")[0] == "carthinge"}
+
+
+def modules() -> dict[str, set[str]]:
+    """Each module of carthinge, with those that it imports."""
+    found = {}
+    for file in sorted(HOUSE.glob("carthinge/**/*.py")):
+        name = ".".join(file.relative_to(HOUSE).with_suffix("").parts).removesuffix(".__init__")
+        found[name] = imports(file)
+    return found
+
+
+def test_every_package_stands_on_a_floor_and_imports_from_lower_ones_only():
+    floor = {part: at for at, parts in enumerate(FLOORS) for part in parts}
+    seen = modules()
+    assert {part_of(module) for module in seen} == set(floor), "FLOORS and the folders differ"
+    upward = [f"{module} imports {other}" for module, others in seen.items() for other in sorted(others)
+              if part_of(other) != part_of(module) and floor[part_of(other)] <= floor[part_of(module)]]
+    assert not upward, upward
+
+
+def test_no_module_is_in_a_circle_of_imports():
+    """Within a package too, and where the import is inside a function or for types only."""
+    left = {module: {other for other in others if other != module} for module, others in modules().items()}
+    while free := {module for module, others in left.items() if not others & left.keys()}:
+        left = {module: others for module, others in left.items() if module not in free}
+    assert not left, sorted(left)
+
+
+def test_no_file_is_longer_than_can_be_read_at_one_go():
+    longer = {str(file.relative_to(HOUSE)) for folder in ("carthinge", "tests", "benchmarks")
+              for file in HOUSE.glob(f"{folder}/**/*.py") if len(file.read_text().splitlines()) > LONGEST}
+    assert longer <= STILL_LONGER, longer - STILL_LONGER
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,6 +1,6 @@
 """The order of a start: what is open to clients, and when."""
 
-from carthinge.net import program as net
+from carthinge.scheduler import program as net
 
 
 def test_it_listens_after_a_wait_so_that_what_the_start_took_is_paid_for_before(make_program, monkeypatch):
