Let schedulers talk where the operator's file says so: one level, quotas that pass, doubts shared

Each scheduler paid for a bad worker by itself and went on trying it by itself, and a busy one could not use what an idle one left of a tenant's quota. With [fleet] schedulers tell each other by datagrams who is there, how pressed they are and which workers they doubt; what follows is told to the decisions as one event (FleetView): workers to be left alone, parts of quotas, agreed levels. Off by default; off, nothing of it is loaded.

A worker that two doubt is left alone by all but one. Two that are ill themselves keep nobody from a worker that serves others. What is lent is not used any more before its borrower knows of it, and a process that ends or begins uses no more than what cannot be lent out.

--- /dev/null
+++ b/benchmarks/fleet_talk.py
@@ -0,0 +1,184 @@
+"""What talk between schedulers costs and does, in virtual time: ``benchmarks/fleet_talk.py [--quick]``.
+
+Deaths found, members held for dead that are not, bytes, healing after a split, what budgets can sum up to,
+and tries of a bad worker.  Spans are in periods, and a period is a second here.  The last line is one JSON.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from collections.abc import Collection
+from datetime import timedelta
+from itertools import product
+from pathlib import Path
+from random import Random
+from typing import Any
+
+sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
+from ledger_world import partitions, played  # noqa: E402
+from virtual_net import SECOND, Net, Rough  # noqa: E402
+
+from carthinge.fleet.codec import encode  # noqa: E402
+from carthinge.fleet.membership import Membership  # noqa: E402
+from carthinge.fleet.packets import Kind, Packet, Rumor, Standing, Summary  # noqa: E402
+from carthinge.fleet.passing import BASE  # noqa: E402
+from carthinge.fleet.talk import Facts, Talk  # noqa: E402
+
+KEY = b"k" * 32
+SUMMARY = Summary(1 << 40, 1 << 20, 1 << 38, 1.5, [(3, 2), (4, 1)], 12.5, 80.0, [(1 << 63, 1 << 24)])
+FIRST_PAUSE, LONGEST_PAUSE = 1.2, 8.8  # seconds that a scheduler leaves a worker alone that has failed
+
+
+def size_of(packet: Packet) -> int:
+    return len(encode(packet, KEY))
+
+
+def fleet(size: int, seed: int, loss: float) -> Net:
+    """Members that know each other from the start: how they join is another matter."""
+    net = Net(seed, Rough(loss, 0.01))
+    rumors = [Rumor(f"scheduler-{at}", Standing.ALIVE, 1000, f"scheduler-{at}") for at in range(size)]
+    for at in range(size):
+        name = f"scheduler-{at}"
+        start = net.rng.random() * SECOND
+        member = Membership(name, name, [rumors[0].name], SECOND, 1000, seed * 7919 + at, start)
+        other = rumors[(at + 1) % size].name
+        member.hear(timedelta(), Packet(Kind.BEAT, other, other, 1000, rumors=rumors))
+        member.voice.rumors.clear()
+        member.voice.summary = SUMMARY
+        member.news.clear()
+        net.add(name, member)
+    return net
+
+
+def dead(net: Net) -> int:
+    return sum(standing is Standing.DEAD for node in net.nodes.values() for _, standing in node.news)
+
+
+def deaths(size: int, loss: float, victims: int, quiet: int) -> dict[str, Any]:
+    """Some quiet periods, and then one after the other is killed."""
+    net = fleet(size, size + int(loss * 100), loss)
+    net.run(2 * SECOND)
+    net.size, before = size_of, net.messages
+    net.run(quiet * SECOND)
+    sent, messages, net.size = net.bytes, net.messages - before, None
+    false, spans = dead(net), []
+    for victim in range(min(victims, size - 2)):
+        name = f"scheduler-{size - 1 - victim}"
+        net.kill(name)
+        for node in net.nodes.values():
+            node.news.clear()
+        began, unaware = net.now, set(net.nodes)
+        for _ in range(1200):
+            net.run(SECOND / 20)
+            for other in list(unaware):
+                if net.nodes[other].members[name].standing is Standing.DEAD:
+                    unaware.discard(other)
+                    spans.append((net.now - began).total_seconds())
+            if not unaware:
+                break
+        false += sum(standing is Standing.DEAD and who != name for node in net.nodes.values()
+                     for who, standing in node.news)
+    spans.sort()
+    half, most = len(spans) // 2, min(len(spans) - 1, int(0.99 * len(spans)))
+    return {"p50": round(spans[half], 1), "p99": round(spans[most], 1),
+            "found": len(spans), "false_deaths": false, "bytes_member_s": round(sent / size / quiet),
+            "messages_member_s": round(messages / size / quiet, 1), "longest": net.longest}
+
+
+def heal(size: int) -> float:
+    """Periods from the end of a split into two halves, each of which held the other for dead, to one view."""
+    net = fleet(size, size, 0.01)
+    left = {name for at, name in enumerate(net.nodes) if at % 2}
+    cut = True
+    net.passes = lambda sender, to: not cut or (sender in left) == (to in left)
+    while any(node.counts()["dead"] != size - (len(left) if name in left else size - len(left))
+              for name, node in net.nodes.items()):
+        net.run(SECOND)
+    cut = False
+    began = net.now
+    while any(node.counts()["alive"] + node.counts()["suspect"] < size for node in net.nodes.values()):
+        net.run(SECOND / 10)
+    return round((net.now - began).total_seconds(), 1)
+
+
+def budget(quick: bool) -> float:
+    """The most that all parts sum up to, over the whole, in every order of splits and heals."""
+    ways = {size: partitions([f"m{at}" for at in range(size)]) for size in (3, 4)}
+    worst = max(played(3, splits, (seed % 3,), seed).worst / (3 * BASE)
+                for seed, splits in enumerate(product(ways[3], repeat=3 if quick else 5)))
+    return max(worst, max(played(4, splits, (seed % 4,), seed).worst / (4 * BASE)
+                          for seed, splits in enumerate(product(ways[4], repeat=1 if quick else 3))))
+
+
+class Trying:
+    """A scheduler with one job every now and then, and one worker that fails it each time."""
+
+    WORKER = 77
+
+    def __init__(self, net: Net, rng: Random) -> None:
+        self.net, self.rng = net, rng
+        self.strikes, self.avoid = 0, timedelta()
+        self.tries: list[timedelta] = []
+
+    def look(self, workers: Collection[int]) -> Facts:
+        return Facts({self.WORKER: self.strikes} if self.strikes else {}, workers=100)
+
+    def turn(self, talk: Talk | None) -> None:
+        now = self.net.now
+        held = talk.view.ruling.alone.get(self.WORKER, timedelta()) if talk is not None else timedelta()
+        if now >= max(self.avoid, held):
+            self.tries.append(now)
+            pause = min(FIRST_PAUSE * 2**min(self.strikes, 16), LONGEST_PAUSE)
+            self.strikes += 1
+            self.avoid = now + pause * self.rng.uniform(0.75, 1.25) * SECOND
+
+
+def probes(size: int, talking: bool, span: int) -> dict[str, float]:
+    """Tries of one bad worker a second, of all schedulers; the first ten seconds and those after."""
+    net = fleet(size, 5, 0.01)
+    trying = {name: Trying(net, Random(at)) for at, name in enumerate(net.nodes)}
+    talks = {}
+    for at, (name, machine) in enumerate(list(net.nodes.items())):
+        if talking:
+            talks[name] = net.nodes[name] = Talk(machine, 1, (), 1000 + at, trying[name], net.now)
+            net._wake(name)
+    net.run(3 * SECOND)
+    began = net.now
+    for scheduler in trying.values():  # a job comes to each within a second or so
+        scheduler.avoid = began + scheduler.rng.uniform(0, 1.5) * SECOND
+    for _ in range(span * 20):
+        net.run(SECOND / 20)
+        for name, scheduler in trying.items():
+            scheduler.turn(talks.get(name))
+    tries = [(at - began).total_seconds() for scheduler in trying.values() for at in scheduler.tries]
+    late = [at for at in tries if at >= 10]
+    return {"first_10s": round((len(tries) - len(late)) / 10, 2), "later": round(len(late) / (span - 10), 2)}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="fewer sizes, deaths and splits")
+    quick = parser.parse_args().quick
+    sizes = (3, 20, 200) if quick else (3, 20, 200, 1100)
+    result: dict[str, Any] = {"deaths": {}, "heal_periods": {}, "probes_per_bad_worker_s": {}}
+    for size in sizes:
+        for loss in (0.0, 0.05, 0.2):
+            figures = deaths(size, loss, 3 if quick else 1 if size > 200 else 5, 5 if size > 100 else 40)
+            result["deaths"][f"{size} at {loss:.0%}"] = figures
+            print(size, loss, figures, flush=True)
+    for size in sizes[1:]:
+        result["heal_periods"][size] = heal(size)
+        print("heal", size, result["heal_periods"][size], flush=True)
+    result["budget_sum_worst"] = budget(quick)
+    for size in (20, 200):
+        for talking in (False, True):
+            figures = probes(size, talking, 30 if quick else 60)
+            result["probes_per_bad_worker_s"][f"{size}, {'with' if talking else 'without'} talk"] = figures
+            print("probes", size, talking, figures, flush=True)
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    main()
--- a/carthinge/fleet/packets.py
+++ b/carthinge/fleet/packets.py
@@ -68,7 +68,7 @@
     life: Life  #: drawn at its start
     sequence: Life
     shape: Life  #: a digest of its tenants and classes, which the cells are numbered by
-    pressure: float  #: work that waits against what ends, as it sees it; 0 and up
+    pressure: float  #: work that waits over work that ends in a second, as it sees it; 0 and up
     levels: Annotated[list[tuple[Units, Annotated[int, msgspec.Meta(ge=0, le=LEVEL_MOST)]]],
                       msgspec.Meta(max_length=CELLS_MOST)] = []  #: shed levels by cell, zeros left out
     spent: Annotated[float, msgspec.Meta(ge=0)] = 0.0  #: of its budget for repeats, since the last summary
@@ -92,5 +92,5 @@
     back: Address = ""  #: PING and ACK: to whom the ACK is passed on
     rumors: Annotated[list[Rumor], msgspec.Meta(max_length=128)] = []
     summary: Summary | None = None
-    purse: Units = 0  #: ASK and GRANT: which budget
+    purse: Life = 0  #: ASK and GRANT: which budget
     units: Units = 0
--- a/carthinge/fleet/passing.py
+++ b/carthinge/fleet/passing.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import lru_cache
@@ -27,6 +27,8 @@
 DRIFT: Final = 1.02  # a lender waits so much longer: clocks may run apart by a hundredth each
 BUSY: Final = 0.25  # left of a purse's store: with less, its owner asks
 IDLE: Final = 0.75  # with more, its owner lends
+UNKNOWN: Final = 0.5  # neither
+ASKS_MOST: Final = 8  # a period, of all purses together
 
 
 @lru_cache(maxsize=8192)
@@ -35,6 +37,12 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "little")
 
 
+def purse_of(name: str, *terms: float) -> int:
+    """The name of a budget in messages: those with other terms (a quota, say) are others, and do not mix."""
+    text = "\0".join([name, *map(repr, terms)])
+    return int.from_bytes(blake2b(text.encode(), digest_size=5).digest(), "little")
+
+
 def lane(members: int) -> int:
     """Units that a member may have from one lender, of so many members, itself included."""
     return LENDABLE // min(NEIGHBOURS, max(1, members - 1))
@@ -68,8 +76,10 @@
 class Ledger:
     """One member's parts of all purses.  All spans follow from the period."""
 
-    def __init__(self, name: str, purses: int, period: timedelta, now: timedelta, number: int) -> None:
-        """``number``: asks are counted on from it; above those of the life before, where that can be had."""
+    def __init__(self, name: str, purses: Collection[int], period: timedelta, now: timedelta,
+                 number: int) -> None:
+        """``purses``: the names of the budgets that pass; one that only some members have stays with them.
+        ``number``: asks are counted on from it; above those of the life before, where that can be had."""
         self.name, self.purses = name, purses
         self.span = SPAN * period
         self.lent: list[_Loan] = []
@@ -90,21 +100,23 @@
             self._members = members
             self._order = sorted([*members, self.name], key=point)
 
-    def part(self, now: timedelta, purse: int) -> int:
-        """The units that this member may use now: from ``BASE - LENDABLE`` to ``BASE + LENDABLE``."""
+    def part(self, now: timedelta, purse: int, ahead: timedelta = timedelta()) -> int:
+        """The units that this member may use from now on for a span of ``ahead``, if it lends no more.
+
+        From ``BASE - LENDABLE`` to ``BASE + LENDABLE``."""
         self._expire(now)
         own = BASE - (LENDABLE if now < self._whole_at else self._lent_of(purse))
         return own + sum(loan.units for loans in self.borrowed.values() for loan in loans
-                         if loan.purse == purse)
+                         if loan.purse == purse and loan.until > now + ahead)
 
-    def ask(self, now: timedelta, left: Sequence[float]) -> list[Asking]:
-        """What to ask for, by what is left in the store of each purse: one neighbour a purse at a time."""
+    def ask(self, now: timedelta, left: Mapping[int, float]) -> list[Asking]:
+        """What to ask for, by what is left in the store of each purse: the emptiest, one neighbour each."""
         self._expire(now)
-        asks = []
-        for purse in range(self.purses):
-            lenders = self._lenders()
-            if left[purse] >= BUSY or not lenders:
-                continue
+        asks: list[Asking] = []
+        lenders = self._lenders()
+        empty = sorted((left.get(purse, UNKNOWN), purse) for purse in self.purses
+                       if left.get(purse, UNKNOWN) < BUSY)
+        for _, purse in empty[:ASKS_MOST] if lenders else ():
             units = lane(len(self._order)) // 2  # two loans at a time, so that one goes on as the other ends
             lender = lenders[(self._number + 1) % len(lenders)]
             if units and self._borrowed_of(lender, purse) + units <= 2 * units:
@@ -115,16 +127,16 @@
         return asks
 
     def grant(self, now: timedelta, borrower: str, purse: int, number: int, units: int,
-              left: Sequence[float]) -> int:
+              left: Mapping[int, float]) -> int:
         """Units that this one hands out from now on; 0 for none, and then there is nothing to answer."""
         self._expire(now)
         known = self._answered.get(borrower)
-        if purse >= self.purses or now < self._whole_at or known is not None and number <= known[0]:
+        if purse not in self.purses or now < self._whole_at or known is not None and number <= known[0]:
             return 0
         self._answered[borrower] = (number, now)
         room = LENDABLE - self._lent_of(purse)
         units = min(units, lane(len(self._order)) // 2, room)
-        if units <= 0 or left[purse] <= IDLE or borrower not in self._borrowers():
+        if units <= 0 or left.get(purse, UNKNOWN) <= IDLE or borrower not in self._borrowers():
             return 0
         self.lent.append(_Loan(purse, units, now + self.span * DRIFT))
         self.granted += units
--- a/carthinge/fleet/voice.py
+++ b/carthinge/fleet/voice.py
@@ -5,14 +5,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
-from heapq import nsmallest
 from typing import Final
 
 from carthinge.fleet.packets import PAGE_BYTES, RUMOR_BYTES, Kind, Packet, Rumor, Standing, Summary
 
 HERE: Final = (Standing.ALIVE, Standing.SUSPECT)
 WITH_SUMMARY: Final = (Kind.PING, Kind.ACK, Kind.BEAT)
-RUMORS_MOST: Final = 24  # in a message
 
 Sending = tuple[str, Packet]
 
@@ -33,34 +31,45 @@
     """News, each told a few times the logarithm of all members, the least told first."""
 
     def __init__(self) -> None:
-        self._rumors: dict[str, tuple[int, Rumor]] = {}
+        self._told: dict[str, int] = {}  # how often each was
+        self._rumors: list[dict[str, Rumor]] = []  # by how often, so that none is looked at but what is told
 
     def add(self, rumor: Rumor) -> None:
         """In place of what was to be told of that member before."""
-        self._rumors[rumor.name] = (0, rumor)
+        self.drop(rumor.name)
+        self._put(0, rumor)
 
     def drop(self, name: str) -> None:
-        self._rumors.pop(name, None)
+        if (told := self._told.pop(name, None)) is not None:
+            del self._rumors[told][name]
 
     def clear(self) -> None:
+        self._told.clear()
         self._rumors.clear()
 
     def ride(self, members: int) -> list[Rumor]:
         """As many as fit in a message."""
-        if not self._rumors:
-            return []
         most, room = 2 * (members + 1).bit_length(), RUMOR_BYTES
-        chosen = []
-        for told, rumor in nsmallest(RUMORS_MOST, self._rumors.values(), key=lambda entry: entry[0]):
-            room -= rumor.size()
+        chosen: list[tuple[int, Rumor]] = []
+        for told, rumors in enumerate(self._rumors if self._told else ()):
+            for rumor in rumors.values():
+                room -= rumor.size()
+                if room < 0:
+                    break
+                chosen.append((told, rumor))
             if room < 0:
                 break
-            chosen.append(rumor)
-            if told + 1 >= most:
-                del self._rumors[rumor.name]
-            else:
-                self._rumors[rumor.name] = (told + 1, rumor)
-        return chosen
+        for told, rumor in chosen:
+            self.drop(rumor.name)
+            if told + 1 < most:
+                self._put(told + 1, rumor)
+        return [rumor for _, rumor in chosen]
+
+    def _put(self, told: int, rumor: Rumor) -> None:
+        while len(self._rumors) <= told:
+            self._rumors.append({})
+        self._rumors[told][rumor.name] = rumor
+        self._told[rumor.name] = told
 
 
 class Voice:
--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -8,8 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass, fields
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, fields
 from enum import Enum, IntEnum
 
 
@@ -81,11 +81,11 @@
 
 
 def _reject_negative(record: object) -> None:
-    for field in fields(record):  # type: ignore[arg-type]
-        value = getattr(record, field.name)
-        figure = isinstance(value, int | float) and field.name != "kind"
+    for item in fields(record):  # type: ignore[arg-type]
+        value = getattr(record, item.name)
+        figure = isinstance(value, int | float) and item.name != "kind"
         if figure and not value >= 0:
-            raise ValueError(f"{field.name}: must not be negative, got {value!r}")
+            raise ValueError(f"{item.name}: must not be negative, got {value!r}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -393,6 +393,15 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class FleetView:
+    """What several dispatchers know or have agreed on together, in place of what was told before."""
+
+    alone: Sequence[tuple[int, int]] = ()  #: workers to be left alone, and until when
+    parts: Sequence[float] = ()  #: of each tenant the part of its quota here, 1.0 for an equal one
+    levels: Mapping[tuple[int, int], int] = field(default_factory=dict)  #: shed levels by tenant and class
+
+
 @dataclass(slots=True)
 class Timer:
     """A timer that was asked for has come due."""
@@ -401,7 +410,7 @@
 
 
 Event = (WorkerList | ByHand | Inherit | Leave | TakeOver | Restore | GiveAway | Retune | Arrival
-         | StreamStarted | Outcome | Abandoned | Note | ProbeResult | Message | Timer)
+         | StreamStarted | Outcome | Abandoned | Note | ProbeResult | Message | FleetView | Timer)
 
 
 # ---- actions ----------------------------------------------------------------------------------
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -92,12 +92,13 @@
 
 
 def handlers(dispatcher: Decisions) -> dict[type, Callable[[Any], None]]:
-    """Of the events by which a dispatcher takes over from another."""
+    """Of the events by which a dispatcher takes over from another, or hears what several know together."""
     return {io.Inherit: lambda event: recall(dispatcher, event.memory),
             io.Leave: lambda event: _leave(dispatcher, event),
             io.Restore: lambda event: dispatcher.arrive(event.arrival, event.attempts),
             io.TakeOver: lambda event: _take_over(dispatcher, event),
-            io.GiveAway: lambda event: _give_away(dispatcher, event)}
+            io.GiveAway: lambda event: _give_away(dispatcher, event),
+            io.FleetView: lambda event: _share(dispatcher, event)}
 
 
 def job_memory(dispatcher: Decisions, request: int) -> JobMemory:
@@ -140,6 +141,17 @@
             dispatcher.attend(attempt)
 
 
+def _share(dispatcher: Decisions, event: io.FleetView) -> None:
+    """Workers to be left alone, and this one's parts of the quotas: decided on in carthinge/fleet/."""
+    desk, settings = dispatcher.desk, dispatcher.desk.settings
+    for number, until in event.alone:
+        if (worker := desk.fleet.workers.get(number)) is not None:
+            worker.avoid(until)
+    for bucket, tenant, part in zip(dispatcher.tenants.quotas, settings.tenants, event.parts, strict=False):
+        bucket.settle(desk.now)
+        bucket.per_s = tenant.quota_per_s / settings.instances * part
+
+
 def _give_away(dispatcher: Decisions, event: io.GiveAway) -> None:
     job = dispatcher.desk.jobs.pop(event.request)
     job.answered, job.waiting = True, False
--- a/carthinge/net/config.py
+++ b/carthinge/net/config.py
@@ -14,6 +14,8 @@
 from carthinge.operator_file import FileError, Options, check_classes, read
 from carthinge.settings import Facts, Site, read_site, shape_of
 
+LONGEST_NAME: Final = 64  # bytes, where schedulers talk
+
 
 class ConfigError(Exception):
     """The configuration is of no use; the text names the fault."""
@@ -100,8 +102,11 @@
             if spec.deadline <= 0:
                 raise ValueError(f"services: {name}: hard_limit: must be over 0")
         check_classes(options, site.classes)
+        name = environment.get("RELAY_NAME") or file.name
+        if options.fleet.listen and not 0 < len(name.encode()) <= LONGEST_NAME:
+            raise ValueError(f"name: expected 1 to {LONGEST_NAME} bytes, for others know this one by it")
         return Config(
-            name=environment.get("RELAY_NAME") or file.name,
+            name=name,
             listen=Address.parse(environment.get("RELAY_LISTEN") or file.listen),
             listening=_descriptor(environment.get("RELAY_FD")),
             operator=Address.parse(operator) if operator else None,
--- a/carthinge/operator_file.py
+++ b/carthinge/operator_file.py
@@ -10,10 +10,16 @@
 from collections.abc import Iterator, Mapping
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated, Any, get_type_hints
+from typing import TYPE_CHECKING, Annotated, Any, Final, get_type_hints
 
 import msgspec
 
+if TYPE_CHECKING:
+    from ipaddress import IPv4Address, IPv6Address
+
+LEAST_KEY: Final = 16  # bytes
+LONGEST_PERIOD: Final = timedelta(minutes=1)
+
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Bytes = Annotated[int, msgspec.Meta(ge=1024 * 1024)]
 
@@ -43,15 +49,26 @@
     duration: timedelta = timedelta(seconds=10)  #: without a sign from its worker a lease ends
 
 
+class FleetOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Talk between schedulers (docs/fleet-talk.md)."""
+
+    listen: str = ""  #: an address of this machine, for datagrams; off without one
+    advertise: str = ""  #: where the others reach it, if that is another
+    members: list[str] = []  #: addresses of some schedulers, or of all; the own one may be among them
+    period: timedelta = timedelta(seconds=1)  #: of heartbeats; every other span follows from it
+    key_file: str = ""  #: a file with a secret that all share; without one anybody may take part
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """The whole file."""
 
     durable: DurableOptions = DurableOptions()
     leases: LeaseOptions = LeaseOptions()
+    fleet: FleetOptions = FleetOptions()
 
 
 LEAST_SPANS = {"durable.keep_results": timedelta(seconds=1), "durable.keep_collected": timedelta(),
-               "leases.duration": timedelta(milliseconds=100)}
+               "leases.duration": timedelta(milliseconds=100), "fleet.period": timedelta(milliseconds=100)}
 
 
 def read(path: str | None) -> Options:
@@ -81,9 +98,44 @@
             raise FileError(f"{path}: {key}: expected a span of at least {least.total_seconds()} s")
     if options.durable.classes and not options.durable.folder:
         raise FileError(f"{path}: durable.folder: expected a folder, since durable.classes names classes")
+    if options.fleet != FleetOptions():
+        for wrong in _fleet_faults(options.fleet):
+            raise FileError(f"{path}: fleet.{wrong}")
     return options
 
 
+def _fleet_faults(fleet: FleetOptions) -> Iterator[str]:
+    """What is wrong, each with the path of its key."""
+    if not fleet.listen:
+        yield "listen: expected an address, since others of this part are set"
+    if fleet.period > LONGEST_PERIOD:
+        yield f"period: expected a span of at most {LONGEST_PERIOD.total_seconds():.0f} s"
+    named = [("listen", fleet.listen), ("advertise", fleet.advertise or fleet.listen)]
+    for key, address in named + [(f"members[{at}]", member) for at, member in enumerate(fleet.members)]:
+        host, _, port = address.rpartition(":")
+        try:
+            nowhere = ip_of(host).is_unspecified and key != "listen"
+        except ValueError:
+            nowhere = True
+        if nowhere or not (port.isdigit() and 0 < int(port) < 65536):
+            yield f"{key}: expected the address of one machine, such as 10.0.0.7:7946, got {address!r}"
+    if fleet.key_file:
+        try:
+            secret = Path(fleet.key_file).read_bytes().strip()
+        except OSError as fault:
+            yield f"key_file: {fault.strerror}"
+        else:
+            if len(secret) < LEAST_KEY:
+                yield f"key_file: expected a secret of at least {LEAST_KEY} bytes"
+
+
+def ip_of(host: str) -> IPv4Address | IPv6Address:
+    """A host as it stands in an address; ValueError for a name."""
+    import ipaddress  # only here: a scheduler that talks to no other does not pay for it
+
+    return ipaddress.ip_address(host[1:-1] if host.startswith("[") and host.endswith("]") else host)
+
+
 def check_classes(options: Options, classes: tuple[str, ...]) -> None:
     """The file's classes are the site's; FileError where one is not."""
     for index, name in enumerate(options.durable.classes):
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -324,12 +324,23 @@
     level: float
     since: int = 0
 
+    def settle(self, now: int) -> None:
+        """Counts what has come in by now; to be called before the rate changes."""
+        self.level = min(self.level + self.per_s * (now - self.since) / 1e6, self.depth)
+        self.since = now
+
+    def fill(self, now: int) -> float:
+        """How full it is, 0 to 1."""
+        if self.per_s <= 0:
+            return 1.0
+        self.settle(now)
+        return self.level / self.depth
+
     def take(self, now: int) -> bool:
         """Takes one token; False where there is none."""
         if self.per_s <= 0:
             return True
-        self.level = min(self.level + self.per_s * (now - self.since) / 1e6, self.depth)
-        self.since = now
+        self.settle(now)
         if self.level < 1:
             return False
         self.level -= 1
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:  # not loaded where no job is durable
     from carthinge.durable.jobs import DurableJobs
     from carthinge.durable.records import Accepted
+    from carthinge.scheduler.fleet_link import FleetLink
 
 SWITCH_INTERVAL: Final = timedelta(microseconds=250)  # for the store's thread, which needs little at a time
 COLLECTIONS: Final = (20_000, 50, 100)  # durable jobs are many and live long
@@ -83,6 +84,12 @@
         self.durable: DurableJobs | None = None
         if config.options.durable.folder:
             self._make_durable()
+        self.fleet: FleetLink | None = None
+        if config.options.fleet.listen:
+            from carthinge.scheduler.fleet_link import FleetLink
+
+            self.fleet = FleetLink(self.loop, config.options.fleet, config.name, config.site, self.dispatcher,
+                                   self.book.tell)
         self._quiet_since: timedelta | None = None
         self._serving = False
         self._over = False
@@ -156,6 +163,8 @@
             self._share(0)
         if self.durable is not None:
             self.durable.open()
+        if self.fleet is not None:
+            self.fleet.open()
         self.book.decide()
         listen = partial(self._listen, state is not None)
         if self.config.site.pushed:
@@ -194,6 +203,8 @@
 
     def leave(self, leaving: bool) -> None:
         self.book.tell(Leave(leaving))
+        if self.fleet is not None:  # the other process talks in this one's place
+            self.fleet.close(leave=False) if leaving else self.fleet.open()
         if leaving:
             self.egress.most = self._most_out // 2
         else:
@@ -312,7 +323,8 @@
                 "workers_known": len(self.table.listed),
                 "workers_excluded": fleet.excluded(self.loop.now // MICROSECOND),
                 "reloads_ok": counters.reloads_ok, "reloads_failed": counters.reloads_failed,
-                **({"durable": self.durable.figures()} if self.durable is not None else {})}
+                **({"durable": self.durable.figures()} if self.durable is not None else {}),
+                **({"fleet": self.fleet.figures()} if self.fleet is not None else {})}
 
     def by_hand(self, worker: str, out: bool, done: Callable[[bool], None]) -> None:
         """Carried out at both processes, where there are two, before it is answered."""
@@ -380,6 +392,8 @@
         self.book.ended.name(site.classes)
         self.ingress.retune(site)
         self.egress.retune(site)
+        if self.fleet is not None:
+            self.fleet.retune(site)
         self.watch.move(config.discovery)
         self.watch.retune(site)
 
@@ -387,6 +401,8 @@
         if self.ingress.draining is not None:
             return
         log.logger().info("draining", owed=len(self.book.exchanges))
+        if self.fleet is not None:
+            self.fleet.close(leave=not self.upgrade.leaving)
         decisions = self.config.site.decisions
         longest = max(spec.deadline for spec in decisions.classes) * MICROSECOND
         arriving_until = self.loop.now + STILL_ARRIVING
--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -119,7 +119,7 @@
 NAMES = [f"m{number}" for number in range(5)]
 
 
-def rulings(own, at=NOW, well=None, machines=None, known=None):
+def rulings(own, at=NOW, well=None, machines=None, known=None, workers=100):
     """Of each member, by what each doubts: worker and since when."""
     machines = machines or {name: SharedDoubts(name, PERIOD) for name in NAMES}
     made = {}
@@ -127,7 +127,7 @@
         heard = {other: Heard(at, doubts=own.get(other, {}), well=(known or {}).get(other, {}))
                  for other in NAMES if other != name}
         made[name] = machines[name].decide(at, own.get(name, {}), (well or {}).get(name, {}), heard,
-                                           [other for other in NAMES if other != name])
+                                           [other for other in NAMES if other != name], workers)
     return made
 
 
@@ -165,13 +165,35 @@
     assert all(ruling.doubted == 1 for ruling in made.values())
 
 
-def test_that_it_is_well_counts_by_whom_it_falls_to_alone():
+def test_that_it_is_well_counts_by_whom_it_falls_to_or_by_two():
     own = {"m0": {9: NOW}, "m1": {9: NOW}}
     made = rulings(own)
     owner = next(name for name, ruling in made.items() if ruling.mine)
-    other = next(name for name in NAMES if name != owner)
-    made = rulings(own, NOW + PERIOD, known={other: {9: NOW + PERIOD}})
-    assert sum(bool(ruling.alone) for ruling in made.values()) >= 3
+    others = [name for name in NAMES if name != owner]
+    one = {others[0]: {9: NOW + PERIOD}}
+    assert sum(bool(ruling.alone) for ruling in rulings(own, NOW + PERIOD, known=one).values()) >= 3
+    two = {name: {9: NOW + PERIOD} for name in others[:2]}
+    assert not any(ruling.doubted for ruling in rulings(own, NOW + PERIOD, two, known=two).values())
+
+
+def test_two_that_are_ill_themselves_keep_nobody_from_workers_that_serve():
+    """Their doubts come anew, but so do signs of the workers at the others."""
+    machines = {name: SharedDoubts(name, PERIOD) for name in NAMES}
+    known = {}
+    for rounds in range(1, 9):
+        at = NOW + rounds * PERIOD
+        own = {name: {9: at - PERIOD / 2} for name in ("m0", "m1")}
+        well = {name: {9: at} for name in ("m2", "m3", "m4")}
+        made = rulings(own, at, well, machines, known)
+        assert not any(made[name].alone for name in ("m2", "m3", "m4"))
+        known = {name: machines[name].well for name in ("m2", "m3", "m4")}
+    assert not any(ruling.doubted for ruling in rulings(own, at, well, machines, known).values())
+
+
+def test_where_much_of_the_fleet_is_doubted_no_worker_is_left_alone_for_that():
+    for doubted, held in ((2, True), (3, False)):
+        own = {name: dict.fromkeys(range(doubted), NOW) for name in ("m0", "m1")}
+        assert any(ruling.alone for ruling in rulings(own, workers=6).values()) is held
 
 
 def test_no_worker_is_left_alone_for_good_and_one_more_at_a_time_may_try_it():
@@ -191,7 +213,7 @@
             shared = SharedDoubts(name, PERIOD)
             own = {seed * 1000 + worker: NOW for worker in range(200)}
             heard = {other: Heard(NOW, doubts=own) for other in names if other != name}
-            for worker in shared.decide(NOW, own, {}, heard, heard.keys()).mine:
+            for worker in shared.decide(NOW, own, {}, heard, heard.keys(), 1000).mine:
                 found[worker] = name
         return found
 
--- /dev/null
+++ b/tests/test_fleet_link.py
@@ -0,0 +1,200 @@
+"""Schedulers that talk: three real processes and a relay that loses, repeats, delays and cuts."""
+
+import contextlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+from relay import Relay
+from test_serve import serve_next
+from world import HOST, SETTINGS, WAIT, World, free_port
+
+from carthinge import Dispatcher
+from carthinge import interface as io
+
+
+@contextlib.contextmanager
+def fleet(tmp_path, relay, period=0.1, key_file="", **more):
+    """Three worlds, each with its relay's file; they know each other before the test goes on."""
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(relay)
+        worlds = []
+        for number in range(len(relay.homes)):
+            folder = tmp_path / f"n{number}"
+            folder.mkdir()
+            worlds.append(stack.enter_context(World(
+                folder, name=f"n{number}", file=relay.file(number, period, key_file), **more)))
+        for world in worlds:
+            wait_for(world, members_alive=len(worlds), members_suspect=0)
+        yield worlds
+
+
+def figures(world):
+    return world.metrics()["fleet"]
+
+
+def wait_for(world, **wanted):
+    """Until the figures are these."""
+    until = time.monotonic() + 3 * WAIT
+    while any((seen := figures(world))[name] != value for name, value in wanted.items()):
+        assert time.monotonic() < until, (wanted, seen, world.log()[-2000:])
+        time.sleep(0.02)
+
+
+def test_a_killed_one_is_found_by_the_others_and_known_again_once_it_is_back(tmp_path):
+    relay = Relay(3, seed=5, loss=0.1, twice=0.2, delay=0.02)
+    with fleet(tmp_path, relay) as worlds:
+        worlds[2].kill()
+        for world in worlds[:2]:
+            wait_for(world, members_dead=1)
+            world.wait_for_log("member_dead")
+        worlds[2].restart()
+        for world in worlds:
+            wait_for(world, members_alive=3, members_suspect=0, members_dead=0)
+        relay.rough = (0.0, 0.0, 0.0)  # its word is said once
+        worlds[1].terminate()  # one that leaves is not searched for
+        for world in (worlds[0], worlds[2]):
+            wait_for(world, members_alive=2)
+            world.wait_for_log("member_left")
+
+
+def test_a_stopped_one_is_dead_to_the_others_until_it_goes_on(tmp_path):
+    with fleet(tmp_path, Relay(3, seed=6, twice=0.1)) as worlds:
+        worlds[0].process.send_signal(signal.SIGSTOP)
+        for world in worlds[1:]:
+            wait_for(world, members_dead=1)
+        worlds[0].process.send_signal(signal.SIGCONT)
+        for world in worlds:
+            wait_for(world, members_alive=3, members_suspect=0, members_dead=0)
+
+
+def test_one_that_hears_nothing_is_dead_to_the_others_and_they_to_it_until_the_cut_heals(tmp_path):
+    relay = Relay(3, seed=7)
+    with fleet(tmp_path, relay) as worlds:
+        relay.cut((0, 2), (1, 2))  # it is heard all the while
+        for world in worlds[:2]:
+            wait_for(world, members_dead=1)
+        wait_for(worlds[2], members_dead=2)
+        relay.cut()
+        for world in worlds:
+            wait_for(world, members_alive=3, members_suspect=0, members_dead=0)
+
+
+def test_a_line_that_is_cut_one_way_between_two_makes_nobody_dead(tmp_path):
+    """Others are asked first.  It is over once each has sent what a death would have taken several times."""
+    relay = Relay(3, seed=8)
+    with fleet(tmp_path, relay, period=0.4) as worlds:
+        relay.cut((0, 1))
+        before = [figures(world)["sent"] for world in worlds]
+        for world, sent in zip(worlds, before, strict=True):
+            until = time.monotonic() + 3 * WAIT
+            while figures(world)["sent"] < sent + 60:
+                assert time.monotonic() < until
+                time.sleep(0.05)
+        assert all("member_dead" not in world.log() for world in worlds)
+
+
+def test_a_worker_that_two_find_dead_is_left_alone_by_one_that_never_tried_it(tmp_path):
+    """But for the one among the three that is to try it again, whoever that is."""
+    with fleet(tmp_path, Relay(3), workers=1, extra_ports=(free_port(),)) as worlds:
+        for world in worlds[:2]:
+            number = 0
+            while not world.metrics()["workers_excluded"]:  # until it was tried
+                number += 1
+                client = world.submit(f"a{number}")
+                serve_next(world, f"a{number}")
+                assert client.status() == 200
+        wait_for(worlds[2], workers_doubted=1)
+        until = time.monotonic() + WAIT
+        while not (worlds[2].metrics()["workers_excluded"] or figures(worlds[2])["workers_to_try"]):
+            assert time.monotonic() < until
+            time.sleep(0.02)
+        assert worlds[2].counters()["attempts"] == 0
+        while sum(figures(world)["workers_to_try"] for world in worlds) != 1:
+            assert time.monotonic() < until
+            time.sleep(0.02)
+
+
+def test_what_is_no_message_or_has_not_the_seal_is_counted_and_harms_nobody(tmp_path):
+    key = tmp_path / "key"
+    key.write_text("a secret of some length\n")
+    relay = Relay(2)
+    with fleet(tmp_path, relay, key_file=str(key)) as worlds, \
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        from carthinge.fleet.codec import encode
+        from carthinge.fleet.packets import Kind, Packet
+
+        unsealed = encode(Packet(Kind.PING, "stranger", f"{HOST}:9", 1), b"")
+        for data in (b"", b"\0" * 5000, b"c1" + b"\xff" * 40, unsealed, bytes(16) + unsealed):
+            stranger.sendto(data, relay.homes[0])
+        until = time.monotonic() + WAIT
+        while figures(worlds[0])["bad"] < 5:
+            assert time.monotonic() < until
+            time.sleep(0.02)
+        assert figures(worlds[0])["members_alive"] == 2
+        client = worlds[0].submit("a1")
+        serve_next(worlds[0], "a1")
+        assert client.status() == 200
+
+
+def test_an_upgrade_passes_the_place_on_to_the_new_process(tmp_path):
+    with fleet(tmp_path, Relay(2), held=True) as worlds:
+        old, _ = worlds[0].upgrade()
+        old.send_signal(signal.SIGTERM)
+        old.wait()
+        for world in worlds:
+            wait_for(world, members_alive=2, members_suspect=0, members_dead=0)
+
+
+def test_off_it_is_not_loaded():
+    """Nothing of it, and no library that only it needs."""
+    code = ("import sys, carthinge.scheduler.program\n"
+            "print([name for name in sys.modules if name.startswith('carthinge.fleet.') or "
+            "name == 'carthinge.scheduler.fleet_link' or name == 'hmac'])")
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, text=True).stdout
+    talk = ("membership", "talk", "voice", "packets", "codec", "passing", "agreement", "fleet_link",
+            "summary", "doubts_shared", "hmac")
+    assert not [name for name in talk if name in loaded], loaded
+
+
+# ---- what the decisions do with it ----------------------------------------------------------------
+
+
+@pytest.fixture
+def dispatcher():
+    settings = io.Settings(classes=(io.JobClass(objective=300_000, deadline=5_000_000),), instances=2,
+                           tenants=(io.Tenant(0.5, 10.0), io.Tenant(0.5, 10.0)))
+    made = Dispatcher(settings, seed=1)
+    entries = tuple(io.WorkerEntry(worker=number) for number in (101, 102))
+    made.handle(1_000_000, [io.WorkerList(io.Listing.CACHED, entries)])
+    return made
+
+
+def test_workers_to_be_left_alone_get_nothing_until_then(dispatcher):
+    def sent_to(at, first):
+        jobs = [io.Arrival(number, 0, at + 4_000_000) for number in range(first, first + 6)]
+        actions = dispatcher.handle(at, jobs)
+        return {action.worker for action in actions if isinstance(action, io.Send)}
+
+    dispatcher.handle(1_000_000, [io.FleetView(alone=((101, 2_000_000), (999, 5_000_000)))])
+    assert sent_to(1_500_000, 1) == {102}
+    assert 101 in sent_to(2_100_000, 10)
+
+
+def test_parts_change_what_comes_into_the_stores_of_quotas_from_then_on(dispatcher):
+    quotas = dispatcher.tenants.quotas
+    for bucket in quotas:
+        bucket.level, bucket.since = 0.0, 1_000_000
+    dispatcher.handle(2_000_000, [io.FleetView(parts=(1.5, 0.5))])
+    assert [bucket.level for bucket in quotas] == [5.0, 5.0]  # until then as before
+    assert [bucket.per_s for bucket in quotas] == [7.5, 2.5]
+    dispatcher.handle(3_000_000, [io.FleetView(parts=(1.0, 1.0))])
+    assert [bucket.per_s for bucket in quotas] == [5.0, 5.0]
+
+
+def test_settings_without_an_address_have_no_figures(tmp_path):
+    with World(tmp_path, settings=SETTINGS) as world:
+        assert "fleet" not in world.metrics()
--- a/tests/test_fleet_passing.py
+++ b/tests/test_fleet_passing.py
@@ -1,107 +1,18 @@
 """Budgets that pass: whatever is cut, lost, repeated, late or restarted, the parts never exceed the whole."""
 
+import sys
 from datetime import timedelta
 from itertools import product
-from random import Random
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from carthinge.fleet.passing import BASE, LENDABLE, NEIGHBOURS, SPAN, Ledger
-
-PERIOD = timedelta(seconds=1)
-
-
-def partitions(names):
-    """Every way to split them into sides."""
-    if not names:
-        return [[]]
-    first, rest = names[0], names[1:]
-    found = []
-    for sides in partitions(rest):
-        found.append([[first], *sides])
-        found += [[*sides[:at], [first, *side], *sides[at + 1:]] for at, side in enumerate(sides)]
-    return found
-
-
-class World:
-    """Ledgers with clocks of their own rate, and messages of any fate."""
-
-    def __init__(self, size, seed, drift=0.009, liar=None):
-        self.rng = Random(seed)
-        self.time = timedelta()
-        self.names = [f"m{number}" for number in range(size)]
-        self.clocks = {name: (timedelta(days=self.rng.random()), 1 + self.rng.uniform(-drift, drift))
-                       for name in self.names}
-        self.lives = 0
-        self.sides = [self.names]
-        self.ledgers = {}
-        self.under_way = []
-        for name in self.names:
-            self.start(name)
-
-    def now(self, name):
-        offset, rate = self.clocks[name]
-        return offset + self.time * rate
-
-    def start(self, name):
-        """As after a crash: it knows nothing of what it has lent."""
-        self.lives += 1000
-        self.ledgers[name] = Ledger(name, 1, PERIOD, self.now(name), self.lives)
-
-    def send(self, *message):
-        """Lost, once, twice; now, in a while, or after the whole of a loan's span."""
-        for _ in range(self.rng.choice((0, 1, 1, 1, 2))):
-            late = self.rng.choice((0.0, 0.0, 0.0, 1.5, SPAN * 0.9, SPAN * 1.1)) * PERIOD
-            self.under_way.append((self.time + late, message))
-
-    def deliver(self, left):
-        for due, message in list(self.under_way):
-            if due > self.time:
-                continue
-            self.under_way.remove((due, message))
-            kind, sender, to, number, units = message
-            if not any(sender in side and to in side for side in self.sides):
-                continue
-            ledger, now = self.ledgers[to], self.now(to)
-            if kind == "grant":
-                ledger.receive(now, sender, 0, number, units)
-            elif granted := ledger.grant(now, sender, 0, number, units, [left[to]]):
-                self.send("grant", to, sender, number, granted)
-            self.check()
-
-    def period(self, left):
-        self.time += PERIOD
-        for name, ledger in self.ledgers.items():
-            side = next(side for side in self.sides if name in side)
-            ledger.meet([other for other in side if other != name])
-            for asking in ledger.ask(self.now(name), [left[name]]):
-                self.send("ask", name, asking.lender, asking.number, asking.units)
-        for _ in range(3):
-            self.deliver(left)
-        self.check()
-
-    def parts(self):
-        return {name: ledger.part(self.now(name), 0) for name, ledger in self.ledgers.items()}
-
-    def check(self):
-        parts = self.parts()
-        assert sum(parts.values()) <= BASE * len(self.names), (self.time, parts)
-        assert all(BASE - LENDABLE <= part <= BASE + LENDABLE for part in parts.values())
-
-
-def played(size, splits, busy, seed):
-    """One span of all together, so that a restart's hold is over, and then each split for a while."""
-    world = World(size, seed)
-    left = {name: 0.0 if number in busy else 1.0 for number, name in enumerate(world.names)}
-    for _ in range(SPAN + 1):
-        world.period({name: 1.0 for name in world.names})
-    for sides in splits:
-        world.sides = sides
-        for _ in range(4):
-            world.period(left)
-    return world
+sys.path.insert(0, str(Path(__file__).parent.parent / "benchmarks"))
+from ledger_world import PERIOD, World, partitions, played  # noqa: E402
+
+from carthinge.fleet.passing import BASE, LENDABLE, NEIGHBOURS, SPAN, Ledger  # noqa: E402
 
 
 @pytest.mark.parametrize("busy", [(0,), (0, 1)])
@@ -157,7 +68,7 @@
 def test_one_that_grants_what_it_has_not_adds_no_more_than_it_may_lend(size):
     """And what is granted beyond an ask, by another, for another purse or a second time is not taken."""
     names = [f"m{number}" for number in range(size)]
-    ledgers = {name: Ledger(name, 1, PERIOD, timedelta(), 1) for name in names}
+    ledgers = {name: Ledger(name, [0], PERIOD, timedelta(), 1) for name in names}
     now = SPAN * 2 * PERIOD
     for name, ledger in ledgers.items():
         ledger.meet([other for other in names if other != name])
@@ -165,7 +76,7 @@
     for _ in range(SPAN - 1):
         now += PERIOD
         for name in names[1:]:
-            for asking in ledgers[name].ask(now, [0.0]):
+            for asking in ledgers[name].ask(now, {0: 0.0}):
                 if asking.lender != "m0":
                     continue
                 ledger, told = ledgers[name], (now, "m0", 0, asking.number)
--- /dev/null
+++ b/tests/test_fleet_talk.py
@@ -0,0 +1,104 @@
+"""Several schedulers' talk put together, in virtual time: levels, parts and doubts, and one that lies."""
+
+import sys
+from pathlib import Path
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "benchmarks"))
+from virtual_net import SECOND, Net, Rough  # noqa: E402
+
+from carthinge.fleet.membership import Membership  # noqa: E402
+from carthinge.fleet.packets import Kind, Packet, Summary  # noqa: E402
+from carthinge.fleet.talk import Facts, Talk  # noqa: E402
+
+
+class Told:
+    """A scheduler that sees what the test says."""
+
+    def __init__(self, **facts):
+        self.facts = {"left": {1: 0.5}, "workers": 20, **facts}
+
+    def look(self, workers):
+        signs = self.facts.get("well", {})
+        return Facts(**{**self.facts, "well": {at: signs[at] for at in workers if at in signs}})
+
+
+@pytest.fixture
+def net():
+    net = Net(4, Rough(0.02, 0.1))
+    net.told = {}
+    for number in range(5):
+        name = f"n{number}"
+        member = Membership(name, name, ["n0"], SECOND, 1000, number, net.now)
+        net.told[name] = Told()
+        net.add(name, Talk(member, 7, [1], number + 1, net.told[name], net.now))
+    assert net.run(40 * SECOND, lambda: all(talk.view.voices == 5 for talk in net.nodes.values()))
+    return net
+
+
+def test_all_come_to_one_level_that_the_most_and_the_least_pressed_do_not_set(net):
+    for name, level in zip(net.nodes, (0, 0, 2, 3, 90), strict=True):
+        net.told[name].facts.update(levels={5: level} if level else {}, pressure=float(level))
+    assert net.run(20 * SECOND, lambda: all(talk.view.levels == {5: 2} for talk in net.nodes.values()))
+    assert all(talk.view.pressure == 2.0 for talk in net.nodes.values())
+    for told in net.told.values():
+        told.facts.update(levels={})
+    assert net.run(20 * SECOND, lambda: not any(talk.view.levels for talk in net.nodes.values()))
+
+
+def test_parts_pass_to_the_busy_and_come_back(net):
+    net.run(12 * SECOND)  # what a life before this one may have lent is back
+    for name, told in net.told.items():
+        told.facts["left"] = {1: 0.0 if name == "n1" else 1.0}
+    assert net.run(20 * SECOND, lambda: within_the_whole(net) and net.nodes["n1"].view.parts[1] > 1.4)
+    net.run(30 * SECOND, lambda: not within_the_whole(net))
+    for told in net.told.values():
+        told.facts["left"] = {1: 0.5}
+    assert net.run(30 * SECOND, lambda: within_the_whole(net) and all(
+        talk.view.parts[1] == 1.0 for talk in net.nodes.values()))
+
+
+def within_the_whole(net):
+    """At every moment: what is told to the decisions, not only what the ledgers hold."""
+    assert sum(talk.view.parts[1] for talk in net.nodes.values()) <= 5
+    return True
+
+
+def test_other_quotas_are_other_purses(net):
+    for talk in net.nodes.values():
+        talk.retune(net.now, 8, [2])
+    net.run(3 * SECOND)
+    assert all(list(talk.view.parts) == [2] for talk in net.nodes.values())
+
+
+def test_doubts_of_two_reach_all_and_end_when_the_one_who_tries_finds_it_well(net):
+    for name in ("n2", "n3"):
+        net.told[name].facts["doubted"] = {9: 1}
+    assert net.run(5 * SECOND, lambda: all(talk.view.ruling.doubted == 1 for talk in net.nodes.values()))
+    net.run(3 * SECOND)
+    owner, = (name for name, talk in net.nodes.items() if talk.view.ruling.mine)
+    assert sum(9 in talk.view.ruling.alone for talk in net.nodes.values()) == 4
+    net.told[owner].facts.update(doubted={}, well={9: net.now})
+    assert net.run(10 * SECOND, lambda: not any(
+        talk.view.ruling.doubted for talk in net.nodes.values()))
+
+
+def test_one_that_lies_in_every_way_moves_nothing_beyond_one_voice(net):
+    """Levels, pressure, doubts of many workers, summaries out of range or old, grants not asked for."""
+    liar = net.nodes.pop("n4")
+    for name in net.nodes:
+        net.told[name].facts.update(levels={5: 2}, pressure=1.0, left={1: 0.0})
+    for step in range(1, 40):
+        said = Summary(99, step * 10**6 if step % 7 else 1, 7, 1e6 if step % 3 else float("nan"), [(5, 100)],
+                       doubts=[(number, 0) for number in range(8)], well=[(9, 0)])
+        for name in net.nodes:
+            for packet in (Packet(Kind.BEAT, "n4", "n4", liar.membership.voice.incarnation, summary=said),
+                           Packet(Kind.GRANT, "n4", "n4", liar.membership.voice.incarnation, number=step,
+                                  purse=1, units=1 << 20)):
+                net.send("n4", [(name, packet)])
+        net.run(SECOND / 4)
+    for talk in net.nodes.values():
+        assert talk.view.levels == {5: 2} and talk.view.pressure == 1.0
+        assert not talk.view.ruling.doubted and talk.view.parts[1] <= 1.5
+        assert talk.figures()["summaries_refused"] > 0
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -48,6 +48,16 @@
     ("[leases]\nduration = 0", "leases.duration: expected a span of at least 0.1 s"),
     ("[leases]\nduration = 1e300", "out of range"),
     ("[leases", "not TOML"),
+    ("[fleet]\nperiod = 2", "fleet.listen: expected an address"),
+    ("[fleet]\nlisten = 'here:7946'", "fleet.listen: expected the address of one machine"),
+    ("[fleet]\nlisten = '10.0.0.7:0'", "fleet.listen: expected the address of one machine"),
+    ("[fleet]\nlisten = '0.0.0.0:7946'", "fleet.advertise: expected the address of one machine"),
+    ("[fleet]\nlisten = '10.0.0.7:7946'\nmembers = ['10.0.0.8:7946', '10.0.0.9']",
+     "fleet.members[1]: expected the address of one machine, such as 10.0.0.7:7946, got '10.0.0.9'"),
+    ("[fleet]\nlisten = '10.0.0.7:7946'\nperiod = 0.01", "fleet.period: expected a span of at least 0.1 s"),
+    ("[fleet]\nlisten = '10.0.0.7:7946'\nperiod = 3600", "fleet.period: expected a span of at most 60 s"),
+    ("[fleet]\nlisten = '10.0.0.7:7946'\nkey_file = '/nowhere'", "fleet.key_file: No such file"),
+    ("[fleet]\nlisten = '10.0.0.7:7946'\nkey_file = '/dev/null'", "fleet.key_file: expected a secret of at"),
 ])
 def test_a_mistake_is_named_by_the_path_of_its_key(tmp_path, text, named):
     with pytest.raises(FileError) as fault:
--- a/tests/world.py
+++ b/tests/world.py
@@ -119,7 +119,7 @@
     """A started scheduler with stub workers and a stub discovery."""
 
     def __init__(self, tmp_path, workers=1, settings=None, sockets=1024, known=True, extra_ports=(),
-                 held=False, file=None):
+                 held=False, file=None, name="n0"):
         """``held``: the listening socket is opened here and inherited, as a platform does for upgrades.
 
         ``file``: what the operator's own file says; ``{folder}`` in it stands for a store's folder."""
@@ -134,7 +134,7 @@
         members = [member(name, worker.port, zone=zones[number % len(zones)], cell=number % len(zones))
                    for number, (name, worker) in enumerate(zip(self.names, self.workers, strict=True))]
         members += [member(f"s-extra-{port}", port) for port in extra_ports]
-        config = {"name": "n0", "listen": f"{HOST}:{self.port}", "seed": "8c1f",
+        config = {"name": name, "listen": f"{HOST}:{self.port}", "seed": "8c1f",
                   "discovery": f"127.0.0.1:{self.discovery.port}", "operator": f"{HOST}:{self.operator}",
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
                   "known": {"revision": 7, "complete": True, "members": members if known else []},
