Tell the refused when there will be room, spread by a hash of each request

Retry-After was the longest span that the site allows, the same for all: those refused in one moment came back in one moment. Now it is the time in which a scheduler ends what it holds at the rate at which it ends now, and by a hash of the request up to as long again; where the longest span is sooner, between half of it and all of it. The decision stands in carthinge/fleet/comeback.py.

--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -6,7 +6,8 @@
 from random import Random
 
 from carthinge import interface as io
-from carthinge.records import Attempt, Heat, Job, Queue, Rate, Timers, Worker
+from carthinge.fleet import comeback
+from carthinge.records import Attempt, Heat, Job, Queue, Rate, Timers, Worker, mix
 from carthinge.roster import Fleet, Loads
 
 
@@ -45,6 +46,14 @@
         """What is out from here, as a message."""
         return Loads.pack(self.fleet.workers.values(), self.rng)
 
+    def away(self, job: Job) -> int:
+        """How long a client that is refused stays away; 0 where the settings have it told nothing."""
+        settings = self.settings
+        room = comeback.until_room(len(self.jobs) * self.mean_work, self.served.left(self.now))
+        point = mix(settings.position << 40 ^ job.id)
+        most = settings.max_retry_after * settings.may_advise
+        return comeback.stay_away(room, job.spec.objective, most, point)
+
     def watch(self) -> None:
         self.actions.append(io.Watch())
 
--- a/carthinge/net/ingress.py
+++ b/carthinge/net/ingress.py
@@ -8,10 +8,12 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from http import HTTPStatus
+from math import inf
 from typing import TYPE_CHECKING, Final, cast
 
 import msgspec
 
+from carthinge.fleet.comeback import stay_away
 from carthinge.net import log
 from carthinge.net.call_backs import CALL_BACK, NO_ANSWER, CallBacks, Elsewhere
 from carthinge.net.channel import Waiting
@@ -24,6 +26,7 @@
 from carthinge.net.places import Places
 from carthinge.net.stream import Stream
 from carthinge.net.translator import JOBS, Translator
+from carthinge.records import mix
 from carthinge.settings import Site
 
 if TYPE_CHECKING:  # not loaded where no job is durable
@@ -406,7 +409,9 @@
             ingress.counters.shed += 1
             ingress.counters.shed_for_room += 1
             ingress.book.ended.refused[terms.class_name] += 1
-            self._shed(ingress.max_retry_after, keep_alive=False)
+            point = mix(ingress.counters.shed_for_room)  # when there will be room is known to nobody
+            away = stay_away(inf, 0, ingress.max_retry_after // MICROSECOND, point) * MICROSECOND
+            self._shed(away, keep_alive=False)
             return
         terms = replace(terms, patience=ingress.patience(terms.patience, request.came))
         self.owe(ingress.book.take(job, terms, self))
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -132,9 +132,8 @@
             return
         job.answered = True
         del self.jobs[job.id]
-        settings = self.desk.settings
-        away = settings.max_retry_after if settings.may_advise else 0
-        self.desk.actions.append(io.Refuse(job.id, away) if job.harmless() else io.Fail(job.id))
+        harmless = job.harmless()
+        self.desk.actions.append(io.Refuse(job.id, self.desk.away(job)) if harmless else io.Fail(job.id))
 
     def _abandon(self, event: io.Abandoned) -> None:
         if (job := self.jobs.get(event.request)) and not job.answered:
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -310,10 +310,13 @@
     since: int = 0
 
     def add(self, amount: float, now: int) -> None:
-        self.per_s *= math.exp((self.since - now) / 1e6 / RATE_MEMORY)
-        self.per_s += amount / RATE_MEMORY
+        self.per_s = self.left(now) + amount / RATE_MEMORY
         self.since = now
 
+    def left(self, now: int) -> float:
+        """What it has come down to since the last was added."""
+        return self.per_s * math.exp((self.since - now) / 1e6 / RATE_MEMORY)
+
 
 @dataclass(slots=True, eq=False)
 class Bucket:
