--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -24,7 +24,7 @@
     ("desk",),
     ("roster",),
     ("records", "settings"),
-    ("interface", "operator_file", "leases"),
+    ("interface", "operator_file", "leases", "fleet"),
 )
 
 
