--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -219,7 +219,8 @@
         modelled, ends = decisions(Scheduler, seed)
         played, real_ends = decisions(RealScheduler, seed)
         heard += " ".join(event for _, _, events, _ in modelled for event in events)
-        assert next((pair for pair in zip(modelled, played, strict=False) if pair[0] != pair[1]), None) is None
+        differ = (pair for pair in zip(modelled, played, strict=False) if pair[0] != pair[1])
+        assert next(differ, None) is None
         assert len(modelled) == len(played) and ends == real_ends
     for kind in ("OK", "FULL", "ERROR", "CANCELLED", "TIMEOUT", "CONNECT_FAILED", "RESET"):
         assert f"Result.{kind}" in heard  # else the small cases show little
