--- a/carthinge/fleet/__init__.py
+++ b/carthinge/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""What schedulers decide as one, each from its settings and what it sees: no I/O, no clock, no talk."""
+"""What schedulers decide together, or each alone in the same way: no I/O, no clock."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -23,8 +23,9 @@
     ("memory",),
     ("desk",),
     ("roster",),
+    ("fleet",),
     ("records", "settings"),
-    ("interface", "operator_file", "leases", "fleet"),
+    ("interface", "operator_file", "leases"),
 )
 
 
