Split the tests of durable jobs: clients and leases, crashes, upgrades, the disk

Shorthands are in tests/durable_world.py, and the fixture `world`, which stood in two files, is in tests/conftest.py with the operator's file that a module names.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,14 +1,21 @@
-"""A program within the test's own process, for what depends on the order of things within a turn."""
+"""The real program as a process; or within the test's own, for what depends on the order within a turn."""
 
 import json
 
 import pytest
-from world import HOST, SETTINGS, free_port, member
+from world import HOST, SETTINGS, World, free_port, member
 
 from carthinge.net.config import load
 from carthinge.scheduler.program import Program
 
 
+@pytest.fixture
+def world(tmp_path, request):
+    """A scheduler with two workers, and the operator's file that the test's module names, if it does."""
+    with World(tmp_path, workers=2, file=getattr(request.module, "OPERATOR_FILE", None)) as started:
+        yield started
+
+
 def nowhere(name):
     """A worker that is not there, at an address where no other test's stub can be taken for it."""
     return {**member(name, 0), "host_port": f"{HOST}:{free_port()}"}
--- /dev/null
+++ b/tests/test_durable_upgrades.py
@@ -0,0 +1,114 @@
+"""Durable jobs while one process of a scheduler takes over from the other."""
+
+import contextlib
+import signal
+import threading
+
+import pytest
+from durable_world import FILE, accept, get, put
+from world import HOST, World, free_port, job
+
+
+
+@pytest.fixture
+def held(tmp_path):
+    with World(tmp_path, workers=2, file=FILE.replace("0.4", "5"), held=True) as started:
+        yield started
+
+
+def test_an_upgrade_passes_the_store_and_those_who_wait_on(held):
+    in_place = put(held, "a1", prefer=None)
+    number, req_id, token = accept(held)
+    path = put(held, "a2", key="k2")
+    other, its_id, its_token = accept(held)
+    watching = held.connect().send(f"GET {path} HTTP/1.1\r\nHost: x\r\nPrefer: wait=9\r\n\r\n".encode())
+    old, _ = held.upgrade()
+    old.send_signal(signal.SIGTERM)
+    held.wait_for_log("event=alone")
+    old.wait()
+    assert held.tell(req_id, "done", number, result="one", token=token) == 204
+    assert held.tell(its_id, "done", other, result="two", token=its_token) == 204
+    assert in_place.read()[2] == b"one" and watching.read()[2] == b"two"
+    assert get(held, path)[1] == b"two"
+    assert held.counters()["attempts_written"] == 0
+
+
+def test_a_new_process_that_is_killed_gives_the_store_back(held):
+    client = put(held, "a1", prefer=None)
+    number, req_id, token = accept(held)
+    (old, operator), new = held.upgrade(), held.process
+    new.kill()
+    new.wait()
+    held.process, held.operator = old, operator
+    held.wait_for_log("taken_back")
+    assert held.tell(req_id, "done", number, result="r", token=token) == 204
+    assert put(held, "a2", prefer=None).read()[2] == b"r"
+    client.close()
+
+
+def test_a_new_process_that_cannot_have_the_store_changes_nothing(held):
+    client = put(held, "a1", prefer=None)
+    number, req_id, token = accept(held)
+    refused = held.start(RELAY_OPERATOR=f"{HOST}:{free_port()}", CARTHINGE_FILE=str(other_file(held)))
+    assert refused.wait(10) == 4
+    held.wait_for_log("taken_back")
+    assert held.tell(req_id, "done", number, result="r", token=token) == 204
+    assert client.read()[2] == b"r"
+
+
+def other_file(world):
+    """A file whose store's folder cannot be made."""
+    path = world.file_path.with_name("other.toml")
+    path.write_text(FILE.replace("{folder}", str(world.config_path / "not-a-folder")))
+    return path
+
+
+def test_no_durable_job_is_lost_or_run_twice_while_clients_keep_asking_through_upgrades(held):
+    """Clients in place, one after the other on kept connections; workers that serve at once."""
+    stop, sent, statuses, faults = threading.Event(), [], [], []
+
+    def ask(name):
+        peer = held.connect()
+        for step in range(1000):
+            if stop.is_set():
+                return
+            req_id = f"{name}-{step}"
+            try:
+                peer.send(job(req_id, kind="reindex", deadline="9000m", Idempotency_Key=req_id))
+                first, headers, body = peer.read()
+                statuses.append((first, body.decode(), req_id))
+                if headers.get("connection") == "close":
+                    peer = held.connect()
+            except (OSError, EOFError) as fault:
+                faults.append((req_id, repr(fault)))
+                peer = held.connect()
+
+    def work():
+        while True:
+            try:
+                number, peer, (line, headers, _) = held.take()
+            except (AssertionError, ValueError, OSError):  # the test is over
+                return
+            with contextlib.suppress(OSError, EOFError):  # given up meanwhile: on with the next
+                peer.answer(202)
+                if line.startswith("POST"):
+                    sent.append(headers["req-id"])
+                    held.tell(headers["req-id"], "done", number, result=headers["req-id"])
+
+    threads = [threading.Thread(target=ask, args=(f"c{n}",)) for n in range(6)]
+    worker = threading.Thread(target=work, daemon=True)
+    for thread in (*threads, worker):
+        thread.start()
+    for _ in range(2):
+        old, _ = held.upgrade()
+        old.send_signal(signal.SIGTERM)
+        old.wait()
+    stop.set()
+    for thread in threads:
+        thread.join(20)
+    assert not faults and {first for first, _, _ in statuses} == {"HTTP/1.1 200 OK"}, (faults, statuses[-5:])
+    assert all(body == req_id for _, body, req_id in statuses) and len(statuses) > 20
+    # A second attempt may only follow on one that was given up, as a stub that is slow to read may cause.
+    given_up = [line for line in held.log().splitlines() if "attempt_ended" in line and "CANCELLED" in line]
+    again = {req_id for req_id in sent if sent.count(req_id) > 1}
+    assert all(any(f"id={req_id} " in line for line in given_up) for req_id in again), again
