--- a/tests/world.py
+++ b/tests/world.py
@@ -302,3 +302,15 @@
 
     def log(self):
         return self.log_path.read_text()
+
+
+def altered(**caps):
+    return {**SETTINGS, "caps": {**SETTINGS["caps"], **caps}}
+
+
+def serve_next(world, req_id, result="r", state="done"):
+    """Takes the next job at whatever worker it comes to, and reports its end."""
+    number, peer, _ = world.take()
+    peer.answer(202)
+    assert world.tell(req_id, state, number, result=result) == 204
+    return number, peer
