--- a/tests/test_durable_upgrades.py
+++ b/tests/test_durable_upgrades.py
@@ -9,7 +9,6 @@
 from world import HOST, World, free_port, job
 
 
-
 @pytest.fixture
 def held(tmp_path):
     with World(tmp_path, workers=2, file=FILE.replace("0.4", "5"), held=True) as started:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,4 @@
-"""The store of durable jobs by itself: against a dictionary, torn, damaged, and on a disk that fails."""
+"""The store of durable jobs by itself: torn, damaged, on a disk that fails; its owner and its command."""
 
 import json
 import random
@@ -6,170 +6,18 @@
 import sqlite3
 import subprocess
 import sys
-import tempfile
 from datetime import timedelta
 from itertools import count
 
-import msgspec
 import pytest
-from hypothesis import settings
-from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from store_shorthands import accepted, at, ended, granted, opened
 
-from carthinge import interface as io
 from carthinge.durable.errors import StoreError
-from carthinge.durable.limits import Limits, Shed
-from carthinge.durable.records import (
-    Accepted,
-    AttemptState,
-    Collected,
-    Ended,
-    Granted,
-    HandedBack,
-    JobState,
-    Renewed,
-    Terms,
-)
-from carthinge.durable.recovery import Entrance
-from carthinge.durable.seal import job_name, job_number
-from carthinge.durable.store import Store, Time
+from carthinge.durable.records import AttemptState
 from carthinge.durable.wal import examine
 from carthinge.durable.writer import Writer
 from carthinge.net.loop import READ, Loop
 
-ENTRY = msgspec.msgpack.encode(io.WorkerEntry(7))
-ROOM = 64 * 1024 * 1024
-
-
-def at(now, boot="b", wall=None):
-    return Time(now, now if wall is None else wall, boot)
-
-
-def accepted(number, key=None, body=b"body", give_up=10_000_000):
-    return Accepted(number, f"r{number}", "acme", "reindex", key, b"d" * 16, b"/api/x", body,
-                    (("Idempotency-Key", b"k"),), Terms(1, 20_000, 1.0, 0.0), 1, give_up)
-
-
-def granted(token, job, number=0):
-    return Granted(token, job, number, "s-0", "127.0.0.1:1", ENTRY, 5, 10_000_000)
-
-
-def ended(number, state=JobState.SERVED, result=b"r", forget_at=100):
-    return Ended(number, state, result, 0, 9, forget_at)
-
-
-def opened(folder, time=None, **more):
-    store = Store(folder, more.pop("max_bytes", ROOM), **more)
-    store.open(time or at(1))
-    return store
-
-
-class StoreMachine(RuleBasedStateMachine):
-    """Batches of everything, applied once or twice, with crashes between them."""
-
-    def __init__(self):
-        super().__init__()
-        self.folder = tempfile.mkdtemp(prefix="store")
-        self.jobs, self.attempts, self.keys, self.numbers, self.now = {}, {}, {}, count(1), 1
-
-    @initialize()
-    def start(self):
-        self.store = opened(self.folder)
-
-    def teardown(self):
-        self.store.close()
-        shutil.rmtree(self.folder)
-
-    @rule(keys=st.lists(st.sampled_from([None, b"k1", b"k2", b"k3"]), min_size=1, max_size=20),
-          twice=st.booleans())
-    def accept(self, keys, twice):
-        batch, taken = [], set()
-        for key in keys:
-            if key is None or key not in taken:
-                taken.add(key)
-                batch.append(accepted(next(self.numbers), key, bytes(next(self.numbers) % 50)))
-        others = self.apply(batch, twice)
-        for record in batch:
-            holder = self.keys.get(record.key)
-            assert (others[record.number].number if record.number in others else None) == holder
-            if holder is None:
-                self.jobs[record.number] = [JobState.OPEN, record.body, record.key, None]
-                if record.key is not None:
-                    self.keys[record.key] = record.number
-
-    @precondition(lambda self: self.jobs)
-    @rule(data=st.data(), twice=st.booleans())
-    def attempt(self, data, twice):
-        job = data.draw(st.sampled_from(sorted(self.jobs)))
-        token = next(self.numbers)
-        state = data.draw(st.sampled_from(AttemptState))
-        batch = [granted(token, job), Renewed(token, 77, 5)]
-        if state is not AttemptState.OUT:
-            batch.append(HandedBack(token, state))
-        self.apply(batch, twice)
-        self.attempts[token] = (job, state)
-
-    @precondition(lambda self: self.jobs)
-    @rule(data=st.data(), state=st.sampled_from(list(JobState)[1:]), twice=st.booleans())
-    def end(self, data, state, twice):
-        number = data.draw(st.sampled_from(sorted(self.jobs)))
-        self.apply([ended(number, state, b"result %d" % state, self.now + 50)], twice)
-        job = self.jobs[number]
-        if job[0] is JobState.OPEN:  # only the first end counts
-            self.jobs[number] = [state, b"result %d" % state, job[2], self.now + 50]
-            if state is JobState.REFUSED and job[2] is not None:
-                del self.keys[job[2]]
-                self.jobs[number][2] = None
-
-    @precondition(lambda self: any(job[3] for job in self.jobs.values()))
-    @rule(data=st.data(), forget_at=st.integers(1, 200))
-    def collect(self, data, forget_at):
-        number = data.draw(st.sampled_from(sorted(n for n, job in self.jobs.items() if job[3])))
-        self.apply([Collected(number, forget_at)], False)
-        self.jobs[number][3] = min(self.jobs[number][3], forget_at)
-
-    @rule(span=st.integers(1, 60))
-    def forget(self, span):
-        self.now += span
-        while self.store.forget(self.now):
-            pass
-        for number in [n for n, job in self.jobs.items() if job[3] and job[3] <= self.now]:
-            key = self.jobs.pop(number)[2]
-            if key is not None:
-                del self.keys[key]
-            self.attempts = {token: known for token, known in self.attempts.items() if known[0] != number}
-
-    @rule()
-    def crash(self):
-        """The log is left as it is, as by a process that is killed."""
-        self.store.close()
-        epoch = self.store.epoch
-        self.store = opened(self.folder, at(self.now))
-        assert self.store.epoch == epoch + 1
-
-    def apply(self, batch, twice):
-        others = self.store.apply(batch, at(self.now))
-        return self.store.apply(batch, at(self.now)) if twice else others
-
-    @invariant()
-    def agrees(self):
-        if not hasattr(self, "store"):
-            return
-        open_jobs = {job.accepted.number: job for job in self.store.open_jobs(0, 1000)}
-        assert sorted(open_jobs) == sorted(n for n, job in self.jobs.items() if job[0] is JobState.OPEN)
-        for number, job in open_jobs.items():
-            assert job.accepted.body == self.jobs[number][1] and job.accepted.key == self.jobs[number][2]
-            assert {(sent.token, sent.state) for sent in job.attempts} == \
-                {(token, state) for token, (of, state) in self.attempts.items() if of == number}
-        for number, (state, result, _, forget_at) in self.jobs.items():
-            found = self.store.find(number)
-            assert found.state is state and (forget_at is None or found.result == result)
-
-
-TestStore = StoreMachine.TestCase
-TestStore.settings = settings(max_examples=25, stateful_step_count=25, deadline=None)
-
-
 # ---- what a crash leaves ------------------------------------------------------------------------
 
 
@@ -373,53 +221,3 @@
     assert "no such file" in run("show", tmp_path, code=2)
     (tmp_path / "jobs.db").write_bytes(b"something else" * 1000)
     assert "jobs.db" in run("check", tmp_path, code=2) or "not a database" in run("check", tmp_path, code=2)
-
-
-# ---- what is decided beside it ------------------------------------------------------------------
-
-
-def test_limits_name_what_is_short_and_count_what_is_open():
-    limits = Limits(max_open=3, max_open_per_tenant=2, max_open_bytes=100, max_store_bytes=10_000,
-                    max_backlog=5)
-    fine = {"tenant": "a", "size": 10, "backlog": 0, "store_bytes": 0, "failing": False}
-    assert limits.refusal(**fine) is None
-    assert limits.refusal(**{**fine, "failing": True}) is Shed.FAILING
-    assert limits.refusal(**{**fine, "backlog": 5}) is Shed.BACKLOG
-    assert limits.refusal(**{**fine, "store_bytes": 8_500}) is Shed.FULL
-    assert limits.refusal(**{**fine, "size": 101}) is Shed.BYTES
-    limits.enter("a", 10)
-    limits.enter("a", 10)
-    assert limits.refusal(**fine) is Shed.TENANT and limits.refusal(**{**fine, "tenant": "b"}) is None
-    limits.enter("b", 10)
-    assert limits.refusal(**{**fine, "tenant": "c"}) is Shed.OPEN
-    limits.leave("a", 10)
-    assert limits.refusal(**fine) is None and limits.bytes == 20
-
-
-def test_recovered_jobs_enter_at_their_pace_and_those_whose_time_is_over_at_once():
-    entrance = Entrance(per_s=100)
-    for job in range(50):
-        entrance.park(job, timedelta(seconds=1000))
-    entrance.park("late", timedelta(seconds=1))
-    assert entrance.enter(timedelta(seconds=0)) == []
-    entered, now = [], timedelta()
-    while now < timedelta(milliseconds=300):
-        due = entrance.due(now)
-        assert now < due <= now + timedelta(milliseconds=20)
-        now = due
-        entered += entrance.enter(now)
-    assert 28 <= len(entered) <= 32 and entered == list(range(len(entered)))
-    assert entrance.drop(40) and not entrance.drop(40)
-    at_its_end = entrance.enter(timedelta(seconds=1))
-    assert at_its_end[0] == "late"
-    entered += at_its_end[1:]
-    while len(entrance):
-        entered += entrance.enter(now := entrance.due(now))
-    assert set(entered) == set(range(50)) - {40} and entrance.due(now) is None
-
-
-def test_names_of_jobs_cannot_be_made_up():
-    name = job_name(12345, b"secret")
-    assert job_number(name, b"secret") == 12345 and job_number(name, b"other") is None
-    for bad in ("", "-", "3039", "03039" + name[4:], name.upper(), name[:-1], "x" * 300, name + "\u00e9"):
-        assert job_number(bad, b"secret") is None
--- /dev/null
+++ b/tests/test_store_batches.py
@@ -0,0 +1,118 @@
+"""The store against a dictionary: batches of everything, once or twice, with crashes between them."""
+
+import shutil
+import tempfile
+from itertools import count
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from store_shorthands import accepted, at, ended, granted, opened
+
+from carthinge.durable.records import AttemptState, Collected, HandedBack, JobState, Renewed
+
+
+class StoreMachine(RuleBasedStateMachine):
+    """Batches of everything, applied once or twice, with crashes between them."""
+
+    def __init__(self):
+        super().__init__()
+        self.folder = tempfile.mkdtemp(prefix="store")
+        self.jobs, self.attempts, self.keys, self.numbers, self.now = {}, {}, {}, count(1), 1
+
+    @initialize()
+    def start(self):
+        self.store = opened(self.folder)
+
+    def teardown(self):
+        self.store.close()
+        shutil.rmtree(self.folder)
+
+    @rule(keys=st.lists(st.sampled_from([None, b"k1", b"k2", b"k3"]), min_size=1, max_size=20),
+          twice=st.booleans())
+    def accept(self, keys, twice):
+        batch, taken = [], set()
+        for key in keys:
+            if key is None or key not in taken:
+                taken.add(key)
+                batch.append(accepted(next(self.numbers), key, bytes(next(self.numbers) % 50)))
+        others = self.apply(batch, twice)
+        for record in batch:
+            holder = self.keys.get(record.key)
+            assert (others[record.number].number if record.number in others else None) == holder
+            if holder is None:
+                self.jobs[record.number] = [JobState.OPEN, record.body, record.key, None]
+                if record.key is not None:
+                    self.keys[record.key] = record.number
+
+    @precondition(lambda self: self.jobs)
+    @rule(data=st.data(), twice=st.booleans())
+    def attempt(self, data, twice):
+        job = data.draw(st.sampled_from(sorted(self.jobs)))
+        token = next(self.numbers)
+        state = data.draw(st.sampled_from(AttemptState))
+        batch = [granted(token, job), Renewed(token, 77, 5)]
+        if state is not AttemptState.OUT:
+            batch.append(HandedBack(token, state))
+        self.apply(batch, twice)
+        self.attempts[token] = (job, state)
+
+    @precondition(lambda self: self.jobs)
+    @rule(data=st.data(), state=st.sampled_from(list(JobState)[1:]), twice=st.booleans())
+    def end(self, data, state, twice):
+        number = data.draw(st.sampled_from(sorted(self.jobs)))
+        self.apply([ended(number, state, b"result %d" % state, self.now + 50)], twice)
+        job = self.jobs[number]
+        if job[0] is JobState.OPEN:  # only the first end counts
+            self.jobs[number] = [state, b"result %d" % state, job[2], self.now + 50]
+            if state is JobState.REFUSED and job[2] is not None:
+                del self.keys[job[2]]
+                self.jobs[number][2] = None
+
+    @precondition(lambda self: any(job[3] for job in self.jobs.values()))
+    @rule(data=st.data(), forget_at=st.integers(1, 200))
+    def collect(self, data, forget_at):
+        number = data.draw(st.sampled_from(sorted(n for n, job in self.jobs.items() if job[3])))
+        self.apply([Collected(number, forget_at)], False)
+        self.jobs[number][3] = min(self.jobs[number][3], forget_at)
+
+    @rule(span=st.integers(1, 60))
+    def forget(self, span):
+        self.now += span
+        while self.store.forget(self.now):
+            pass
+        for number in [n for n, job in self.jobs.items() if job[3] and job[3] <= self.now]:
+            key = self.jobs.pop(number)[2]
+            if key is not None:
+                del self.keys[key]
+            self.attempts = {token: known for token, known in self.attempts.items() if known[0] != number}
+
+    @rule()
+    def crash(self):
+        """The log is left as it is, as by a process that is killed."""
+        self.store.close()
+        epoch = self.store.epoch
+        self.store = opened(self.folder, at(self.now))
+        assert self.store.epoch == epoch + 1
+
+    def apply(self, batch, twice):
+        others = self.store.apply(batch, at(self.now))
+        return self.store.apply(batch, at(self.now)) if twice else others
+
+    @invariant()
+    def agrees(self):
+        if not hasattr(self, "store"):
+            return
+        open_jobs = {job.accepted.number: job for job in self.store.open_jobs(0, 1000)}
+        assert sorted(open_jobs) == sorted(n for n, job in self.jobs.items() if job[0] is JobState.OPEN)
+        for number, job in open_jobs.items():
+            assert job.accepted.body == self.jobs[number][1] and job.accepted.key == self.jobs[number][2]
+            assert {(sent.token, sent.state) for sent in job.attempts} == \
+                {(token, state) for token, (of, state) in self.attempts.items() if of == number}
+        for number, (state, result, _, forget_at) in self.jobs.items():
+            found = self.store.find(number)
+            assert found.state is state and (forget_at is None or found.result == result)
+
+
+TestStore = StoreMachine.TestCase
+TestStore.settings = settings(max_examples=25, stateful_step_count=25, deadline=None)
