Let what a dispatcher is told at its start stand in a file of its own, rules.py

Classes of jobs, tenants and settings are in carthinge/rules.py; interface.py has what is told and asked for turn by turn, and hands the others on, so `from carthinge import interface as io` stays as it is.

--- a/carthinge/settings.py
+++ b/carthinge/settings.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 from typing import Any, Final, TypeVar
 
-from carthinge.interface import Effect, JobClass, Reports, Scope, Settings, Tenant, Weights
+from carthinge.rules import Effect, JobClass, Reports, Scope, Settings, Tenant, Weights
 
 T = TypeVar("T")
 EFFECTS: Final = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
