Let a connection that came in stand in a file of its own, front/connection.py

front/ingress.py held 458 lines: the listener and its connections, and what one connection reads and answers. No behaviour changes.

--- a/carthinge/front/ingress.py
+++ b/carthinge/front/ingress.py
@@ -1,40 +1,32 @@
-"""Ingress: clients' jobs and workers' call-backs, which come to the same address."""
+"""Ingress: the address for clients' jobs and workers' call-backs, and the connections that came in on it."""
 
 from __future__ import annotations
 
 import socket
-from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Final, cast
 
-import msgspec
-
-from carthinge.front.call_backs import CALL_BACK, NO_ANSWER, CallBacks, Elsewhere
-from carthinge.front.translator import JOBS, Translator
+from carthinge.front.call_backs import CallBacks, Elsewhere
+from carthinge.front.connection import IngressConnection
+from carthinge.front.translator import Translator
 from carthinge.net import log
 from carthinge.net.channel import Waiting
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
-from carthinge.net.exchange import Book, Exchange
-from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes, call_bytes
+from carthinge.net.exchange import Book
 from carthinge.net.listener import Listener
-from carthinge.net.loop import MICROSECOND, Loop, Timer
+from carthinge.net.loop import Loop
 from carthinge.net.places import Places
-from carthinge.net.stream import Stream
 from carthinge.settings import Site
 
 if TYPE_CHECKING:  # not loaded where no job is durable
-    from carthinge.front.durable_front import DurableFront, JobCall
+    from carthinge.front.durable_front import DurableFront
 
-PIPELINED: Final = 8  # requests that may wait on one connection; clients of this protocol send one at a time
 PAUSE_TOLD: Final = timedelta(seconds=10)  # pauses that follow on one another are logged once in a while
-WAITING_SHARE: Final = 0.75  # of all places: workers' call-backs need some, or no job would ever end
 FIRST_REQUEST: Final = timedelta(milliseconds=2500)  # from connecting to the last byte of a first request
 FRESH_CHECKED: Final = timedelta(milliseconds=200)  # how often that is looked at
-SLOW_REQUEST: Final = timedelta(seconds=10)  # from the first byte of a later request to its last
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +49,7 @@
         self.translator = Translator(site)
         self.max_retry_after = site.max_retry_after
         self._greeting = site.connect_timeout  # whoever connects writes its first bytes within that, too
-        self.ready = ready
+        self._ready = ready
         self.draining: Drain | None = None
         self.call_backs = CallBacks(book, egress, counters, elsewhere)
         self.durable: DurableFront | None = None
@@ -76,6 +68,9 @@
         self.max_retry_after = site.max_retry_after
         self._greeting = site.connect_timeout
 
+    def up(self) -> bool:
+        return self._ready() and self.draining is None
+
     def keeps_connections(self) -> bool:
         return self.draining is None or self.loop.now < self.draining.kept_until
 
@@ -204,255 +199,3 @@
         self._checking = bool(self.places.fresh)
         if self._checking:
             self.loop.call_after(FRESH_CHECKED, self._check_fresh)
-
-
-class IngressConnection:
-    """One connection of a client or of a worker that calls back.  Answers go out in the order of requests."""
-
-    def __init__(self, ingress: Ingress, sock: socket.socket, since: timedelta) -> None:
-        self._ingress = ingress
-        self._since = since  # something may wait on it to be read since then
-        self._entered = ingress.loop.turns
-        self._reader = RequestReader()
-        self._waiting: deque[Request] = deque()
-        self._current: Request | None = None
-        self._exchange: Exchange | None = None
-        self._call: JobCall | None = None
-        self.put_off = False  # its request is for the other process
-        self._finished = False
-        self._slow: Timer | None = None  # for the rest of a later request
-        self._stream = Stream(ingress.loop, sock, self)
-
-    def idle(self) -> bool:
-        return not (self._current or self._waiting or self._reader.under_way or self._finished
-                    or self._stream.unsent)
-
-    def silent(self) -> bool:
-        return not self._stream.unsent and self._stream.silent()
-
-    def at_rest(self) -> bool:
-        """Its client waits for an answer, and has sent nothing more."""
-        return not (self._current is None or self._waiting or self._reader.under_way or self._finished
-                    or self._stream.unsent)
-
-    def keep_alive(self) -> bool:
-        return self._current is not None and self._current.keep_alive
-
-    def unhandled(self) -> bytes:
-        """The requests that were put off, as they may have come."""
-        requests = [self._current, *self._waiting] if self._current is not None else []
-        return b"".join(call_bytes(request.method.decode(), request.target, "", _as_sent(request.headers),
-                                   request.body) for request in requests)
-
-    def waiting_for(self) -> Waiting | None:
-        """The durable job that its client waits for, where another process has it."""
-        call = self._call
-        if call is None or call.held is not None or not call.number or not self.at_rest():
-            return None
-        call.drop()
-        return Waiting(call.name, call.in_place, call.until // MICROSECOND, self.keep_alive())
-
-    def resume_call(self, durable: DurableFront, job: str, in_place: bool, wait: timedelta) -> None:
-        """As where another process has begun to wait for that job."""
-        assert self._current is not None
-        request = self._current
-        call = durable.resume(self, request, job, in_place, wait)
-        if self._current is request:
-            self._call = call
-
-    def go_on(self) -> None:
-        """Handles a request that was put off."""
-        if self.put_off and self._current is not None:
-            self.put_off = False
-            self._waiting.appendleft(self._current)
-            self._current = None
-            self._next()
-
-    def wait_for_answer(self, keep_alive: bool) -> None:
-        """As where another process has read the request."""
-        self._current = Request(b"POST", b"", {}, b"", keep_alive)
-
-    def owe(self, exchange: Exchange) -> None:
-        self._exchange = exchange
-        self._ingress.waiting.add(self)
-
-    def release(self) -> socket.socket:
-        """Lets go of the socket, for another process to go on with."""
-        self._ingress.places.leave(self)
-        self._ingress.waiting.discard(self)
-        return self._stream.release()
-
-    def close(self) -> None:
-        self._stream.close()
-        self.ended("closed here")
-
-    # ---- the stream -----------------------------------------------------------------------
-
-    def received(self, data: bytes) -> None:
-        try:
-            requests = self._reader.feed(data)
-            loop = self._ingress.loop
-            for request in requests:
-                request.came = self._since if loop.turns <= self._entered + 1 else loop.since
-            self._waiting.extend(requests)
-            if len(self._waiting) > PIPELINED:
-                raise BadRequestError(HTTPStatus.BAD_REQUEST, "too many requests at once")
-        except BadRequestError as fault:
-            self._turn_away(fault)
-            return
-        if self._reader.expects_go_ahead and self._current is None and not self._waiting:
-            self._reader.expects_go_ahead = False
-            self._stream.write(GO_AHEAD)
-        if requests:
-            self._ingress.places.used(self)
-        self._watch_slow()
-        self._next()
-
-    def flushed(self) -> None:
-        """Nothing follows from that."""
-
-    def ended(self, why: str) -> None:
-        """The client has gone; what it waited for is not owed any more."""
-        self._ingress.places.leave(self)
-        self._waiting.clear()
-        if self._slow is not None:
-            self._slow.cancel()
-        self._abandon()
-
-    def _abandon(self) -> None:
-        exchange, self._exchange = self._exchange, None
-        self._ingress.waiting.discard(self)
-        if exchange is not None:
-            self._ingress.book.abandon(exchange)
-        call, self._call = self._call, None
-        if call is not None:
-            call.drop()
-
-    def _watch_slow(self) -> None:
-        """Guards against clients that begin a request and never end it: they would hold their places."""
-        if not self._reader.under_way:
-            if self._slow is not None:
-                self._slow.cancel()
-                self._slow = None
-        elif self._slow is None and self not in self._ingress.places.fresh:
-            fault = BadRequestError(HTTPStatus.BAD_REQUEST, "the request took too long to arrive")
-            self._slow = self._ingress.loop.call_after(SLOW_REQUEST, lambda: self._turn_away(fault))
-
-    def _turn_away(self, fault: BadRequestError) -> None:
-        """Nothing more can be read here: all that waits on the connection is answered so, and it ends.
-
-        Guards against what cannot be read being left to wait behind an exchange that is under way.
-        """
-        self._abandon()
-        refusal = answer_bytes(fault.status, f"{fault}\n".encode())
-        self._stream.write(refusal * (len(self._waiting) + (self._current is not None)))
-        self._waiting.clear()
-        self._current = None
-        self._refuse(fault, keep_alive=False)
-
-    # ---- requests -------------------------------------------------------------------------
-
-    def _next(self) -> None:
-        while self._current is None and self._waiting and not self._finished:
-            self._current = self._waiting.popleft()
-            try:
-                self._handle(self._current)
-            except BadRequestError as fault:
-                self._refuse(fault)
-
-    def _handle(self, request: Request) -> None:
-        path = request.target.split(b"?", 1)[0]
-        durable = self._ingress.durable
-        if request.method == b"POST" and path == CALL_BACK:
-            self._ingress.call_backs.take(request.body, lambda status: self.reply(request, status))
-        elif durable is not None and durable.concerns(request, path):
-            if durable.jobs.leaving:
-                self.put_off = True
-                return
-            ingress = self._ingress
-            call = durable.begin(self, request, path, ingress.translator,
-                                 lambda asked: ingress.patience(asked, request.came),
-                                 ingress.book.by_id.__contains__)
-            if self._current is request:  # else it is answered already
-                self._call = call
-        elif request.method == b"POST" and (path == JOBS or path.startswith(JOBS + b"/")):
-            self._take(request)
-        elif request.method == b"GET" and path == b"/up":
-            up = self._ingress.ready() and self._ingress.draining is None
-            self._answer(HTTPStatus.OK if up else HTTPStatus.SERVICE_UNAVAILABLE)
-        elif request.method == b"GET" and path == b"/counters":
-            self._answer(HTTPStatus.OK, msgspec.json.encode(self._ingress.counters),
-                         [("Content-Type", "application/json")])
-        else:
-            raise BadRequestError(HTTPStatus.NOT_FOUND, "nothing here")
-
-    def reply(self, request: Request, status: int, body: bytes = b"",
-              headers: list[tuple[str, str]] | None = None) -> None:
-        """The answer to a request that had to wait for something."""
-        if self._current is request and not self._stream.closed:  # else whoever asked has gone meanwhile
-            self._call = None
-            if status == NO_ANSWER:
-                self.close()
-            else:
-                self._answer(status, body, headers)
-
-    def _take(self, request: Request) -> None:
-        job, terms = self._ingress.translator.read(request)
-        if job.id in self._ingress.book.by_id:  # its call-backs could not be told from the other's
-            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Id: in use by another request")
-        ingress = self._ingress
-        if len(ingress.waiting) >= ingress.places.most * WAITING_SHARE:
-            ingress.counters.taken += 1
-            ingress.counters.shed += 1
-            ingress.counters.shed_for_room += 1
-            ingress.book.ended.refused[terms.class_name] += 1
-            self._shed(ingress.max_retry_after, keep_alive=False)
-            return
-        terms = replace(terms, patience=ingress.patience(terms.patience, request.came))
-        self.owe(ingress.book.take(job, terms, self))
-
-    def _refuse(self, fault: BadRequestError, keep_alive: bool = True) -> None:
-        self._ingress.counters.bad_input += 1
-        log.logger().debug("bad_input", status=int(fault.status), why=str(fault))
-        self._answer(fault.status, f"{fault}\n".encode(), keep_alive=keep_alive)
-        self._ingress.places.misused(self)
-
-    # ---- answers --------------------------------------------------------------------------
-
-    def serve(self, result: bytes) -> None:
-        self._answer(HTTPStatus.OK, result)
-
-    def shed(self, stay_away: timedelta) -> None:
-        self._shed(min(stay_away, self._ingress.max_retry_after))
-
-    def _shed(self, away: timedelta, keep_alive: bool = True) -> None:
-        headers = [("Retry-After", f"{away.total_seconds():.3f}")] if away else []
-        self._answer(HTTPStatus.SERVICE_UNAVAILABLE, headers=headers, keep_alive=keep_alive)
-
-    def fail(self, timed_out: bool) -> None:
-        self._answer(HTTPStatus.GATEWAY_TIMEOUT if timed_out else HTTPStatus.BAD_GATEWAY)
-
-    def reject(self) -> None:
-        self._answer(HTTPStatus.BAD_REQUEST, b"no worker can use this request\n")
-        self._ingress.places.misused(self)
-
-    def _answer(self, status: int, body: bytes = b"", headers: list[tuple[str, str]] | None = None,
-                keep_alive: bool = True) -> None:
-        request, self._current, self._exchange = self._current, None, None
-        self._ingress.waiting.discard(self)
-        if request is not None and request.method == b"HEAD":
-            body = b""
-        keep_alive &= self._ingress.keeps_connections() and (request is None or request.keep_alive)
-        self._stream.write(answer_bytes(status, body, headers or (), keep_alive))
-        if not keep_alive:
-            self._finished = True
-            self._ingress.places.end(self)
-            self._stream.finish()
-        elif self._waiting:
-            self._ingress.loop.soon(self._next)
-
-
-def _as_sent(headers: dict[bytes, bytes]) -> list[tuple[str, bytes]]:
-    """Without what is said of the framing: the request is framed anew."""
-    framing = (b"host", b"content-length", b"transfer-encoding", b"expect")
-    return [(name.decode("latin-1"), value) for name, value in headers.items() if name not in framing]
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -14,7 +14,8 @@
 from types import FrameType
 from typing import TYPE_CHECKING, Any, Final
 
-from carthinge.front.ingress import Drain, Ingress, IngressConnection
+from carthinge.front.connection import IngressConnection
+from carthinge.front.ingress import Drain, Ingress
 from carthinge.front.operator import PLACES, Operator
 from carthinge.interface import ByHand, Inherit, Leave, Listing, Message, Retune, WorkerList
 from carthinge.memory import job_memory, memory_of
@@ -303,7 +304,7 @@
     # ---- what operators ask for -----------------------------------------------------------
 
     def serving(self) -> bool:
-        return self._serving and bool(self.table.ready) and self.ingress.draining is None
+        return self._serving and self.ingress.up()
 
     def figures(self) -> dict[str, Any]:
         ended, counters, fleet = self.book.ended, self.counters, self.dispatcher.fleet
