--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -1,6 +1,8 @@
 """The layout: packages import downward only, and no file is too long to be read at one go."""
 
 import ast
+import subprocess
+import sys
 from pathlib import Path
 
 HOUSE = Path(__file__).resolve().parent.parent
@@ -78,3 +80,13 @@
     longer = {str(file.relative_to(HOUSE)) for folder in ("carthinge", "tests", "benchmarks")
               for file in HOUSE.glob(f"{folder}/**/*.py") if len(file.read_text().splitlines()) > LONGEST}
     assert not longer, longer
+
+
+def test_a_start_loads_nothing_that_is_off():
+    """Durable jobs cost no import where none is set; a plain start needs neither command line nor model."""
+    loaded = subprocess.run([sys.executable, "-c", "import carthinge.serving, sys; print(*sys.modules)"],
+                            cwd=HOUSE, capture_output=True, text=True, check=True).stdout.split()
+    assert "carthinge.scheduler.program" in loaded
+    durable = {module for module in loaded if module.startswith("carthinge.durable.")}
+    assert durable == {"carthinge.durable.errors"}  # which says that there is no store
+    assert not {"carthinge.model", "carthinge.front.durable_front", "sqlite3", "typer"} & set(loaded)
--- a/tests/test_serve_attempts.py
+++ b/tests/test_serve_attempts.py
@@ -179,6 +179,18 @@
     assert client.status() == 200 and world.counters()["attempt_cancelled"] == 1
 
 
+def withdrawn_and_served_elsewhere(world, client, first):
+    """The job is given up by a DELETE to its first worker, and only then goes to the other."""
+    at, peer, (line, _, _) = world.take()
+    assert (at, line) == (first, "DELETE /jobs/a1 HTTP/1.1")
+    peer.answer(204)
+    second, peer, (line, _, _) = world.take()
+    assert second != first and line.startswith("POST")
+    peer.answer(202)
+    world.tell("a1", "done", second)
+    assert client.status() == 200
+
+
 def test_a_withdrawal_that_is_reset_is_sent_again_before_the_job_goes_elsewhere(world):
     """The worker has not read it, and still runs the job: another attempt would be a second copy."""
     client = world.submit("a1")
@@ -191,14 +203,7 @@
         del world.kept[peer.sock]
         peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))  # a reset
         peer.close()
-    at, peer, (line, _, _) = world.take()
-    assert (at, line) == (first, "DELETE /jobs/a1 HTTP/1.1")
-    peer.answer(204)
-    second, peer, (line, _, _) = world.take()
-    assert second != first and line.startswith("POST")
-    peer.answer(202)
-    world.tell("a1", "done", second)
-    assert client.status() == 200
+    withdrawn_and_served_elsewhere(world, client, first)
     assert world.counters()["withdrawn_again"] == 2
 
 
@@ -224,14 +229,7 @@
         assert world.counters()["attempts"] == 1
         for filler in fillers:
             filler.close()
-        at, peer, (line, _, _) = world.take()  # it can be reached again
-        assert (at, line) == (first, "DELETE /jobs/a1 HTTP/1.1")
-        peer.answer(204)
-        second, peer, (line, _, _) = world.take()
-        assert second != first and line.startswith("POST")
-        peer.answer(202)
-        world.tell("a1", "done", second)
-        assert client.status() == 200
+        withdrawn_and_served_elsewhere(world, client, first)  # it can be reached again
 
 
 def test_nor_does_it_go_elsewhere_in_the_last_moment(world):
