--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -22,6 +22,7 @@
     ("memory",),
     ("desk",),
     ("roster",),
+    ("fleet",),
     ("records", "settings"),
     ("interface",),
     ("rules", "operator_file", "leases"),
