Have two tests give the same verdict on a busy machine

Where the machine was busy, a wait of 1 ms was over before the first turn of test_start.py, and an example of test_keys.py took 278 ms, which is over the 200 ms that hypothesis allows by default. The first has a longer wait now; no example is timed any more.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,12 +2,16 @@
 
 import json
 
+import hypothesis
 import pytest
 from world import HOST, SETTINGS, World, free_port, member
 
 from carthinge.net.config import load
 from carthinge.scheduler.program import Program
 
+hypothesis.settings.register_profile("everywhere", deadline=None)  # how busy the machine is says nothing
+hypothesis.settings.load_profile("everywhere")
+
 
 @pytest.fixture
 def world(tmp_path, request):
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,5 +1,7 @@
 """The order of a start: what is open to clients, and when."""
 
+from datetime import timedelta
+
 from carthinge.scheduler import program as net
 
 
@@ -20,6 +22,7 @@
         return select(timeout)
 
     monkeypatch.setattr(net, "bind", noted_bind)
+    monkeypatch.setattr(net, "SETTLE", timedelta(milliseconds=300))  # not over yet when the first turn comes
     monkeypatch.setattr(program.loop._selector, "select", noted_select, raising=False)
     program.upgrade.find()
     order.append("begun")
