--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -7,10 +7,12 @@
 from dataclasses import replace
 from datetime import timedelta
 from http import HTTPStatus
+from math import inf
 from typing import TYPE_CHECKING, Final, Protocol
 
 import msgspec
 
+from carthinge.fleet.comeback import stay_away
 from carthinge.front.call_backs import CALL_BACK, NO_ANSWER, CallBacks
 from carthinge.front.translator import JOBS, Translator
 from carthinge.net import log
@@ -21,6 +23,7 @@
 from carthinge.net.loop import MICROSECOND, Loop, Timer
 from carthinge.net.places import Places
 from carthinge.net.stream import Stream
+from carthinge.records import mix
 
 if TYPE_CHECKING:  # not loaded where no job is durable
     from carthinge.front.durable_front import DurableFront, JobCall
@@ -252,7 +255,9 @@
             ingress.counters.shed += 1
             ingress.counters.shed_for_room += 1
             ingress.book.ended.refused[terms.class_name] += 1
-            self._shed(ingress.max_retry_after, keep_alive=False)
+            point = mix(ingress.counters.shed_for_room)  # when there will be room is known to nobody
+            away = stay_away(inf, 0, ingress.max_retry_after // MICROSECOND, point) * MICROSECOND
+            self._shed(away, keep_alive=False)
             return
         terms = replace(terms, patience=ingress.patience(terms.patience, request.came))
         self.owe(ingress.book.take(job, terms, self))
