--- a/carthinge/fleet/packets.py
+++ b/carthinge/fleet/packets.py
@@ -58,8 +58,7 @@
 
     def size(self) -> int:
         """Bytes in a message, at the most."""
-        return 4 * len(self.name) + len(self.address) + 16 if not self.name.isascii() \
-            else len(self.name) + len(self.address) + 16
+        return len(self.name.encode()) + len(self.address.encode()) + 16
 
 
 class Summary(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_fleet_talk.py
+++ b/tests/test_fleet_talk.py
@@ -4,12 +4,15 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "benchmarks"))
 from virtual_net import SECOND, Net, Rough  # noqa: E402
 
+from carthinge.fleet.codec import encode  # noqa: E402
 from carthinge.fleet.membership import Membership  # noqa: E402
-from carthinge.fleet.packets import Kind, Packet, Summary  # noqa: E402
+from carthinge.fleet.packets import LIFE_MOST, Kind, Packet, Rumor, Standing, Summary  # noqa: E402
 from carthinge.fleet.talk import Facts, Talk  # noqa: E402
 
 
@@ -102,3 +105,25 @@
         assert talk.view.levels == {5: 2} and talk.view.pressure == 1.0
         assert not talk.view.ruling.doubted and talk.view.parts[1] <= 1.5
         assert talk.figures()["summaries_refused"] > 0
+
+
+LIVES, FLOATS = st.integers(0, LIFE_MOST - 1), st.floats(min_value=0)
+NAMES = st.one_of(st.sampled_from(["n0", "n1", "n2"]), st.text(min_size=1, max_size=64))
+AGED = st.lists(st.tuples(st.integers(0, 2**64 - 1), LIVES), max_size=8)
+SUMMARIES = st.builds(Summary, LIVES, LIVES, st.sampled_from([7, 8]), st.floats(), st.lists(
+    st.tuples(st.integers(0, 1 << 20), st.integers(0, 100)), max_size=32), FLOATS, FLOATS, AGED, AGED)
+RUMORS = st.builds(Rumor, NAMES, st.sampled_from(Standing), LIVES, st.one_of(NAMES, st.just("")))
+PACKETS = st.builds(Packet, st.sampled_from(Kind), NAMES, NAMES, LIVES, st.sampled_from(Standing), LIVES,
+                    LIVES, NAMES, LIVES, st.one_of(NAMES, st.just("")), st.lists(RUMORS, max_size=5),
+                    st.one_of(st.none(), SUMMARIES), st.sampled_from([0, 1, 9]), st.integers(0, 1 << 20))
+
+
+@given(st.lists(PACKETS, min_size=1, max_size=30))
+@settings(max_examples=100, deadline=None, derandomize=True)
+def test_no_message_that_can_be_read_breaks_anything_or_makes_one_too_long(packets):
+    told = Told(doubted={number: 1 for number in range(20)}, levels={number: 1 for number in range(90)})
+    talk = Talk(Membership("n0", "n0", ["n1"], SECOND, 1000, 1, 0 * SECOND), 7, [1], 1, told, 0 * SECOND)
+    for at, packet in enumerate(packets):
+        for _, sent in [*talk.tick(at * SECOND / 3), *talk.hear(at * SECOND / 3, packet)]:
+            if len(packet.back.encode()) + len(packet.address.encode()) <= 128:  # its own, to itself alone
+                encode(sent, b"key")
