--- a/carthinge/net/ingress.py
+++ b/carthinge/front/connection.py
@@ -1,215 +1,65 @@
-"""Ingress: clients' jobs and workers' call-backs, which come to the same address."""
+"""One connection that came in: requests in, answers out, in their order."""
 
 from __future__ import annotations
 
 import socket
 from collections import deque
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import timedelta
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final, cast
+from math import inf
+from typing import TYPE_CHECKING, Final, Protocol
 
 import msgspec
 
+from carthinge.fleet.comeback import stay_away
+from carthinge.front.call_backs import CALL_BACK, NO_ANSWER, CallBacks
+from carthinge.front.translator import JOBS, Translator
 from carthinge.net import log
-from carthinge.net.call_backs import CALL_BACK, NO_ANSWER, CallBacks, Elsewhere
 from carthinge.net.channel import Waiting
 from carthinge.net.counters import Counters
-from carthinge.net.egress import Egress
 from carthinge.net.exchange import Book, Exchange
 from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes, call_bytes
-from carthinge.net.listener import Listener
 from carthinge.net.loop import MICROSECOND, Loop, Timer
 from carthinge.net.places import Places
 from carthinge.net.stream import Stream
-from carthinge.net.translator import JOBS, Translator
-from carthinge.settings import Site
+from carthinge.records import mix
 
 if TYPE_CHECKING:  # not loaded where no job is durable
-    from carthinge.net.durable_front import DurableFront, JobCall
+    from carthinge.front.durable_front import DurableFront, JobCall
 
 PIPELINED: Final = 8  # requests that may wait on one connection; clients of this protocol send one at a time
-PAUSE_TOLD: Final = timedelta(seconds=10)  # pauses that follow on one another are logged once in a while
 WAITING_SHARE: Final = 0.75  # of all places: workers' call-backs need some, or no job would ever end
-FIRST_REQUEST: Final = timedelta(milliseconds=2500)  # from connecting to the last byte of a first request
-FRESH_CHECKED: Final = timedelta(milliseconds=200)  # how often that is looked at
 SLOW_REQUEST: Final = timedelta(seconds=10)  # from the first byte of a later request to its last
 
 
-@dataclass(frozen=True, slots=True)
-class Drain:
-    """Up to when what is done, once the program is to end."""
-
-    arriving_until: timedelta  #: clients may still be sent here; what they send has its whole time
-    answered_by: timedelta  #: the last answer to what comes after that
-    kept_until: timedelta  #: from then on every answer ends its connection, so that clients turn elsewhere
-
-
-class Ingress:
-    """The listening socket and the connections that came in on it."""
-
-    def __init__(self, loop: Loop, site: Site, book: Book, egress: Egress, counters: Counters, most: int,
-                 ready: Callable[[], bool], elsewhere: Elsewhere) -> None:
-        self.loop = loop
-        self.book = book
-        self.counters = counters
-        self.translator = Translator(site)
-        self.max_retry_after = site.max_retry_after
-        self._greeting = site.connect_timeout  # whoever connects writes its first bytes within that, too
-        self.ready = ready
-        self.draining: Drain | None = None
-        self.call_backs = CallBacks(book, egress, counters, elsewhere)
-        self.durable: DurableFront | None = None
-        self.places = Places(most)
-        self.waiting: set[IngressConnection] = set()  # their clients wait for the answer to a job
-        self._listener: Listener | None = None
-        self._checking = False
-        self._pause_told = timedelta()
-
-    def listen(self, sock: socket.socket) -> None:
-        self._listener = Listener(self.loop, sock, self)
-
-    def retune(self, site: Site) -> None:
-        """Requests that are read from now on are meant by this site's names."""
-        self.translator = Translator(site)
-        self.max_retry_after = site.max_retry_after
-        self._greeting = site.connect_timeout
+class Gate(Protocol):
+    """What a connection wants of the ingress that it came in by."""
 
-    def keeps_connections(self) -> bool:
-        return self.draining is None or self.loop.now < self.draining.kept_until
-
-    def patience(self, asked: timedelta, came: timedelta) -> timedelta:
-        """What is left of it, for a request that ``came`` then: its client's time ran while it was unread.
-
-        Guards against SIGKILL, too, which would find unanswered what came late in a drain.
-        """
-        drain, now = self.draining, self.loop.now
-        asked -= now - came
-        return asked if drain is None or now < drain.arriving_until else min(asked, drain.answered_by - now)
-
-    def rest(self) -> None:
-        """Takes no new connection in; they wait for another process that listens on the same socket."""
-        if self._listener is not None:
-            self._listener.pause()
-
-    def resume(self) -> None:
-        if self._listener is not None:
-            self._listener.resume()
-
-    def adopt(self, sock: socket.socket, fresh: bool, read: bytes = b"") -> None:
-        """A connection that another process took in; what it had ``read`` there is handled here."""
-        self.counters.connections_taken_over += 1
-        connection = self._hold(sock)
-        if not fresh:
-            self.places.used(connection)
-        if read:
-            connection.received(read)
-
-    def adopt_waiting(self, sock: socket.socket, keep_alive: bool, job: str, in_place: bool,
-                      until: timedelta) -> None:
-        """The same for a connection whose client waits for a durable job."""
-        connection = self.adopt_open(sock, keep_alive)
-        if self.durable is not None:
-            connection.resume_call(self.durable, job, in_place, until - self.loop.now)
-
-    def adopt_open(self, sock: socket.socket, keep_alive: bool) -> IngressConnection:
-        """The same for a connection whose client waits for an answer."""
-        self.counters.connections_taken_over += 1
-        connection = self._hold(sock)
-        self.places.used(connection)
-        connection.wait_for_answer(keep_alive)
-        return connection
-
-    def release_idle(self) -> Iterator[tuple[socket.socket, bool]]:
-        """Lets go of the connections on which nothing is under way, and says which had no request yet."""
-        for connection in self.places.all():
-            if connection.idle():
-                fresh = connection in self.places.fresh
-                yield connection.release(), fresh
-
-    def release_put_off(self) -> Iterator[tuple[socket.socket, bytes]]:
-        """Lets go of the connections whose request is for the other process, with that request."""
-        for connection in self._connections():
-            if connection.put_off:
-                read = connection.unhandled()
-                yield connection.release(), read
-
-    def release_waiting(self) -> Iterator[tuple[socket.socket, Waiting]]:
-        """Lets go of the connections whose clients wait for a durable job that is the other process's."""
-        for connection in self._connections():
-            waiting = connection.waiting_for()
-            if waiting is not None:
-                yield connection.release(), waiting
-
-    def _connections(self) -> list[IngressConnection]:
-        return cast("list[IngressConnection]", self.places.all())
-
-    def go_on(self) -> None:
-        """There is no other process any more: requests that were put off are handled here."""
-        for connection in self._connections():
-            connection.go_on()
+    loop: Loop
+    book: Book
+    counters: Counters
+    translator: Translator
+    call_backs: CallBacks
+    durable: DurableFront | None
+    max_retry_after: timedelta
+    places: Places
+    waiting: set[IngressConnection]  #: their clients wait for the answer to a job
 
-    def close_idle(self) -> None:
-        """Ends the connections on which nothing is under way."""
-        for connection in self.places.all():
-            if connection.idle() and connection.silent():
-                connection.close()
+    def up(self) -> bool:
+        """New jobs are welcome."""
 
-    def close(self) -> None:
-        if self._listener is not None:
-            self._listener.close()
-        for connection in self.places.all():
-            connection.close()
-
-    # ---- the listener ---------------------------------------------------------------------
-
-    def free(self) -> int:
-        return self.places.most - len(self.places)
+    def keeps_connections(self) -> bool:
+        """Connections may go on after an answer."""
 
-    def room(self) -> str | None:
-        """Makes room, where all places are taken, by closing a connection."""
-        if len(self.places) < self.places.most:
-            return None
-        holder = self.places.make_room(self.loop.now, self._greeting)
-        if holder is None:
-            return "every connection has a request under way or unread"
-        self.counters.connections_in_closed_early += 1
-        holder.close()
-        return None
-
-    def enter(self, sock: socket.socket, since: timedelta) -> None:
-        self.counters.connections_in += 1
-        self._hold(sock, since)
-
-    def _hold(self, sock: socket.socket, since: timedelta | None = None) -> IngressConnection:
-        connection = IngressConnection(self, sock, self.loop.now if since is None else since)
-        self.places.enter(connection, self.loop.now)
-        if not self._checking:
-            self._checking = True
-            self.loop.call_after(FRESH_CHECKED, self._check_fresh)
-        return connection
-
-    def resting(self, why: str) -> None:
-        self.counters.accept_pauses += 1
-        if self.loop.now >= self._pause_told + PAUSE_TOLD:
-            self._pause_told = self.loop.now
-            log.logger().warning("accept_paused", why=why, connections=len(self.places))
-
-    def _check_fresh(self) -> None:
-        """Guards against clients that connect and say nothing, or never end their first request."""
-        for holder in self.places.overdue(self.loop.now, FIRST_REQUEST):
-            self.counters.connections_in_silent += 1
-            holder.close()
-        self._checking = bool(self.places.fresh)
-        if self._checking:
-            self.loop.call_after(FRESH_CHECKED, self._check_fresh)
+    def patience(self, asked: timedelta, came: timedelta) -> timedelta:
+        """What is left of a time, for a request that ``came`` then."""
 
 
 class IngressConnection:
     """One connection of a client or of a worker that calls back.  Answers go out in the order of requests."""
 
-    def __init__(self, ingress: Ingress, sock: socket.socket, since: timedelta) -> None:
+    def __init__(self, ingress: Gate, sock: socket.socket, since: timedelta) -> None:
         self._ingress = ingress
         self._since = since  # something may wait on it to be read since then
         self._entered = ingress.loop.turns
@@ -378,8 +228,7 @@
         elif request.method == b"POST" and (path == JOBS or path.startswith(JOBS + b"/")):
             self._take(request)
         elif request.method == b"GET" and path == b"/up":
-            up = self._ingress.ready() and self._ingress.draining is None
-            self._answer(HTTPStatus.OK if up else HTTPStatus.SERVICE_UNAVAILABLE)
+            self._answer(HTTPStatus.OK if self._ingress.up() else HTTPStatus.SERVICE_UNAVAILABLE)
         elif request.method == b"GET" and path == b"/counters":
             self._answer(HTTPStatus.OK, msgspec.json.encode(self._ingress.counters),
                          [("Content-Type", "application/json")])
@@ -406,7 +255,9 @@
             ingress.counters.shed += 1
             ingress.counters.shed_for_room += 1
             ingress.book.ended.refused[terms.class_name] += 1
-            self._shed(ingress.max_retry_after, keep_alive=False)
+            point = mix(ingress.counters.shed_for_room)  # when there will be room is known to nobody
+            away = stay_away(inf, 0, ingress.max_retry_after // MICROSECOND, point) * MICROSECOND
+            self._shed(away, keep_alive=False)
             return
         terms = replace(terms, patience=ingress.patience(terms.patience, request.came))
         self.owe(ingress.book.take(job, terms, self))
