Shed in one order at all schedulers, by the wait for starts at workers

Now each sheds what is over its tenant's share, then what can be in time no more, then the least worth for its work, within that by a hash; how much follows the wait for starts at workers, with hysteresis.

--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -7,6 +7,8 @@
 
 from carthinge import interface as io
 from carthinge.fleet import comeback
+from carthinge.fleet.budget import Budget
+from carthinge.fleet.levels import Level, standing
 from carthinge.records import Attempt, Heat, Job, Queue, Rate, Timers, Worker, mix
 from carthinge.roster import Fleet, Loads
 
@@ -15,7 +17,7 @@
     """Each part is handed the desk of its dispatcher, and the parts that it asks.  No decisions."""
 
     __slots__ = ("settings", "rng", "now", "actions", "jobs", "fleet", "freed", "timers", "after",
-                 "mean_work", "served", "arrivals", "heat", "queue")
+                 "mean_work", "served", "level", "budget", "arrivals", "heat", "queue")
 
     def __init__(self, settings: io.Settings, seed: int,
                  part: Callable[[Desk, list[Worker]], list[Worker]]) -> None:
@@ -31,6 +33,7 @@
         self.after = self.timers.add
         self.mean_work = float(self.shortest())
         self.served, self.arrivals = Rate(), Rate()
+        self.level, self.budget = Level(self.shortest()), Budget(settings.instances)
         self.heat, self.queue = Heat(), Queue()
 
     def shortest(self) -> int:
@@ -46,6 +49,45 @@
         """What is out from here, as a message."""
         return Loads.pack(self.fleet.workers.values(), self.rng)
 
+    def sheds(self, job: Job, over_share: bool, repeat: bool) -> bool:
+        """Whether a job that has just come is turned away by the level; a client's repeat costs budget."""
+        if repeat:
+            self.budget.spend()
+        spec, pace = job.spec, self.fleet.mean_pace()
+        if spec.late_worth > 0:  # measured: to refuse it loses more than the delay that it adds
+            return False
+        slack = spec.objective + (spec.stretch - pace) * job.work
+        worth = spec.worth if self.settings.worth_by_work else spec.worth / job.cost
+        rank = standing(over_share, job.came + slack > self.now, worth)
+        bearable = max(slack, spec.objective / 4)
+        run = 0.0 if self.settings.tells_start else pace * self.mean_work
+        point = mix(job.key or self.settings.position << 40 ^ job.id)
+        shed = self.level.sheds(rank, job.work, bearable, point, run, self.now)
+        if line := self.level.news(self.now):
+            self.actions.append(io.LogLine(line))
+        return shed
+
+    def rationed(self) -> bool:
+        """Whether silence costs budget: not where queues are seen and short, for then it mostly is a
+        worker that hangs."""
+        return self.settings.reports is io.Reports.OFF or self.level.up
+
+    def began(self, wait: float) -> None:
+        """An attempt has begun at its worker."""
+        self.level.waiting -= 1
+        self.level.waited(wait, self.now)
+
+    def ended(self, attempt: Attempt, served: bool) -> None:
+        """An attempt has ended; where starts are not told, what its run does not explain was a wait."""
+        self.level.ended(attempt.begun > 0, served, self.now)
+        if served and not attempt.begun:
+            run = attempt.job.work * attempt.worker.known_pace()
+            self.level.waited(self.now - attempt.sent - run, self.now)
+
+    def sharers(self) -> float:
+        """How many schedulers, this one included, send to a worker that is near here."""
+        return self.settings.instances * max(1, len(self.fleet.near)) / max(1, len(self.fleet.pool(-1)))
+
     def away(self, job: Job) -> int:
         """How long a client that is refused stays away; 0 where the settings have it told nothing."""
         settings = self.settings
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -137,6 +137,7 @@
         if attempt.open:
             job.open += 1
             worker.carry(job)
+            dispatcher.desk.level.waiting += not attempt.begun
             dispatcher.attend(attempt)
 
 
@@ -145,6 +146,7 @@
     job.answered, job.waiting = True, False
     for attempt in job.attempts:
         if attempt.open:
+            dispatcher.desk.level.waiting -= not attempt.begun
             attempt.open = attempt.may_have_run = False  # for this one: no check of it is due any more
             attempt.leave()
 
--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -14,8 +14,6 @@
 CAP_FLOOR: Final = 0.5
 CAP_FALL: Final = 0.7
 UNTROUBLED: Final = frozenset({io.Result.OK, io.Result.CANCELLED, io.Result.MOOT})
-AGAIN_SHARE: Final = 0.1  # of served jobs: attempts made again, or twice, because one is silent
-AGAIN_MOST: Final = 10.0
 HEDGE_AFTER: Final = 3.0  # times the usual time to a start: what has not begun by then waits in a queue
 PATIENCE_START: Final = 4.0  # of the expected time to a sign, until a better one is learned
 RUN_PATIENCE: Final = (3.0, 8.0, 30.0)  # times a run's span: the least, at the start, the most
@@ -83,7 +81,6 @@
     def __init__(self, desk: Desk, reports: Reports, doubts: Doubts, cold: ColdBudget) -> None:
         self.desk, self.reports, self.doubts, self.cold = desk, reports, doubts, cold
         self.pick, self.signs = Pick(desk, reports, cold), Signs(desk)
-        self._again = 1.0  # attempts that silence may cost; without it, slowness everywhere starts a storm
 
     def send(self, job: Job, worker: Worker) -> None:
         desk = self.desk
@@ -92,6 +89,7 @@
             worker.cold_left -= job.work
         desk.actions.append(io.Send(job.id, worker.id))
         self.attend(attempt)
+        desk.level.waiting += 1
         if desk.settings.tells_start:
             desk.after(desk.now + int(HEDGE_AFTER * self.signs.prompt), self._waits, attempt)
 
@@ -114,6 +112,7 @@
                 self.signs.started(attempt)
                 wait, now = self.desk.now - attempt.sent, self.desk.now
                 attempt.begin(now)
+                self.desk.began(wait)
                 attempt.worker.queue.add(wait, now)
                 self.desk.queue.add(wait, now, GAIN)
                 self.desk.freed.append(attempt.worker)
@@ -125,6 +124,7 @@
         """The worker's cap falls on trouble and rises on served jobs; its pace follows what was timed."""
         job, worker, result, now = attempt.job, attempt.worker, event.result, self.desk.now
         attempt.close(result)
+        self.desk.ended(attempt, result is io.Result.OK)
         if event.report:
             self.reports.take(worker, event.report)
         elif result is not io.Result.FULL:
@@ -132,7 +132,7 @@
         if result is io.Result.OK:
             self.doubts.heard(worker)
             worker.refusals = worker.errors = 0
-            self._again = min(self._again + AGAIN_SHARE, AGAIN_MOST)
+            self.desk.budget.earn()
             self.desk.served.add(job.work, now)
             (self.signs.ran if attempt.begun else self.signs.begun)(attempt)
             worker.cap += 1.0 / max(1.0, worker.cap)
@@ -151,6 +151,7 @@
         """An attempt that has not begun waits in a queue: a copy may begin sooner elsewhere."""
         if not attempt.open or attempt.begun:
             return
+        self.desk.level.waited(self.desk.now - attempt.sent, self.desk.now)
         attempt.stand(True)  # more would wait there, out of reach of worth
         if attempt.job.hedged and not attempt.job.answered:
             attempt.alone = False  # and its delay is counted here, not again at its start
@@ -175,13 +176,13 @@
             return
         self.doubts.doubt(worker)
         if settings.may_copy:
-            if self._again >= 1 and not job.answered and job.open < 2:
-                self._again -= 1
+            if self.desk.budget.allows() and not job.answered and job.open < 2:
+                self.desk.budget.spend()
                 self._copy(job)
-        elif settings.reports is io.Reports.OFF and self._again < 1:
-            self.attend(attempt)  # with reports queues are seen, and silence mostly is a worker that hangs
+        elif self.desk.rationed() and not self.desk.budget.allows():
+            self.attend(attempt)
         elif worker.strikes and settings.may_cancel and any(
                 self.pick.may_repeat(other, job) for other in self.pick.eligible(job)):
-            self._again = max(0.0, self._again - 1)
+            self.desk.budget.spend()
             job.silent = attempt.begun > 0  # it is called off, and its end sends the job back to its heap
             self.desk.actions.append(io.Cancel(job.id, attempt.number))
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -74,19 +74,18 @@
         strict = spec.late_worth <= 0
         job.hedged = strict and settings.tells_start and settings.may_copy and settings.may_cancel
         job.bearable = float(spec.objective) if strict else math.inf
-        if left > 0.99 * span and not self.tenants.within(event.tenant, desk.now):
+        if over := left > 0.99 * span and not self.tenants.within(event.tenant, desk.now):
             job.rank *= settings.over_share_worth
             job.bearable = min(1.0, OVER_YIELD * settings.over_share_worth) * spec.objective
         self.jobs[job.id] = job
         desk.mean_work += (work - desk.mean_work) * GAIN / 5
         desk.arrivals.add(1.0, desk.now)
-        if event.key:
-            first = not desk.heat
-            desk.heat.add(event.key)
-            if first:
-                self.fleet.renew()
+        if event.key and desk.heat.add(event.key):
+            self.fleet.renew()
         attach(self, job, sent)
-        if not job.open:
+        if not sent and desk.sheds(job, over, event.repeat):
+            self._conclude(job)
+        elif not job.open:
             self.enqueue(job)
         if self.reports.asks:
             self.reports.earn(job)
--- a/carthinge/policy/health.py
+++ b/carthinge/policy/health.py
@@ -5,6 +5,7 @@
 
 from carthinge import interface as io
 from carthinge.desk import Desk
+from carthinge.fleet import doubts
 from carthinge.records import Job, Worker
 
 DOUBT_LIMIT: Final = 0.4  # of the fleet: if more is silent, it is not the workers that are ill
@@ -50,7 +51,8 @@
         doubted = 0 if certain else sum(1 for other in pool if other.strikes)
         if worker.strikes or doubted < max(1.0, DOUBT_LIMIT * len(pool)):
             worker.strikes += 1
-            worker.avoid_until = self.desk.now + self._pause(worker.strikes - 1)
+            owners = doubts.owners(self.desk.sharers()) if certain else 1.0
+            worker.avoid_until = self.desk.now + int(self._pause(worker.strikes - 1) * owners)
 
     def _pause(self, times: int) -> int:
         """How long to leave a worker alone after so many earlier times."""
@@ -84,8 +86,7 @@
         slot = (desk.now - worker.started) // max(1, settings.fall_window)
         if slot != worker.cold_slot:
             worker.cold_slot = slot
-            near = max(1, len(desk.fleet.near))
-            sharers = settings.instances * near / max(1, len(desk.fleet.pool(-1)))
+            near, sharers = max(1, len(desk.fleet.near)), desk.sharers()
             if desk.now >= self._warm_until:  # the warm ones serve most of what is served
                 self._warm_until = desk.now + settings.fall_window
                 self.warm_part = max(WARM_LEAST, sum(self._warmth(other) for other in desk.fleet.near) / near)
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -311,6 +311,7 @@
                 "attempts": counters.attempts_written, "in_flight": self.book.in_flight(),
                 "workers_known": len(self.table.listed),
                 "workers_excluded": fleet.excluded(self.loop.now // MICROSECOND),
+                "overload": self.dispatcher.desk.level.figures() | self.dispatcher.desk.budget.figures(),
                 "reloads_ok": counters.reloads_ok, "reloads_failed": counters.reloads_failed,
                 **({"durable": self.durable.figures()} if self.durable is not None else {})}
 
