--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -53,9 +53,10 @@
         """Whether a job that has just come is turned away by the level; a client's repeat costs budget."""
         if repeat:
             self.budget.spend()
-        spec, pace = job.spec, self.fleet.mean_pace()
+        spec = job.spec
         if spec.late_worth > 0:  # measured: to refuse it loses more than the delay that it adds
             return False
+        pace = self.fleet.mean_pace()
         slack = spec.objective + (spec.stretch - pace) * job.work
         worth = spec.worth if self.settings.worth_by_work else spec.worth / job.cost
         rank = standing(over_share, job.came + slack > self.now, worth)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -126,10 +126,10 @@
         assert level.seen(now) >= 0 and level.expected(0.0, now) >= 0
 
 
-def overloaded(**more):
+def overloaded(late_worth=0.0, **more):
     """A scheduler whose jobs begin after a tenth of a second, ten a second, for some seconds."""
-    dear = io.JobClass(objective=300_000, deadline=5_000_000, worth=10.0)
-    cheap = io.JobClass(objective=300_000, deadline=5_000_000)
+    dear = io.JobClass(objective=300_000, deadline=5_000_000, worth=10.0, late_worth=late_worth)
+    cheap = io.JobClass(objective=300_000, deadline=5_000_000, late_worth=late_worth)
     config = settings(dear, cheap, may_copy=False, progress=10**8, **more)
     gateway = started(config, *range(1, 30))
     late = []
@@ -153,6 +153,12 @@
     assert refused and all(request % 2 for request in refused)
 
 
+def test_what_is_worth_something_late_is_never_shed():
+    gateway = overloaded(late_worth=0.1)
+    assert not of(io.Refuse, gateway.handle(8_100_000, [arrival(200 + n, now=8_100_000) for n in range(20)]))
+    assert gateway.desk.level.shed == 0
+
+
 # ---- budgets and doubts -------------------------------------------------------------------------
 
 
