--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -9,8 +9,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from enum import IntEnum
 
 from carthinge.rules import Effect as Effect
@@ -282,6 +282,15 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class FleetView:
+    """What several dispatchers know or have agreed on together, in place of what was told before."""
+
+    alone: Sequence[tuple[int, int]] = ()  #: workers to be left alone, and until when
+    parts: Sequence[float] = ()  #: of each tenant the part of its quota here, 1.0 for an equal one
+    levels: Mapping[tuple[int, int], int] = field(default_factory=dict)  #: shed levels by tenant and class
+
+
 @dataclass(slots=True)
 class Timer:
     """A timer that was asked for has come due."""
@@ -290,7 +299,7 @@
 
 
 Event = (WorkerList | ByHand | Inherit | Leave | TakeOver | Restore | GiveAway | Retune | Arrival
-         | StreamStarted | Outcome | Abandoned | Note | ProbeResult | Message | Timer)
+         | StreamStarted | Outcome | Abandoned | Note | ProbeResult | Message | FleetView | Timer)
 
 
 # ---- actions ----------------------------------------------------------------------------------
--- a/carthinge/scheduler/partner.py
+++ b/carthinge/scheduler/partner.py
@@ -20,8 +20,9 @@
 from carthinge.policy import Dispatcher
 from carthinge.scheduler.upgrade import Upgrade
 
-if TYPE_CHECKING:  # not loaded where no job is durable
+if TYPE_CHECKING:  # not loaded where no job is durable, or schedulers do not talk
     from carthinge.durable.jobs import DurableJobs
+    from carthinge.scheduler.fleet_link import FleetLink
 
 LEAST_PLACES: Final = 8  # however many the process before this one holds still
 OTHER: Final = -1  # the other process, as the sender of what it has at the workers
@@ -46,6 +47,7 @@
         self._ingress = ingress
         self._durable = durable
         self._discovery = discovery
+        self.fleet: FleetLink | None = None
         self._most_in, self._most_out = ingress.places.most, egress.most
 
     def state(self) -> State:
@@ -55,6 +57,8 @@
 
     def leave(self, leaving: bool) -> None:
         self._book.tell(Leave(leaving))
+        if self.fleet is not None:  # the other process talks in this one's place
+            self.fleet.close(leave=False) if leaving else self.fleet.open()
         if leaving:
             self._egress.most = self._most_out // 2
         else:
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -82,6 +82,12 @@
                                self.ingress, self.durable, lambda: self.config.discovery, self.begin,
                                self.by_hand_here)
         self.upgrade.scheduler = self.partner
+        if config.options.fleet.listen:
+            from carthinge.scheduler.fleet_link import FleetLink
+
+            self.partner.fleet = FleetLink(self.loop, config.options.fleet, config.name, config.site,
+                                           self.dispatcher, self.book.tell)
+        self.fleet = self.partner.fleet
         self._quiet_since: timedelta | None = None
         self._serving = False
         self._over = False
@@ -155,6 +161,8 @@
             self.partner.share(0)
         if self.durable is not None:
             self.durable.open()
+        if self.fleet is not None:
+            self.fleet.open()
         self.book.decide()
         listen = partial(self._listen, state is not None)
         if self.config.site.pushed:
@@ -196,7 +204,8 @@
                 "workers_known": len(self.table.listed),
                 "workers_excluded": fleet.excluded(self.loop.now // MICROSECOND),
                 "reloads_ok": counters.reloads_ok, "reloads_failed": counters.reloads_failed,
-                **({"durable": self.durable.figures()} if self.durable is not None else {})}
+                **({"durable": self.durable.figures()} if self.durable is not None else {}),
+                **({"fleet": self.fleet.figures()} if self.fleet is not None else {})}
 
     def by_hand(self, worker: str, out: bool, done: Callable[[bool], None]) -> None:
         """Carried out at both processes, where there are two, before it is answered."""
@@ -264,6 +273,8 @@
         self.book.ended.name(site.classes)
         self.ingress.retune(site)
         self.egress.retune(site)
+        if self.fleet is not None:
+            self.fleet.retune(site)
         self.watch.move(config.discovery)
         self.watch.retune(site)
 
@@ -271,6 +282,8 @@
         if self.ingress.draining is not None:
             return
         log.logger().info("draining", owed=len(self.book.exchanges))
+        if self.fleet is not None:
+            self.fleet.close(leave=not self.upgrade.leaving)
         decisions = self.config.site.decisions
         longest = max(spec.deadline for spec in decisions.classes) * MICROSECOND
         arriving_until = self.loop.now + STILL_ARRIVING
