Give the model of a fleet keys that workers keep, and one store that they fetch from

Workers of the model now keep the keys used last, and fetch others while a job holds its slot; the store can do so many at once. The family keyed has a short store.

--- a/benchmarks/fleet_overload.py
+++ b/benchmarks/fleet_overload.py
@@ -1,6 +1,6 @@
 """What many schedulers do together when more comes than their workers can do, in virtual time.
 
-    python benchmarks/fleet_overload.py [--quick] [--family reports|blind|mixed]
+    python benchmarks/fleet_overload.py [--quick] [--family reports|blind|mixed|keyed]
                                         [--scenario calm|overload|bad|herd] [--seed N]
                                         [--schedulers N] [--workers N]
 
@@ -42,6 +42,7 @@
     Herd,
     Ill,
     JobSort,
+    Keys,
     Load,
     Play,
     Tally,
@@ -80,6 +81,7 @@
     sorts=(JobSort(_SLOW, 0.5, ms(770), noise=0.28), JobSort(_FAST, 0.5, ms(400), noise=0.28)),
     loads=(), clients=Clients(retries=0.75, backoff=ms(300), grows=True, honour=0.75))
 MIXED = replace(BLIND, kinds=(BLIND.kinds[0], replace(BLIND.kinds[1], cancel=Cancels.QUEUED)))
+KEYED = replace(BLIND, keys=Keys(per_worker=9, zipf=1.07, kept_per_slot=1.0, setup=0.4, store=0.35))
 
 _QUERY = io.JobClass(objective=us(300), deadline=us(5_000), late_worth=0.2, stretch=2.5)
 _INDEX = io.JobClass(objective=us(600), deadline=us(10_000), effect=io.Effect.KEYED, window=us(15_000),
@@ -103,7 +105,7 @@
            JobSort(_INDEX, 0.48, ms(800), spread=2.0, noise=0.4)),
     loads=(), clients=Clients(retries=1.5, backoff=ms(70), grows=True, honour=0.6), hints=0.5,
     usage=(0.9, 0.9, 0.9, 0.9, 1.1, 0.9, 0.9, 1.1))
-FAMILIES = {"reports": REPORTS, "blind": BLIND, "mixed": MIXED}
+FAMILIES = {"reports": REPORTS, "blind": BLIND, "mixed": MIXED, "keyed": KEYED}
 ORDINARY = ("reports", "blind")
 QUOTAS = 0.8  # of what the workers can do, all tenants' quotas together
 
--- a/carthinge/model/__init__.py
+++ b/carthinge/model/__init__.py
@@ -10,7 +10,18 @@
 
 from carthinge.model.play import Play
 from carthinge.model.tally import Tally, Window
-from carthinge.model.world import Cancels, Clients, Herd, Ill, JobSort, Load, Trouble, WorkerKind, World
+from carthinge.model.world import (
+    Cancels,
+    Clients,
+    Herd,
+    Ill,
+    JobSort,
+    Keys,
+    Load,
+    Trouble,
+    WorkerKind,
+    World,
+)
 
-__all__ = ["Cancels", "Clients", "Herd", "Ill", "JobSort", "Load", "Play", "Tally", "Trouble", "Window",
-           "WorkerKind", "World"]
+__all__ = ["Cancels", "Clients", "Herd", "Ill", "JobSort", "Keys", "Load", "Play", "Tally", "Trouble",
+           "Window", "WorkerKind", "World"]
--- a/carthinge/model/clients.py
+++ b/carthinge/model/clients.py
@@ -40,6 +40,7 @@
     leaves: int
     retries: int
     honours: bool
+    key: int = 0
     tries: int = 0
     end: End | None = None
 
@@ -109,6 +110,11 @@
             end += micros(load.lasts)
             self._spans.append((end, load.load * capacity / micros(world.mean_work()) * SECOND))
         self._sorts, self._sort_at = self._cumulated([sort.share for sort in world.sorts])
+        keys = world.keys
+        count = round(keys.per_worker * world.workers) if keys else 0
+        parts = [n ** -keys.zipf for n in range(1, count + 1)] if keys else []
+        self._keys, self._key_at = self._cumulated(parts)
+        self._draw_key = Random(f"{seed}/keys")
         tenants = world.settings.tenants
         usage = world.usage or (1.0,) * len(tenants)
         self._tenants, self._tenant_at = self._cumulated([t.share * u for t, u in zip(tenants, usage,
@@ -162,7 +168,10 @@
         aim = min(deadline, now + spec.objective + int(spec.stretch * work))
         retries = int(world.clients.retries + rng.random())
         return Demand(now, job_class, tenant, work, hint, worth, aim, deadline, retries,
-                      rng.random() < world.clients.honour)
+                      rng.random() < world.clients.honour, self._key())
+
+    def _key(self) -> int:
+        return 1 + bisect.bisect(self._key_at[:-1], self._draw_key.random()) if self._keys else 0
 
     def _within_quota(self, tenant: int) -> bool:
         quota = self._world.settings.tenants[tenant].quota_per_s
@@ -178,7 +187,8 @@
 
     def _try(self, demand: Demand) -> None:
         repeat = demand.tries > 0 and self._world.clients.marks
-        arrival = io.Arrival(0, demand.job_class, 0, demand.tenant, hint=demand.hint, repeat=repeat)
+        arrival = io.Arrival(0, demand.job_class, 0, demand.tenant, demand.key, hint=demand.hint,
+                             repeat=repeat)
         demand.tries += 1
         request = Try(self, demand, self.front.choose())
         self.agenda.at(self.agenda.now + self.front.client_delay(), request.arrive, arrival)
--- a/carthinge/model/play.py
+++ b/carthinge/model/play.py
@@ -12,8 +12,8 @@
 from carthinge.model.clients import ModelClients, Try
 from carthinge.model.scheduler import Make, Scheduler
 from carthinge.model.tally import Tally
-from carthinge.model.workers import ModelWorker, draw_workers
-from carthinge.model.world import Herd, Ill, Trouble, World, lognormal
+from carthinge.model.workers import ModelWorker, Store, draw_workers
+from carthinge.model.world import Herd, Ill, Trouble, WorkerKind, World, lognormal
 from carthinge.policy import Dispatcher
 
 SAMPLE_EVERY: Final = SECOND // 20
@@ -31,7 +31,7 @@
         self._rng, self._work = Random(f"{seed}/net"), Random(f"{seed}/work")
         self.worker_delay = self._delays(micros(world.worker_delay), world.jitter)
         self.client_delay = self._delays(micros(world.client_delay), world.jitter)
-        own = Random(f"{seed}/workers")
+        own, self.store = Random(f"{seed}/workers"), self._store(drawn)
         self.workers = {number: self._worker(number, world.kinds.index(kind), own)
                         for number, kind in enumerate(drawn, 1)}
         self.capacity = sum(worker.speed * worker.kind.cores for worker in self.workers.values())
@@ -41,11 +41,17 @@
         self.clients = ModelClients(world, self.agenda, self.tally, self, self.capacity, seed)
 
     def _worker(self, number: int, kind: int, rng: Random) -> ModelWorker:
-        make = self.world.kinds[kind]
+        make, keys = self.world.kinds[kind], self.world.keys
         rating = float(make.cores) if self.world.settings.weights is not io.Weights.OFF else 1.0
         return ModelWorker(self.agenda, self.tally, make, io.WorkerEntry(number, kind=kind, rating=rating),
                            Random(rng.getrandbits(64)), self.world.settings, self.worker_delay,
-                           micros(self.world.connect_timeout))
+                           micros(self.world.connect_timeout), self.store,
+                           max(1, round(keys.kept_per_slot * make.cores)) if keys else 0)
+
+    def _store(self, drawn: list[WorkerKind]) -> Store | None:
+        keys, work = self.world.keys, micros(self.world.mean_work())
+        jobs = sum(kind.speed * kind.cores for kind in drawn) / work
+        return Store(self.agenda, int(keys.setup * work), keys.store * jobs) if keys else None
 
     def _delays(self, mean: int, jitter: float) -> Callable[[], int]:
         least, more, rng = mean * (1 - jitter), 2 * mean * jitter, self._rng
--- a/carthinge/model/scheduler.py
+++ b/carthinge/model/scheduler.py
@@ -69,6 +69,7 @@
     sent: int
     due: int
     work: int = 0
+    key: int = 0
     open: bool = True
     leaves_as: io.Result | None = None  # it was given up, but its worker may not know yet
 
@@ -82,6 +83,7 @@
     job_class: int
     work: int
     give_up: int
+    key: int = 0
     owed: bool = True
     attempts: list[Attempt] = field(default_factory=list)
 
@@ -126,7 +128,7 @@
         """A request has come; its number and the time up to which it may be answered are set here."""
         self._count += 1
         give_up = self._agenda.now + patience - min(ANSWER_MARGIN, int(ANSWER_SHARE * patience))
-        exchange = Exchange(self._count, client, arrival.job_class, work, give_up)
+        exchange = Exchange(self._count, client, arrival.job_class, work, give_up, arrival.key)
         self.exchanges[exchange.number] = exchange
         arrival.request, arrival.give_up = exchange.number, give_up
         self.hear(arrival)
@@ -188,7 +190,7 @@
         exchange, now = self.exchanges[action.request], self._agenda.now
         due = min(exchange.give_up, now + action.timeout) if action.timeout else exchange.give_up
         worker = self._world.workers[action.worker]
-        attempt = Attempt(exchange, len(exchange.attempts), worker, now, due)
+        attempt = Attempt(exchange, len(exchange.attempts), worker, now, due, key=exchange.key)
         exchange.attempts.append(attempt)
         if not exchange.owed or due <= now:
             self._close(attempt, io.Result.MOOT)
--- a/carthinge/model/workers.py
+++ b/carthinge/model/workers.py
@@ -22,6 +22,7 @@
     """One send, as its worker knows it."""
 
     work: int  #: what it takes, unlike any hint
+    key: int  #: the program that it needs, 0 for none
     due: int  #: when its client leaves
     open: bool  #: its scheduler waits for it
 
@@ -47,11 +48,29 @@
     over: bool = False
 
 
+class Store:
+    """Where workers fetch programs from: one fetch takes ``setup``, all together no more than ``rate`` each
+    microsecond.  ``fetched`` counts them."""
+
+    def __init__(self, agenda: Agenda, setup: int, rate: float) -> None:
+        self._agenda, self._setup, self._gap = agenda, setup, 1 / rate
+        self._free_at = 0.0
+        self.fetched = self.asked = 0
+
+    def fetch(self) -> int:
+        """How long a fetch that begins now will take."""
+        now = self._agenda.now
+        self.fetched += 1
+        self._free_at = max(float(now), self._free_at) + self._gap
+        return max(self._setup, int(self._free_at) - now)
+
+
 class ModelWorker:
-    """One worker.  ``delay`` draws the time that news needs, one way."""
+    """One worker.  ``delay`` draws the time that news needs, one way; ``keeps`` programs stay there."""
 
     def __init__(self, agenda: Agenda, tally: Tally, kind: WorkerKind, entry: io.WorkerEntry, rng: Random,
-                 settings: io.Settings, delay: Callable[[], int], connect_timeout: int = 250_000) -> None:
+                 settings: io.Settings, delay: Callable[[], int], connect_timeout: int = 250_000,
+                 store: Store | None = None, keeps: int = 0) -> None:
         self.kind, self.entry, self.settings = kind, entry, settings
         self.speed = max(0.1 * kind.speed, rng.gauss(kind.speed, kind.speed * kind.speed_spread))
         self.ill: Ill | None = None
@@ -65,6 +84,8 @@
         self._shown: tuple[float, ...] = ()
         self._agenda, self._tally, self._rng, self._delay = agenda, tally, rng, delay
         self._connect_timeout = connect_timeout
+        self._store, self._keeps = store, keeps
+        self._kept: dict[int, None] = {}  # the one used last stands last
 
     # ---- what schedulers want of it -------------------------------------------------------
 
@@ -127,7 +148,7 @@
                 self._drop(piece)
                 continue
             now = piece.begun = self._agenda.now
-            piece.span = max(1, int(piece.attempt.work / self._rate()))
+            piece.span = max(1, int(piece.attempt.work / self._rate())) + self._set_up(piece.attempt.key)
             self.running.append(piece)
             self._agenda.at(now + piece.span, self._finish, piece, piece.turn)
             if self.settings.tells_start:
@@ -135,6 +156,18 @@
             if self.settings.progress:
                 self._agenda.at(now + self.settings.progress, self._progress, piece)
 
+    def _set_up(self, key: int) -> int:
+        """How long it takes to have a program here."""
+        if not key or self._store is None:
+            return 0
+        self._store.asked += 1
+        wait = 0 if key in self._kept else self._store.fetch()
+        self._kept.pop(key, None)
+        self._kept[key] = None
+        if len(self._kept) > self._keeps:
+            del self._kept[next(iter(self._kept))]
+        return wait
+
     def _rate(self) -> float:
         """Work done in a unit of time by each running job that begins now."""
         rate = self.speed * self._warmth()
@@ -198,6 +231,7 @@
                     self._agenda.at(self._agenda.now + self._delay(), piece.home.end, piece.attempt,
                                     io.Result.RESET, ())
             self.queue.clear()
+            self._kept.clear()
 
     def recover(self) -> None:
         """What has hung goes on; what was dead starts cold."""
--- a/carthinge/model/world.py
+++ b/carthinge/model/world.py
@@ -94,6 +94,17 @@
     load: float
 
 
+@dataclass(frozen=True, slots=True)
+class Keys:
+    """Programs that jobs need.  A worker keeps those used last; a job that needs another fetches it."""
+
+    per_worker: float  #: programs in use, for each worker
+    zipf: float  #: the n-th has a part of all jobs like 1 / n to this power
+    kept_per_slot: float  #: how many a worker keeps, for each of its cores
+    setup: float  #: what a fetch takes at the least, of the mean work
+    store: float  #: what the one store can fetch, as a share of all jobs that the fleet can do
+
+
 @dataclass(frozen=True, slots=True)
 class Clients:
     """What clients do who were refused, or whose scheduler has died."""
@@ -138,6 +149,7 @@
     schedulers: int = 200
     workers: int = 150
     clients: Clients = Clients()
+    keys: Keys | None = None
     troubles: tuple[Trouble, ...] = ()
     herds: tuple[Herd, ...] = ()
     hints: float | None = None  #: deviation of hints over the work; None where clients give none
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -125,7 +125,8 @@
     """An attempt of the real book, as a model worker knows it."""
 
     def __init__(self, attempt, work):
-        self.attempt, self.work, self.due, self.gone = attempt, work, micros(attempt.due), None
+        self.attempt, self.work, self.due = attempt, work, micros(attempt.due)
+        self.gone, self.key = None, 0
 
     @property
     def open(self):
@@ -239,7 +240,8 @@
 
     def send(self, *works, due=60_000_000):
         for work in works:
-            attempt = type("Sent", (), {"work": work, "due": due, "open": True, "number": len(self.sent)})()
+            attempt = type("Sent", (), {"work": work, "due": due, "open": True, "key": 0,
+                                    "number": len(self.sent)})()
             self.sent.append(attempt)
             self.worker.take(attempt, self)
         return self
