Have each of many schedulers keep an order of workers where none tells its load

Six in ten fetched their key, for about 100 ms; 4% were tried again. So lines made by chance lose the most, since each scheduler draws among the homes of a key for every job.

Now it takes those in an order of its own (first one that all together cover evenly, then by hashes), where the next costs a tenth of a mean job, and a line seen there half of one.

--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -80,11 +80,8 @@
         self.jobs[job.id] = job
         desk.mean_work += (work - desk.mean_work) * GAIN / 5
         desk.arrivals.add(1.0, desk.now)
-        if event.key:
-            first = not desk.heat
-            desk.heat.add(event.key)
-            if first:
-                self.fleet.renew()
+        if event.key and desk.heat.add(event.key):
+            self.fleet.renew()
         attach(self, job, sent)
         if not job.open:
             self.enqueue(job)
--- a/carthinge/policy/pick.py
+++ b/carthinge/policy/pick.py
@@ -13,6 +13,8 @@
 SPARE_WORTH: Final = 0.5  # of the dearest work: what is worth less leaves one reported slot free
 PROBE_WAIT: Final = 1 / 16  # of the objective: how long a head waits for probes it caused
 FETCH_WORK: Final = 1.0  # of a mean job: what a worker that does not keep the key is taken to fetch
+LINE_WORK: Final = 0.5  # of a mean job: the same for a line seen there
+STEP_WORK: Final = 0.1  # of a mean job: by what each worker further down its own order puts a gateway off
 TIE_WORK: Final = 0.1  # of outstanding work that fits its slots: least work decides among free workers
 STRETCH_USED: Final = 0.8  # of the stretch: the rest is for what a hint or a pace is off
 KEY_WIDE: Final = 3.0  # times the workers that a key's part of all jobs fills: each has other keys as well
@@ -22,10 +24,7 @@
 
 
 def near(desk: Desk, pool: list[Worker]) -> list[Worker]:
-    """This gateway's part of a large fleet, where connections have a price: all are covered alike.
-
-    Not where jobs carry keys: those of a key belong together, whichever gateway has them.
-    """
+    """This gateway's even part of a large fleet, where connections have a price and jobs carry no keys."""
     settings = desk.settings
     size = max(SAMPLE, NEAR_COVER * len(pool) // settings.instances)
     start = settings.position * len(pool) // settings.instances
@@ -42,6 +41,7 @@
     def adopt(self, settings: io.Settings) -> None:
         self.draws = max(SAMPLE_LEAST, min(SAMPLE, 3 * SAMPLE // settings.instances))
         self.blind = self.draws == SAMPLE_LEAST  # what is at a worker is hardly ever from here
+        self.apart = self.blind and settings.reports is io.Reports.OFF  # it has its own order of workers
         self.top_worth = max(spec.worth for spec in settings.classes)
 
     def eligible(self, job: Job) -> list[Worker]:
@@ -62,8 +62,14 @@
         best: Worker | None = None
         least, ties = math.inf, 0
         wide, homes = self.homes(job)
-        for worker in self.candidates(job, pool, homes):
+        # What each sends to the same few it sees there; what all draw anywhere is a line that none sees.
+        own = self.desk.fleet.order(homes[:wide + 1] or pool, self.desk.settings) if self.apart else []
+        others = [worker for worker in self.candidates(job, pool, homes) if worker not in own]
+        for place, worker in enumerate(own + others):
+            if least <= (step := STEP_WORK * self.desk.mean_work * min(place, len(own))) and own:
+                break  # none that is further down can be better
             if (estimate := self.estimate(worker, job)) is not None:
+                estimate += step + LINE_WORK * self.desk.mean_work * (len(own) > 1 and worker.in_line > 0)
                 if homes:  # the further from its first homes, the likelier it has to fetch the key
                     far = max(0, homes.index(worker) - wide) if worker in homes else KEY_HOMES
                     estimate += FETCH_WORK * self.desk.mean_work * far / KEY_HOMES
@@ -74,12 +80,12 @@
         return best
 
     def homes(self, job: Job) -> tuple[int, list[Worker]]:
-        """Where gateways agree, without talking, to look for a job's key, and at how many besides the first
-        it is as likely: a key that many jobs carry needs many workers, and others' jobs are not seen."""
+        """Where all gateways look for a job's key, and at how many besides the first it is as likely: a key
+        that many jobs carry needs many workers, and others' jobs are not seen."""
         if not job.key:
             return 0, []
-        desk, instances = self.desk, self.desk.settings.instances
-        wide = int(KEY_WIDE * desk.heat.share(job.key) * len(desk.fleet.pool(-1)) * (1 - 1 / instances))
+        desk, others = self.desk, 1 - 1 / self.desk.settings.instances
+        wide = int(KEY_WIDE * desk.heat.share(job.key) * len(desk.fleet.pool(-1)) * others)
         return wide, desk.fleet.homes(job.key, wide + KEY_HOMES)
 
     def candidates(self, job: Job, pool: list[Worker], homes: list[Worker]) -> list[Worker]:
@@ -87,15 +93,13 @@
         if len(pool) <= SAMPLE:
             return pool
         # What all draw with nothing to go by adds up by chance alone: to what each worker can do.
-        desk, rng = self.desk, self.desk.rng
-        groups = desk.fleet.by_kind(pool)
+        desk, rng, groups = self.desk, self.desk.rng, self.desk.fleet.by_kind(pool)
         drawn = [group[int(rng.random() * len(group))] for group in rng.choices(
             groups, [len(group) * group[0].strength() for group in groups], k=self.draws)]
         if self.reports.asks:
             drawn.extend(worker for worker in self.reports.latest if worker.free >= job.slots)
         elif self.blind:  # where a job from here has just ended is a slot that no other gateway was told of
-            kept = desk.now - desk.settings.idle_close
-            drawn.extend(worker for worker in self.reports.latest if worker.sent_at > kept)
+            drawn.extend(w for w in self.reports.latest if w.sent_at > desk.now - desk.settings.idle_close)
         return drawn + homes
 
     def may_repeat(self, worker: Worker, job: Job) -> bool:
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -290,12 +290,15 @@
         """Whether jobs carry keys here at all."""
         return bool(self._counts)
 
-    def add(self, key: int) -> None:
+    def add(self, key: int) -> bool:
+        """Counts a job; tells whether it is the first."""
+        first = not self._counts
         self._counts[key] = self._counts.get(key, 0.0) + 1
         self._total += 1
         if self._total >= self.MOST:
             self._counts = {key: count / 2 for key, count in self._counts.items() if count > 1}
             self._total /= 2
+        return first
 
     def share(self, key: int) -> float:
         """Of all jobs; a few of them say little, and one that comes first may be one of many elsewhere."""
--- a/carthinge/roster.py
+++ b/carthinge/roster.py
@@ -41,7 +41,7 @@
     """All known workers, and the listed ones by machine kind in an order that all dispatchers share."""
 
     __slots__ = ("workers", "kinds", "tags", "near", "out", "version", "_together", "_part", "_pools",
-                 "_homes", "_groups", "_peers")
+                 "_homes", "_groups", "_peers", "_ranks")
 
     def __init__(self, together: bool, part: Callable[[list[Worker]], list[Worker]]) -> None:
         self.workers: dict[int, Worker] = {}
@@ -55,6 +55,7 @@
         self._pools: dict[int, list[Worker]] = {}
         self._homes: dict[int, list[Worker]] = {}
         self._peers: dict[int, list[tuple[Worker, float, float]]] = {}  # what each has told of last
+        self._ranks: dict[int, int] = {}  # places in one dispatcher's own order, by id
         self._groups: dict[int, list[list[Worker]]] = {}  # of the pools kept here and of ``near``, by id()
 
     def add(self, entry: io.WorkerEntry, cap: float) -> Worker:
@@ -135,6 +136,7 @@
         self._pools.clear()
         self._groups.clear()
         self._homes.clear()
+        self._ranks.clear()
         for worker in self.near:
             worker.near = False
         self.near = self._part(self.pool(-1))
@@ -162,6 +164,17 @@
                 self._groups[id(pool)] = groups
         return groups
 
+    def order(self, pool: list[Worker], settings: io.Settings) -> list[Worker]:
+        """A pool in an order of one dispatcher's own: the first are so that all together cover each worker
+        alike, the rest goes by hashes with its position.
+        """
+        if not self._ranks and (fleet := self.pool(-1)):
+            start = settings.position * len(fleet) // settings.instances % len(fleet)
+            mixed = mix(settings.position + 1)
+            rest = sorted(fleet[:start] + fleet[start + 1:], key=lambda worker: mix(worker.point ^ mixed))
+            self._ranks = {worker.id: rank for rank, worker in enumerate([fleet[start], *rest])}
+        return sorted(pool, key=lambda worker: self._ranks.get(worker.id, len(self._ranks)))
+
     def homes(self, key: int, count: int) -> list[Worker]:
         """The workers that a key belongs to, the first most likely to keep it: those of the highest hashes
         with it, so that each worker gets as many keys as any other, and only a leaving one's keys move.
