--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -74,7 +74,7 @@
         strict = spec.late_worth <= 0
         job.hedged = strict and settings.tells_start and settings.may_copy and settings.may_cancel
         job.bearable = float(spec.objective) if strict else math.inf
-        if left > 0.99 * span and not self.tenants.within(event.tenant, desk.now):
+        if over := left > 0.99 * span and not self.tenants.within(event.tenant, desk.now):
             job.rank *= settings.over_share_worth
             job.bearable = min(1.0, OVER_YIELD * settings.over_share_worth) * spec.objective
         self.jobs[job.id] = job
@@ -83,7 +83,9 @@
         if event.key and desk.heat.add(event.key):
             self.fleet.renew()
         attach(self, job, sent)
-        if not job.open:
+        if not sent and desk.sheds(job, over, event.repeat):
+            self._conclude(job)
+        elif not job.open:
             self.enqueue(job)
         if self.reports.asks:
             self.reports.earn(job)
--- a/carthinge/policy/pick.py
+++ b/carthinge/policy/pick.py
@@ -41,7 +41,7 @@
     def adopt(self, settings: io.Settings) -> None:
         self.draws = max(SAMPLE_LEAST, min(SAMPLE, 3 * SAMPLE // settings.instances))
         self.blind = self.draws == SAMPLE_LEAST  # what is at a worker is hardly ever from here
-        self.apart = self.blind and settings.reports is io.Reports.OFF  # it has its own order of workers
+        self.apart = self.blind and settings.reports is io.Reports.OFF  # what it draws it does not see
         self.top_worth = max(spec.worth for spec in settings.classes)
 
     def eligible(self, job: Job) -> list[Worker]:
@@ -59,13 +59,10 @@
         return self._least(job, near) or (self._least(job, pool) if near is not pool else None)
 
     def _least(self, job: Job, pool: list[Worker]) -> Worker | None:
-        best: Worker | None = None
-        least, ties = math.inf, 0
+        best, least, ties = None, math.inf, 0
         wide, homes = self.homes(job)
-        # What each sends to the same few it sees there; what all draw anywhere is a line that none sees.
         own = self.desk.fleet.order(homes[:wide + 1] or pool, self.desk.settings) if self.apart else []
-        others = [worker for worker in self.candidates(job, pool, homes) if worker not in own]
-        for place, worker in enumerate(own + others):
+        for place, worker in enumerate(own + [w for w in self.candidates(job, pool, homes) if w not in own]):
             if least <= (step := STEP_WORK * self.desk.mean_work * min(place, len(own))) and own:
                 break  # none that is further down can be better
             if (estimate := self.estimate(worker, job)) is not None:
@@ -80,13 +77,12 @@
         return best
 
     def homes(self, job: Job) -> tuple[int, list[Worker]]:
-        """Where all gateways look for a job's key, and at how many besides the first it is as likely: a key
-        that many jobs carry needs many workers, and others' jobs are not seen."""
+        """Where all look for a job's key, and at how many besides the first: others' jobs are not seen."""
         if not job.key:
             return 0, []
-        desk, others = self.desk, 1 - 1 / self.desk.settings.instances
-        wide = int(KEY_WIDE * desk.heat.share(job.key) * len(desk.fleet.pool(-1)) * others)
-        return wide, desk.fleet.homes(job.key, wide + KEY_HOMES)
+        fleet, others = self.desk.fleet, 1 - 1 / self.desk.settings.instances
+        wide = int(KEY_WIDE * self.desk.heat.share(job.key) * len(fleet.pool(-1)) * others)
+        return wide, fleet.homes(job.key, wide + KEY_HOMES)
 
     def candidates(self, job: Job, pool: list[Worker], homes: list[Worker]) -> list[Worker]:
         """The workers that are looked at."""
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -291,7 +291,7 @@
         return bool(self._counts)
 
     def add(self, key: int) -> bool:
-        """Counts a job; tells whether it is the first."""
+        """Counts a job; True for the first that carries a key at all."""
         first = not self._counts
         self._counts[key] = self._counts.get(key, 0.0) + 1
         self._total += 1
