--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -12,7 +12,7 @@
 from carthinge.policy.news import CAP_START, Outside, Reports
 from carthinge.policy.pick import near
 from carthinge.policy.tenants import Tenants
-from carthinge.records import Attempt, Job
+from carthinge.records import Attempt, Job, put_back
 
 HINT_MOST: Final = 10.0  # times a class's deadline: long jobs are hinted at several times that
 OVER_YIELD: Final = 2.5  # times its worth, of the objective: the wait that work beyond its share may add to
@@ -158,8 +158,7 @@
                 self.attempts.send(job, job.choice)
             else:  # no eligible worker: it proceeds, to fail
                 self._conclude(job)
-        for queue in ring.queues:
-            queue.put_back()
+        put_back(ring.queues)
 
     def _dispatchable(self, job: Job) -> bool:
         """Unless every eligible worker is busy; a blocked head looks again when one frees up."""
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from typing import Final
@@ -256,12 +256,6 @@
             self.aside.append(heappop(self.heap))
         return False
 
-    def put_back(self) -> None:
-        """What was passed over is looked at first again."""
-        for entry in self.aside:
-            heappush(self.heap, entry)
-        self.aside.clear()
-
     def push(self, entry: tuple[float, int, int, Job]) -> None:
         """Guards against a queue kept long by jobs that were answered or placed anew while they waited."""
         if len(self.heap) >= self.most:
@@ -289,6 +283,14 @@
         return heap[0][-1] if heap else None
 
 
+def put_back(queues: Iterable[TenantQueue]) -> None:
+    """What was passed over is looked at first again."""
+    for queue in queues:
+        for entry in queue.aside:
+            heappush(queue.heap, entry)
+        queue.aside.clear()
+
+
 @dataclass(slots=True, eq=False)
 class Queue:
     """How long jobs that began at a worker, or at any, had waited for it: what others send shows there."""
