--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -12,7 +12,7 @@
 from carthinge.policy.news import CAP_START, Outside, Reports
 from carthinge.policy.pick import near
 from carthinge.policy.tenants import Tenants
-from carthinge.records import Attempt, Job
+from carthinge.records import Attempt, Job, put_back
 
 HINT_MOST: Final = 10.0  # times a class's deadline: long jobs are hinted at several times that
 OVER_YIELD: Final = 2.5  # times its worth, of the objective: the wait that work beyond its share may add to
@@ -74,19 +74,18 @@
         strict = spec.late_worth <= 0
         job.hedged = strict and settings.tells_start and settings.may_copy and settings.may_cancel
         job.bearable = float(spec.objective) if strict else math.inf
-        if left > 0.99 * span and not self.tenants.within(event.tenant, desk.now):
+        if over := left > 0.99 * span and not self.tenants.within(event.tenant, desk.now):
             job.rank *= settings.over_share_worth
             job.bearable = min(1.0, OVER_YIELD * settings.over_share_worth) * spec.objective
         self.jobs[job.id] = job
         desk.mean_work += (work - desk.mean_work) * GAIN / 5
         desk.arrivals.add(1.0, desk.now)
-        if event.key:
-            first = not desk.heat
-            desk.heat.add(event.key)
-            if first:
-                self.fleet.renew()
+        if event.key and desk.heat.add(event.key):
+            self.fleet.renew()
         attach(self, job, sent)
-        if not job.open:
+        if not sent and desk.sheds(job, over, event.repeat):
+            self._conclude(job)
+        elif not job.open:
             self.enqueue(job)
         if self.reports.asks:
             self.reports.earn(job)
@@ -159,6 +158,7 @@
                 self.attempts.send(job, job.choice)
             else:  # no eligible worker: it proceeds, to fail
                 self._conclude(job)
+        put_back(ring.queues)
 
     def _dispatchable(self, job: Job) -> bool:
         """Unless every eligible worker is busy; a blocked head looks again when one frees up."""
@@ -167,15 +167,17 @@
         if known and not (job.key and desk.freed):  # one of them may be the key's home
             estimate = self.pick.estimate
             job.choice = next((worker for worker in desk.freed if estimate(worker, job) is not None), None)
-            return job.choice is not None
+            return job.choice is not None or job.queue.pass_over(job)
         job.choice = self.pick.best(job, pool := self.pick.eligible(job))
         if job.choice or not pool:
             return True
+        job.narrow = len(pool) < len(desk.fleet.pool(job.spec.kind)) or (
+            job.work > desk.mean_work and any(self.cold.is_cold(worker) for worker in pool))
         job.list_seen = desk.fleet.version
         job.look_at = desk.now + max(4000, min(job.spec.objective // 8, 200_000))
         desk.after(job.look_at, desk.nothing)
         self.reports.ask(job)
-        return False
+        return job.queue.pass_over(job)
 
     def _end(self, event: io.Outcome) -> None:
         if not (attempt := self.desk.attempt(event)) or not attempt.open:
--- a/carthinge/policy/health.py
+++ b/carthinge/policy/health.py
@@ -5,6 +5,7 @@
 
 from carthinge import interface as io
 from carthinge.desk import Desk
+from carthinge.fleet import doubts
 from carthinge.records import Job, Worker
 
 DOUBT_LIMIT: Final = 0.4  # of the fleet: if more is silent, it is not the workers that are ill
@@ -50,7 +51,8 @@
         doubted = 0 if certain else sum(1 for other in pool if other.strikes)
         if worker.strikes or doubted < max(1.0, DOUBT_LIMIT * len(pool)):
             worker.strikes += 1
-            worker.avoid_until = self.desk.now + self._pause(worker.strikes - 1)
+            owners = doubts.owners(self.desk.sharers()) if certain else 1.0
+            worker.avoid_until = self.desk.now + int(self._pause(worker.strikes - 1) * owners)
 
     def _pause(self, times: int) -> int:
         """How long to leave a worker alone after so many earlier times."""
@@ -72,26 +74,24 @@
 
     def allows(self, worker: Worker, job: Job) -> bool:
         """Whether a cold worker may get this job as well."""
-        return not self.leaving and job.work <= min(self.desk.mean_work, self.allowance(worker))
+        return not self.leaving and job.work <= self.allowance(worker)
 
     def allowance(self, worker: Worker) -> float:
-        """Work that this gateway may still send it in the present span: the mean of what it gets served by a
-        worker (for one put back by hand, what its slots can do if that is more), less by how cold it is, and
-        so little that chance does not bring all gateways together to the multiple that pushes it over."""
+        """Work that it may still get from here in the present span: the mean served by a worker, or what its
+        slots can do, less by how cold it is, and so little that chance does not push it over."""
         if not worker.near:  # others have it in their part, and share its allowance among them
             return 0.0
         desk, settings = self.desk, self.desk.settings
         slot = (desk.now - worker.started) // max(1, settings.fall_window)
         if slot != worker.cold_slot:
             worker.cold_slot = slot
-            near = max(1, len(desk.fleet.near))
-            sharers = settings.instances * near / max(1, len(desk.fleet.pool(-1)))
+            near, sharers = max(1, len(desk.fleet.near)), desk.sharers()
             if desk.now >= self._warm_until:  # the warm ones serve most of what is served
                 self._warm_until = desk.now + settings.fall_window
                 self.warm_part = max(WARM_LEAST, sum(self._warmth(other) for other in desk.fleet.near) / near)
             # Refusals must not raise it: work sent does not count.
             served = desk.served.per_s / 1e6 / self.warm_part / near
-            shown = (worker.back == worker.started) * worker.pool.slots / worker.known_pace() / sharers
+            shown = worker.pool.slots / worker.known_pace() / sharers
             own = self._warmth(worker) * max(served, shown) * settings.fall_window / desk.mean_work
             safe = (math.sqrt(COLD_SPREAD**2 + settings.fall_multiple * own * sharers) - COLD_SPREAD) ** 2
             jobs = own * min(1.0, safe / max(own * sharers, 1e-9))
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from typing import Final
@@ -14,6 +14,7 @@
 MASK: Final = (1 << 64) - 1
 STRONGEST: Final = 1e6  # slots
 RATE_MEMORY: Final = 10.0  # seconds
+ASIDE_MOST: Final = 16  # blocked jobs of a tenant that are passed over: to look at each takes time
 SMALL_HEAP: Final = 64  # entries; below that nothing is gained by sweeping what is over
 
 
@@ -194,6 +195,7 @@
     choice: Worker | None = None  # the pick for it, made when its head was found dispatchable
     look_at: int = 0  # a blocked head is not picked for before
     list_seen: int = -1  # the list as it was then
+    narrow: bool = False  # blocked by limits of its own: others of its tenant may find a worker
 
     def over(self) -> bool:
         """The same for the job: once it is answered, it neither waits nor can be called off."""
@@ -226,13 +228,33 @@
 class TenantQueue:
     """A tenant's class: its pending heap and its credit."""
 
-    __slots__ = ("heap", "deficit", "quantum", "most")
+    __slots__ = ("heap", "deficit", "quantum", "most", "aside")
 
     def __init__(self, quantum: float) -> None:
         self.heap: list[tuple[float, int, int, Job]] = []
         self.deficit = 0.0
         self.quantum = quantum
         self.most = SMALL_HEAP  # entries at which those that wait no more are swept out
+        self.aside: list[tuple[float, int, int, Job]] = []
+
+    def free_head(self, dispatchable: Callable[[Job], bool]) -> Job | None:
+        """The head, or who is next to those passed over, if it can leave; an empty queue keeps no credit."""
+        while (head := self.head()) is not None:
+            if dispatchable(head):
+                return head
+            if self.head() is head:
+                return None
+        self.deficit *= bool(self.aside)
+        return None
+
+    def pass_over(self, head: Job) -> bool:
+        """Leaves a blocked head's place to the next until ``put_back``, where its limits are its own.
+
+        False, since it cannot leave itself.
+        """
+        if head.narrow and len(self.aside) < ASIDE_MOST:
+            self.aside.append(heappop(self.heap))
+        return False
 
     def push(self, entry: tuple[float, int, int, Job]) -> None:
         """Guards against a queue kept long by jobs that were answered or placed anew while they waited."""
@@ -261,6 +283,14 @@
         return heap[0][-1] if heap else None
 
 
+def put_back(queues: Iterable[TenantQueue]) -> None:
+    """What was passed over is looked at first again."""
+    for queue in queues:
+        for entry in queue.aside:
+            heappush(queue.heap, entry)
+        queue.aside.clear()
+
+
 @dataclass(slots=True, eq=False)
 class Queue:
     """How long jobs that began at a worker, or at any, had waited for it: what others send shows there."""
@@ -290,12 +320,15 @@
         """Whether jobs carry keys here at all."""
         return bool(self._counts)
 
-    def add(self, key: int) -> None:
+    def add(self, key: int) -> bool:
+        """Counts a job; True for the first that carries a key at all."""
+        first = not self._counts
         self._counts[key] = self._counts.get(key, 0.0) + 1
         self._total += 1
         if self._total >= self.MOST:
             self._counts = {key: count / 2 for key, count in self._counts.items() if count > 1}
             self._total /= 2
+        return first
 
     def share(self, key: int) -> float:
         """Of all jobs; a few of them say little, and one that comes first may be one of many elsewhere."""
@@ -348,39 +381,3 @@
             return False
         self.level -= 1
         return True
-
-
-class Timers:
-    """Calls that are due at a time, in the order of their times and then of their entry.
-
-    One whose subject is over is swept out before the heap holds more of those than of all others: memory
-    follows what is open, and not the rate of jobs times their deadlines.
-    """
-
-    __slots__ = ("heap", "count", "most", "wake_at")
-
-    def __init__(self) -> None:
-        self.heap: list[tuple[int, int, Callable[..., None], Job | Attempt | None]] = []
-        self.count = self.wake_at = 0
-        self.most = SMALL_HEAP
-
-    def add(self, due: int, call: Callable[..., None], subject: Job | Attempt | None = None) -> None:
-        self.count += 1
-        if len(self.heap) >= self.most:
-            self.heap = [timer for timer in self.heap if timer[3] is None or not timer[3].over()]
-            heapify(self.heap)
-            self.most = max(SMALL_HEAP, 2 * len(self.heap))
-        heappush(self.heap, (due, self.count, call, subject))
-
-    def run(self, now: int) -> None:
-        """Makes all calls that are due, those that they add included."""
-        while self.heap and self.heap[0][0] <= now:
-            _, _, call, subject = heappop(self.heap)
-            call(subject) if subject is not None else call()
-
-    def wake(self, now: int) -> int:
-        """When to wake, 0 for no need: at most one wake is pending, unless an earlier need comes up."""
-        if not self.heap or self.heap[0][0] >= self.wake_at > now:
-            return 0
-        self.wake_at = max(self.heap[0][0], now + 1)
-        return self.wake_at
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -21,7 +21,7 @@
     ("policy",),
     ("memory",),
     ("desk",),
-    ("roster",),
+    ("roster", "timers"),
     ("fleet",),
     ("records", "settings"),
     ("interface",),
