Tell schedulers' shed levels to each other and pass further attempts on

The level that a scheduler sheds by was not told to the others, and what they agreed on did nothing; the budget for further attempts stayed where it was earned. Each now tells what its own level sheds of each tenant and class; the median adds to the own level where a scheduler has seen few starts itself. Attempts are given from full stores to empty ones, for good, so that no split makes more of them. The members that are here are kept as they come and go, not looked for at each message.

--- a/benchmarks/fleet_talk.py
+++ b/benchmarks/fleet_talk.py
@@ -125,6 +125,9 @@
     def look(self, workers: Collection[int]) -> Facts:
         return Facts({self.WORKER: self.strikes} if self.strikes else {}, workers=100)
 
+    def repeats(self) -> float:
+        return 0.0
+
     def turn(self, talk: Talk | None) -> None:
         now = self.net.now
         held = talk.view.ruling.alone.get(self.WORKER, timedelta()) if talk is not None else timedelta()
--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
+from typing import TYPE_CHECKING
 
 from carthinge import interface as io
 from carthinge.fleet import comeback
@@ -13,12 +14,15 @@
 from carthinge.roster import Fleet, Loads
 from carthinge.timers import Timers
 
+if TYPE_CHECKING:
+    from carthinge.fleet.levels_shared import SharedLevel
+
 
 class Desk:
     """Each part is handed the desk of its dispatcher, and the parts that it asks.  No decisions."""
 
     __slots__ = ("settings", "rng", "now", "actions", "jobs", "fleet", "freed", "timers", "after",
-                 "mean_work", "served", "level", "budget", "arrivals", "heat", "queue")
+                 "mean_work", "served", "level", "shared", "budget", "arrivals", "heat", "queue")
 
     def __init__(self, settings: io.Settings, seed: int,
                  part: Callable[[Desk, list[Worker]], list[Worker]]) -> None:
@@ -35,6 +39,7 @@
         self.mean_work = float(self.shortest())
         self.served, self.arrivals = Rate(), Rate()
         self.level, self.budget = Level(self.shortest()), Budget(settings.instances)
+        self.shared: SharedLevel | None = None  # with schedulers that talk
         self.heat, self.queue = Heat(), Queue()
 
     def shortest(self) -> int:
@@ -50,9 +55,9 @@
         """What is out from here, as a message."""
         return Loads.pack(self.fleet.workers.values(), self.rng)
 
-    def sheds(self, job: Job, over_share: bool, repeat: bool) -> bool:
+    def sheds(self, job: Job, over_share: bool, event: io.Arrival) -> bool:
         """Whether a job that has just come is turned away by the level; a client's repeat costs budget."""
-        if repeat:
+        if event.repeat:
             self.budget.spend()
         spec = job.spec
         if spec.late_worth > 0:  # measured: to refuse it loses more than the delay that it adds
@@ -62,13 +67,33 @@
         worth = spec.worth if self.settings.worth_by_work else spec.worth / job.cost
         rank = standing(over_share, job.came + slack > self.now, worth)
         bearable = max(slack, spec.objective / 4)
-        run = 0.0 if self.settings.tells_start else pace * self.mean_work
         point = mix(job.key or self.settings.position << 40 ^ job.id)
-        shed = self.level.sheds(rank, job.work, bearable, point, run, self.now)
+        shed = self.level.sheds(rank, job.work, bearable, point, self._run(), self.now)
+        if self.shared is not None:
+            cell, unknown = (event.tenant, event.job_class), self.level.unknown(self.now)
+            agreed = self.shared.sheds(cell, rank, job.work, point, unknown, self.now)
+            self.level.shed += agreed and not shed
+            shed |= agreed
         if line := self.level.news(self.now):
             self.actions.append(io.LogLine(line))
         return shed
 
+    def _run(self) -> float:
+        """The part of a wait for an answer that is none: where starts are told, waits are for these."""
+        return 0.0 if self.settings.tells_start else self.fleet.mean_pace() * self.mean_work
+
+    def agree(self, levels: Mapping[tuple[int, int], int]) -> None:
+        """What all that talk have come to; from the first time on this one keeps what it needs for that."""
+        if self.shared is None:
+            from carthinge.fleet.levels_shared import SharedLevel
+
+            self.shared = SharedLevel()
+        self.shared.agreed = levels
+
+    def levels(self, now: int) -> dict[tuple[int, int], int]:
+        """What this one finds by itself, for the others."""
+        return self.shared.told(self.level.kept(self._run(), now), now) if self.shared is not None else {}
+
     def rationed(self) -> bool:
         """Whether silence costs budget: not where queues are seen and short, for then it mostly is a
         worker that hangs."""
--- a/carthinge/fleet/agreement.py
+++ b/carthinge/fleet/agreement.py
@@ -20,8 +20,12 @@
 
 
 def agreed_levels(own: Mapping[int, int], others: Iterable[Mapping[int, int]]) -> dict[int, int]:
-    """Of each cell that anybody names; zeros are left out, as they are in what is told."""
-    told = list(others)
-    cells = {cell for levels in [own, *told] for cell in levels}
-    levels = {cell: int(agreed(own.get(cell, 0), [other.get(cell, 0) for other in told])) for cell in cells}
-    return {cell: level for cell, level in sorted(levels.items()) if level}
+    """Of each cell that enough speak of.  Who names no cell at all sheds nothing, and says 0 of each; one
+    that names some has seen no work in the others, and has no voice there."""
+    told = [own, *others]
+    levels = {}
+    for cell in sorted({cell for voice in told for cell in voice}):
+        voices = [voice.get(cell, 0) for voice in told if cell in voice or not voice]
+        if len(voices) >= VOICES:
+            levels[cell] = int(agreed(voices[0], voices[1:]))
+    return levels
--- a/carthinge/fleet/budget.py
+++ b/carthinge/fleet/budget.py
@@ -19,6 +19,10 @@
         self.left = self.most / MOST  # a start brings a tenth of what may be saved up
         self.spent = 0
 
+    def pass_on(self, attempts: float) -> None:
+        """So many have come from others, or gone to them where that is below 0."""
+        self.left = min(max(0.0, self.left + attempts), self.most)
+
     @staticmethod
     def most_of(instances: int) -> float:
         """What one of so many may save up."""
--- a/carthinge/fleet/levels.py
+++ b/carthinge/fleet/levels.py
@@ -39,7 +39,7 @@
     return round(OCTAVE * math.log2(worth)) if worth > 0 else 1 - (1 << 16)
 
 
-def _fade(since: int, now: int, span: float) -> float:
+def faded(since: int, now: int, span: float) -> float:
     """What is left after that time, in microseconds, of what weighs for so many seconds."""
     return math.exp(min(0, since - now) / 1e6 / span)
 
@@ -53,7 +53,7 @@
 
     def add(self, rank: int, work: float, now: int) -> None:
         """Old work fades in steps."""
-        fade = _fade(self.since, now, OFFERED)
+        fade = faded(self.since, now, OFFERED)
         if fade < 0.9 or len(self.work) > RANKS:
             kept = sorted(((value * fade, at) for at, value in self.work.items()), reverse=True)[:RANKS]
             self.work, self.since = {at: value for value, at in kept if value >= 1}, now
@@ -83,7 +83,7 @@
 
     def waited(self, wait: float, now: int) -> None:
         """An attempt has begun after that wait, or has waited so long and not begun."""
-        gain = min(0.5, max(0.1, 1 - _fade(self._wait_at, now, SEEN)))
+        gain = min(0.5, max(0.1, 1 - faded(self._wait_at, now, SEEN)))
         self._wait += (max(0.0, wait) - self._wait) * gain
         self._wait_at = now
 
@@ -91,22 +91,26 @@
         """An attempt has ended, and its wait too if it never began."""
         self.waiting -= not begun
         if served:
-            self._starts = self._starts * _fade(self._starts_at, now, RATE) + 1
+            self._starts = self._starts * faded(self._starts_at, now, RATE) + 1
             self._starts_at = now
 
     def seen(self, now: int) -> float:
         """The wait of those that began of late, in bearable ones."""
-        return self._wait * _fade(self._wait_at, now, FORGET) / self.bearable
+        return self._wait * faded(self._wait_at, now, FORGET) / self.bearable
+
+    def unknown(self, now: int) -> float:
+        """The part of the starts granted at first that it has not seen: 1 of an idle one, 0 of a busy one."""
+        return max(0.0, 1 - self._starts * faded(self._starts_at, now, RATE) / FIRST)
 
     def expected(self, run: float, now: int) -> float:
         """The wait of those that come now, in bearable ones; ``run`` is the part of a wait that is none."""
         if self._born < 0:
             self._born = now
-        young = _fade(self._born, now, RATE)  # what is not known yet is granted
-        starts = self._starts * _fade(self._starts_at, now, RATE) + FIRST * young
+        young = faded(self._born, now, RATE)  # what is not known yet is granted
+        starts = self._starts * faded(self._starts_at, now, RATE) + FIRST * young
         rate = max(starts / (RATE * (1 - young) + self.bearable / 1e6 * young), 1 / RATE)
         guess = max(0.0, max(0, self.waiting) / rate * 1e6 - run)
-        self._expected += (guess - self._expected) * (1 - _fade(self._expected_at, now, SMOOTH))
+        self._expected += (guess - self._expected) * (1 - faded(self._expected_at, now, SMOOTH))
         self._expected_at = now
         return self._expected / self.bearable
 
--- a/carthinge/fleet/membership.py
+++ b/carthinge/fleet/membership.py
@@ -45,6 +45,10 @@
         self.name, self.period = name, period
         self.voice = Voice(name, address, incarnation)
         self.members: dict[str, Member] = {}
+        self._here: dict[str, Member] = {}  # of these the ones that are not held for dead
+        self._away: dict[str, Member] = {}  # and those that are
+        self._ordered: list[Member] = []  # by name, those that are here; empty: to be made anew
+        self._homes: dict[str, Member] = {}  # by address, the one that was last known to have it
         self.news: list[tuple[str, Standing]] = []  #: for whoever asks, to be cleared by it
         self.left = False
         self._seeds = [other for other in seeds if other != address]
@@ -69,7 +73,7 @@
 
     def here(self) -> list[Member]:
         """The others that are not held for dead."""
-        return [member for member in self.members.values() if member.standing in HERE]
+        return list(self._here.values())
 
     def counts(self) -> dict[str, int]:
         """Members by their standing, this one among the living."""
@@ -123,7 +127,8 @@
             self.news.extend((member.name, Standing.LEFT) for member in self.here())
             self.voice.incarnation += 1
             self.voice.rumors.clear()
-            self.members.clear()
+            for known in (self.members, self._here, self._away, self._ordered, self._homes):
+                known.clear()
             self._checks.clear()
             self._agenda.clear()
             self._page_from, self._page_asked, self._joining = 0, False, True
@@ -160,28 +165,42 @@
                 member = self.members.get(order.pop())
                 if member is not None and member.standing in HERE:
                     return member
-            order.extend(member.name for member in self.here())
+            order.extend(self._here)
             self._rng.shuffle(order)
         return None
 
     def _knock(self) -> None:
         """Whoever is away may be back, and a cut may have healed: some that are not here are asked."""
-        here = {member.address for member in self.here()}
-        if here:
+        if self._here:
             self._contacts = []
         for address in self._rng.sample(self._contacts, min(FANOUT, len(self._contacts))):
             self.voice.knock(address)
-        dead = [member for member in self.members.values() if member.standing is Standing.DEAD]
-        seeds = [address for address in self._seeds if address not in here]
+        dead = [member for member in self._away.values() if member.standing is Standing.DEAD]
+        seeds = [address for address in self._seeds if self._home(address) is None]
         if dead and (not seeds or self._rng.random() < 0.5):
             self.voice.say(Kind.PING, self._rng.choice(dead))
         elif seeds:
             self.voice.knock(self._rng.choice(seeds))
 
     def _forget(self, now: timedelta) -> None:
-        for member in list(self.members.values()):
-            if member.standing not in HERE and now - member.since > self.period * REMEMBERED:
-                del self.members[member.name]
+        for member in list(self._away.values()):
+            if now - member.since > self.period * REMEMBERED:
+                self._drop(member)
+
+    def _drop(self, member: Member) -> None:
+        del self.members[member.name], self._away[member.name]
+        if self._homes.get(member.address) is member:
+            del self._homes[member.address]
+
+    def _move(self, member: Member, address: str) -> None:
+        member.address = address
+        self._homes[address] = member
+
+    def _home(self, address: str) -> Member | None:
+        """Who is here and has that address."""
+        member = self._homes.get(address)
+        known = member is not None and member.address == address and member.standing in HERE
+        return member if known else None
 
     def _pull(self, member: Member) -> None:
         self._page_asked = True
@@ -204,7 +223,7 @@
 
     def _through_others(self, number: int) -> None:
         if member := self._checks.get(number):
-            others = [other for other in self.here() if other is not member]
+            others = [other for other in self._here.values() if other is not member]
             for other in self._rng.sample(others, min(THROUGH, len(others))):
                 self.voice.say(Kind.CHECK, other, number=number, about=member.address)
 
@@ -263,7 +282,7 @@
         if member is None:
             return self._enter(now, packet.name, packet.address, packet.incarnation)
         if packet.incarnation > member.incarnation:
-            member.address = packet.address
+            self._move(member, packet.address)
             self._back(now, member, packet.incarnation)
         return member
 
@@ -280,7 +299,7 @@
         if rumor.incarnation > member.incarnation + JUMP:
             return
         if rumor.incarnation > member.incarnation:
-            member.address = rumor.address or member.address
+            self._move(member, rumor.address or member.address)
             self._back(now, member, rumor.incarnation)
         if rumor.standing is Standing.SUSPECT and member.standing is Standing.ALIVE \
                 and rumor.incarnation == member.incarnation:
@@ -292,20 +311,19 @@
         if kind is Kind.PING:
             self.voice.say(Kind.ACK, sender, number=number, back=packet.back)
         elif kind is Kind.CHECK:
-            for member in self.members.values():
-                if member.address == packet.about:
-                    self.voice.say(Kind.PING, member, number=number, back=sender.address)
+            if (member := self._homes.get(packet.about)) is not None:
+                self.voice.say(Kind.PING, member, number=number, back=sender.address)
         elif kind is Kind.ACK and packet.back:
-            for member in self.here():
-                if member.address == packet.back:
-                    self.voice.say(Kind.ACK, member, number=number, about=sender.name,
-                                   about_at=sender.incarnation)
+            if (member := self._home(packet.back)) is not None:
+                self.voice.say(Kind.ACK, member, number=number, about=sender.name,
+                               about_at=sender.incarnation)
         elif kind is Kind.ACK:
             self._passed(now, packet, sender)
             if self._joining and not self._page_asked:  # it has just begun: here is the first who answers
                 self._pull(sender)
         elif kind is Kind.PULL:
-            self.voice.page(self.here(), number, sender)
+            self._ordered = self._ordered or sorted(self._here.values(), key=lambda member: member.name)
+            self.voice.page(self._ordered, number, sender)
         elif kind is Kind.PAGE and self._page_asked:
             self._page_asked = False
             self._joining = self._joining and number > self._page_from  # a place gone through already ends it
@@ -332,11 +350,12 @@
 
     def _enter(self, now: timedelta, name: str, address: str, incarnation: int) -> Member | None:
         if len(self.members) >= MEMBERS_MOST:
-            gone = [member for member in self.members.values() if member.standing not in HERE]
-            if not gone:
+            if not self._away:
                 return None
-            del self.members[min(gone, key=lambda member: member.since).name]
-        member = self.members[name] = Member(name, address, incarnation, Standing.ALIVE, now)
+            self._drop(min(self._away.values(), key=lambda member: member.since))
+        member = Member(name, address, incarnation, Standing.ALIVE, now)
+        self.members[name] = self._here[name] = self._homes[address] = member
+        self._ordered = []
         self.voice.known = len(self.members)
         self.news.append((name, Standing.ALIVE))
         self._welcome(member)
@@ -361,5 +380,9 @@
         if member.standing is not standing:
             member.standing, member.since = standing, now
             self.news.append((member.name, standing))
+            before, after = (self._away, self._here) if standing in HERE else (self._here, self._away)
+            if before.pop(member.name, None) is not None:
+                after[member.name] = member
+                self._ordered = []
             if standing not in HERE:
                 self.voice.rumors.drop(member.name)
--- a/carthinge/fleet/passing.py
+++ b/carthinge/fleet/passing.py
@@ -113,7 +113,7 @@
         """What to ask for, by what is left in the store of each purse: the emptiest, one neighbour each."""
         self._expire(now)
         asks: list[Asking] = []
-        lenders = self._lenders()
+        lenders = self.lenders()
         empty = sorted((left.get(purse, UNKNOWN), purse) for purse in self.purses
                        if left.get(purse, UNKNOWN) < BUSY)
         for _, purse in empty[:ASKS_MOST] if lenders else ():
@@ -136,7 +136,7 @@
         self._answered[borrower] = (number, now)
         room = LENDABLE - self._lent_of(purse)
         units = min(units, lane(len(self._order)) // 2, room)
-        if units <= 0 or left.get(purse, UNKNOWN) <= IDLE or borrower not in self._borrowers():
+        if units <= 0 or left.get(purse, UNKNOWN) <= IDLE or borrower not in self.borrowers():
             return 0
         self.lent.append(_Loan(purse, units, now + self.span * DRIFT))
         self.granted += units
@@ -176,11 +176,11 @@
         return sum(loan.units for loan in self.borrowed.get(lender, ()) if loan.purse == purse) \
             + sum(ask.units for ask in self._asks.values() if (ask.lender, ask.purse) == (lender, purse))
 
-    def _lenders(self) -> list[str]:
+    def lenders(self) -> list[str]:
         """Those before this one in the order of all."""
         return self._near(-1)
 
-    def _borrowers(self) -> list[str]:
+    def borrowers(self) -> list[str]:
         """Those after this one."""
         return self._near(1)
 
--- a/carthinge/fleet/summary.py
+++ b/carthinge/fleet/summary.py
@@ -30,7 +30,7 @@
 
     at: timedelta
     pressure: float = 0.0
-    levels: Mapping[int, int] = field(default_factory=dict)  #: by cell, zeros left out
+    levels: Mapping[int, int] = field(default_factory=dict)  #: by cell; none of one that sheds nothing
     spent: float = 0.0
     left: float = 0.0
     doubts: Mapping[int, timedelta] = field(default_factory=dict)  #: worker, and since when
@@ -81,7 +81,7 @@
             return False
         same = summary.shape == self.shape
         self._heard[name] = Heard(
-            now, summary.pressure, {cell: level for cell, level in summary.levels if level} if same else {},
+            now, summary.pressure, dict(summary.levels) if same else {},
             summary.spent, summary.left, _since(now, summary.doubts), _since(now, summary.well))
         return True
 
--- a/carthinge/fleet/talk.py
+++ b/carthinge/fleet/talk.py
@@ -12,13 +12,15 @@
 
 from carthinge.fleet.agreement import agreed, agreed_levels
 from carthinge.fleet.doubts_shared import Ruling, SharedDoubts
+from carthinge.fleet.gifts import UNITS, Gifts
 from carthinge.fleet.membership import Membership
 from carthinge.fleet.packets import CELLS_MOST, DOUBTS_MOST, LEVEL_MOST, Kind, Packet, Standing, Summary
 from carthinge.fleet.passing import BASE, Ledger
 from carthinge.fleet.summary import BUDGET_MOST, MICROSECOND, PRESSURE_MOST, Summaries
-from carthinge.fleet.voice import HERE, Sending
+from carthinge.fleet.voice import HERE, Member, Sending
 
 FORGET_EVERY: Final = 64  # periods
+LEVELS_FRESH: Final = 3  # periods for which a word on levels counts: pressure changes in seconds
 AHEAD: Final = 1.5  # periods: a round may come late
 
 
@@ -31,9 +33,10 @@
     workers: int = 0  #: that are listed
     left: Mapping[int, float] = field(default_factory=dict)  #: of the store of each purse, 0 to 1
     pressure: float = 0.0
-    levels: Mapping[int, int] = field(default_factory=dict)  #: shed levels by cell
+    levels: Mapping[int, int] = field(default_factory=dict)  #: shed here by cell, per cent, largest first
     spent: float = 0.0  #: of the budget for repeats, since it was last asked
     repeats_left: float = 0.0
+    repeats_most: float = 0.0  #: that may be left
 
 
 class Scheduler(Protocol):
@@ -42,13 +45,16 @@
     def look(self, workers: Collection[int]) -> Facts:
         """The facts of now, with the last signs of these workers."""
 
+    def repeats(self) -> float:
+        """What is left of the budget for repeats now, less what was just given away."""
+
 
 @dataclass(slots=True)
 class View:
     """What all decide together, as this one sees it now."""
 
     ruling: Ruling = field(default_factory=Ruling)
-    levels: dict[int, int] = field(default_factory=dict)  #: agreed ones by cell, zeros left out
+    levels: dict[int, int] = field(default_factory=dict)  #: agreed ones, of each cell that enough speak of
     pressure: float = 0.0  #: the median
     parts: dict[int, float] = field(default_factory=dict)  #: of each purse, 1.0 for the own one
     voices: int = 1  #: that count, the own one included
@@ -63,10 +69,12 @@
         self.membership, self.scheduler, self.period = membership, scheduler, membership.period
         self.summaries = Summaries(shape, self.period)
         self.ledger = Ledger(membership.name, purses, self.period, now, membership.voice.incarnation)
+        self.gifts = Gifts(membership.voice.incarnation)
         self.doubts = SharedDoubts(membership.name, self.period)
         self.view = View(parts=dict.fromkeys(purses, 1.0))
         self.rounds = 0
         self.changes = 0  #: of the view
+        self._passed = 0
         self._life, self._shape = life, shape
         self._left: Mapping[int, float] = {}
         self._own: dict[int, tuple[int, timedelta]] = {}  # doubts: how often in a row, and since when
@@ -95,7 +103,9 @@
             return out
         if packet.summary is not None:
             self.summaries.take(now, packet.name, packet.summary)
-        if packet.kind is Kind.ASK:
+        if packet.kind in (Kind.ASK, Kind.GRANT) and packet.purse == self.gifts.purse:
+            self._pass_on(packet, sender)
+        elif packet.kind is Kind.ASK:
             self.ledger.meet([member.name for member in self.membership.here()])
             units = self.ledger.grant(now, packet.name, packet.purse, packet.number, packet.units, self._left)
             if units:
@@ -106,6 +116,11 @@
             self.ledger.receive(now, packet.name, packet.purse, packet.number, packet.units)
         return out + self.membership.voice.sent()
 
+    def passed(self) -> float:
+        """Attempts of the budget for repeats that have come since this was last asked; below 0: gone."""
+        passed, self._passed = self._passed / UNITS, 0
+        return passed
+
     def retune(self, now: timedelta, shape: int, purses: Collection[int]) -> None:
         """Other tenants, classes or quotas hold here; what is lent of a purse that is kept stays lent."""
         self._shape = self.summaries.shape = shape
@@ -132,13 +147,15 @@
         self._left = facts.left
         new = self._note(now, facts.doubted)
         heard = self.summaries.fresh(now, members.keys())
+        late = now - self.period * LEVELS_FRESH
+        levels = [other.levels for other in heard.values() if other.at >= late]
         told = {worker: since for worker, (_, since) in self._own.items()
                 if self._answered.get(worker) != since}
         ruling = self.doubts.decide(now, told, facts.well, heard, members.keys(), facts.workers)
         self._answered |= {worker: told[worker] for worker in ruling.answered}
         self._asked_of = self.doubts.asked_of()
         self.view = View(
-            ruling, agreed_levels(facts.levels, [other.levels for other in heard.values()]),
+            ruling, agreed_levels(facts.levels, levels),
             agreed(facts.pressure, [other.pressure for other in heard.values()]),
             self._parts(now), 1 + len(heard))
         self.changes += 1
@@ -149,9 +166,24 @@
         for asking in self.ledger.ask(now, facts.left):
             self.membership.voice.say(Kind.ASK, members[asking.lender], asking.number, purse=asking.purse,
                                       units=asking.units)
+        self.gifts.retune(facts.repeats_most)
+        if gift := self.gifts.ask(facts.repeats_left, self.ledger.lenders()):
+            self.membership.voice.say(Kind.ASK, members[gift.lender], gift.number, purse=gift.purse,
+                                      units=gift.units)
         if self.rounds % FORGET_EVERY == 0:
             self.summaries.forget(self.membership.members.keys())
 
+    def _pass_on(self, packet: Packet, sender: Member) -> None:
+        """An ask for a part of the budget for repeats, or its answer."""
+        gifts, units = self.gifts, packet.units
+        if packet.kind is Kind.GRANT:
+            self._passed += gifts.receive(packet.name, packet.number, units)
+        elif units := gifts.grant(packet.name, packet.number, units, self.scheduler.repeats(),
+                                  self.ledger.borrowers()):
+            self._passed -= units
+            self.membership.voice.say(Kind.GRANT, sender, packet.number, purse=packet.purse, units=units)
+        self.changes += 1
+
     def _parts(self, now: timedelta) -> dict[int, float]:
         """What may be used until the next round at the least: what ends sooner is left out now."""
         ahead = self.period * AHEAD
@@ -173,9 +205,8 @@
         return new
 
     def _summary(self, now: timedelta, facts: Facts, doubts: Mapping[int, timedelta]) -> Summary:
-        """As much as fits of each: the newest doubts, the highest levels."""
-        highest = sorted(facts.levels.items(), key=lambda item: -item[1])[:CELLS_MOST]
-        levels = [(cell, min(level, LEVEL_MOST)) for cell, level in highest if level > 0]
+        """As much as fits of each: the newest doubts, the largest cells."""
+        levels = [(cell, min(level, LEVEL_MOST)) for cell, level in list(facts.levels.items())[:CELLS_MOST]]
         return Summary(
             self._life, self.rounds, self._shape, _within(facts.pressure, PRESSURE_MOST), levels,
             _within(facts.spent, BUDGET_MOST), _within(facts.repeats_left, BUDGET_MOST),
@@ -190,6 +221,7 @@
             "level_most": max(self.view.levels.values(), default=0),
             "part_least": round(min(parts, default=1.0), 3), "part_most": round(max(parts, default=1.0), 3),
             "lent": self.ledger.granted, "asked_for": self.ledger.asked_for,
+            "repeats_given": self.gifts.given / UNITS, "repeats_taken": self.gifts.taken / UNITS,
             "workers_doubted": ruling.doubted, "workers_to_try": len(ruling.mine),
             "summaries_refused": sum(self.summaries.refused.values())}
 
--- a/carthinge/fleet/voice.py
+++ b/carthinge/fleet/voice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final
@@ -32,12 +32,13 @@
 
     def __init__(self) -> None:
         self._told: dict[str, int] = {}  # how often each was
-        self._rumors: list[dict[str, Rumor]] = []  # by how often, so that none is looked at but what is told
+        # With its size; by how often, so that none is looked at but what is told.
+        self._rumors: list[dict[str, tuple[Rumor, int]]] = []
 
     def add(self, rumor: Rumor) -> None:
         """In place of what was to be told of that member before."""
         self.drop(rumor.name)
-        self._put(0, rumor)
+        self._put(0, rumor, rumor.size())
 
     def drop(self, name: str) -> None:
         if (told := self._told.pop(name, None)) is not None:
@@ -50,25 +51,25 @@
     def ride(self, members: int) -> list[Rumor]:
         """As many as fit in a message."""
         most, room = 2 * (members + 1).bit_length(), RUMOR_BYTES
-        chosen: list[tuple[int, Rumor]] = []
+        chosen: list[tuple[int, Rumor, int]] = []
         for told, rumors in enumerate(self._rumors if self._told else ()):
-            for rumor in rumors.values():
-                room -= rumor.size()
+            for rumor, size in rumors.values():
+                room -= size
                 if room < 0:
                     break
-                chosen.append((told, rumor))
+                chosen.append((told, rumor, size))
             if room < 0:
                 break
-        for told, rumor in chosen:
+        for told, rumor, size in chosen:
             self.drop(rumor.name)
             if told + 1 < most:
-                self._put(told + 1, rumor)
-        return [rumor for _, rumor in chosen]
+                self._put(told + 1, rumor, size)
+        return [rumor for _, rumor, _ in chosen]
 
-    def _put(self, told: int, rumor: Rumor) -> None:
+    def _put(self, told: int, rumor: Rumor, size: int) -> None:
         while len(self._rumors) <= told:
             self._rumors.append({})
-        self._rumors[told][rumor.name] = rumor
+        self._rumors[told][rumor.name] = rumor, size
         self._told[rumor.name] = told
 
 
@@ -109,9 +110,8 @@
         self._out.append((address, Packet(Kind.PING, self.name, self.address, self.incarnation,
                                           rumors=self.rumors.ride(self.known), summary=self.summary)))
 
-    def page(self, here: Iterable[Member], start: int, to: Member) -> None:
+    def page(self, ordered: Sequence[Member], start: int, to: Member) -> None:
         """Some of those that are here, in the order of their names, and where to go on (0: that was all)."""
-        ordered = sorted(here, key=lambda member: member.name)
         page: list[Rumor] = []
         room, at = PAGE_BYTES, start
         while at < len(ordered):
--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -288,7 +288,9 @@
 
     alone: Sequence[tuple[int, int]] = ()  #: workers to be left alone, and until when
     parts: Sequence[float] = ()  #: of each tenant the part of its quota here, 1.0 for an equal one
-    levels: Mapping[tuple[int, int], int] = field(default_factory=dict)  #: shed levels by tenant and class
+    levels: Mapping[tuple[int, int], int] = field(default_factory=dict)  #: what is shed of each tenant and
+    #: class, per cent; of one that is not in it as much as the dispatcher finds by itself
+    repeats: float = 0.0  #: further attempts that others have given to this one since the last; or below 0
 
 
 @dataclass(slots=True)
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -143,7 +143,7 @@
 
 
 def _share(dispatcher: Decisions, event: io.FleetView) -> None:
-    """Workers to be left alone, and this one's parts of the quotas: decided on in carthinge/fleet/."""
+    """Workers to leave alone, parts of quotas, levels and attempts: decided on in carthinge/fleet/."""
     desk, settings = dispatcher.desk, dispatcher.desk.settings
     for number, until in event.alone:
         if (worker := desk.fleet.workers.get(number)) is not None:
@@ -151,6 +151,8 @@
     for bucket, tenant, part in zip(dispatcher.tenants.quotas, settings.tenants, event.parts, strict=False):
         bucket.settle(desk.now)
         bucket.per_s = tenant.quota_per_s / settings.instances * part
+    desk.agree(event.levels)
+    desk.budget.pass_on(event.repeats)
 
 
 def _give_away(dispatcher: Decisions, event: io.GiveAway) -> None:
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -83,7 +83,7 @@
         if event.key and desk.heat.add(event.key):
             self.fleet.renew()
         attach(self, job, sent)
-        if not sent and desk.sheds(job, over, event.repeat):
+        if not sent and desk.sheds(job, over, event):
             self._conclude(job)
         elif not job.open:
             self.enqueue(job)
--- a/carthinge/scheduler/fleet_link.py
+++ b/carthinge/scheduler/fleet_link.py
@@ -20,7 +20,7 @@
 from carthinge.fleet.codec import BadPacketError, decode, encode
 from carthinge.fleet.membership import Membership
 from carthinge.fleet.packets import LIFE_MOST, PACKET_MOST, Standing
-from carthinge.fleet.passing import BASE, LENDABLE, purse_of
+from carthinge.fleet.passing import BASE, LENDABLE
 from carthinge.fleet.summary import shape_of
 from carthinge.fleet.talk import Facts, Talk
 from carthinge.fleet.voice import Sending
@@ -30,9 +30,9 @@
 from carthinge.net.loop import MICROSECOND, MILLISECOND, READ, Loop, Timer
 from carthinge.operator_file import FleetOptions
 from carthinge.policy import Dispatcher
+from carthinge.scheduler.fleet_facts import Insight, purses_of
 from carthinge.settings import Site
 
-LEAST_RATE: Final = 1e5  # of work that ends in a second, in microseconds: a tenth of a worker
 BATCH: Final = 64  # datagrams that are read in a turn
 RECEIVE_BUFFER: Final = 1 << 20  # bytes: a burst waits there while the loop is at other work
 BEFORE: Final = 1 - LENDABLE / BASE  # part of a quota here until the others are known
@@ -48,7 +48,7 @@
         """``tell``: has the decisions hear of a view before they decide on anything else."""
         self.loop, self.options, self.name, self.site = loop, options, name, site
         self.counts: Counter[str] = Counter()
-        self._dispatcher, self._tell = dispatcher, tell
+        self._insight, self._tell = self._insight_of(dispatcher), tell
         self._key = Path(options.key_file).read_bytes().strip() if options.key_file else b""
         self._sock: socket.socket | None = None
         self._talk: Talk | None = None
@@ -83,8 +83,8 @@
         options = self.options
         membership = Membership(self.name, options.advertise or options.listen, options.members,
                                 options.period, self._incarnation, draw.getrandbits(64), now)
-        self._talk = Talk(membership, self._shape(), self._purses().keys(), draw.randrange(LIFE_MOST), self,
-                          now)
+        self._talk = Talk(membership, self._shape(), self._insight.purses.keys(), draw.randrange(LIFE_MOST),
+                          self, now)
         self.loop.register(sock, READ, lambda _: self._read())
         self._due()
         log.logger().info("fleet_open", listen=self.options.listen, members=len(self.options.members),
@@ -107,8 +107,9 @@
     def retune(self, site: Site) -> None:
         """Other settings hold from now on."""
         self.site = site
+        self._insight = self._insight_of(self._insight.dispatcher)
         if self._talk is not None:
-            self._talk.retune(self.loop.clock.now(), self._shape(), self._purses().keys())
+            self._talk.retune(self.loop.clock.now(), self._shape(), self._insight.purses.keys())
             self._show()
 
     def figures(self) -> dict[str, Any]:
@@ -121,26 +122,18 @@
 
     def look(self, workers: Collection[int]) -> Facts:
         """What the decisions know just now; signs of these workers."""
-        known, now = self._dispatcher.fleet.workers, self.loop.now // MICROSECOND
-        doubted = {worker.id: worker.strikes + max(0, worker.errors - 1) for worker in known.values()
-                   if worker.listed and (worker.strikes or worker.errors > 1)}
-        well = {number: known[number].heard_at * MICROSECOND for number in workers
-                if number in known and number not in doubted}
-        quotas = self._dispatcher.tenants.quotas
-        left = {purse: quotas[at].fill(now) for purse, at in self._purses().items() if at < len(quotas)}
-        waiting = sum(job.work for job in self._dispatcher.jobs.values() if job.waiting)
-        ended = max(LEAST_RATE, self._dispatcher.desk.served.per_s)
-        return Facts(doubted, well, sum(worker.listed for worker in known.values()), left, waiting / ended)
+        return self._insight.look(workers, self.loop.now // MICROSECOND)
+
+    def repeats(self) -> float:
+        """What they have left for further attempts."""
+        return self._insight.dispatcher.desk.budget.left
 
     def _shape(self) -> int:
         return shape_of(self.site.tenants, self.site.classes)
 
-    def _purses(self) -> dict[int, int]:
-        """The quotas, by the names of their tenants, to the tenants' positions."""
-        decisions = self.site.decisions
-        named = enumerate(zip(self.site.tenants, decisions.tenants, strict=False))
-        return {purse_of(name, tenant.quota_per_s, decisions.instances): at
-                for at, (name, tenant) in named if tenant.quota_per_s > 0}
+    def _insight_of(self, dispatcher: Dispatcher) -> Insight:
+        site = self.site
+        return Insight(dispatcher, purses_of(site.tenants, site.decisions), len(site.classes))
 
     # ---- datagrams ----------------------------------------------------------------------------
 
@@ -188,19 +181,12 @@
     def _show(self) -> None:
         if self._talk is not None and self._talk.changes != self._shown:
             self._shown = self._talk.changes
-            self._tell(self._view(self._talk))
-
-    def _view(self, talk: Talk) -> FleetView:
-        view, classes = talk.view, max(1, len(self.site.classes))
-        return FleetView(
-            tuple((worker, until // MICROSECOND) for worker, until in view.ruling.alone.items()),
-            self._parts(view.parts, 1.0),
-            {divmod(cell, classes): level for cell, level in view.levels.items()})
+            self._tell(self._insight.view(self._talk, self._parts(self._talk.view.parts, 1.0)))
 
     def _parts(self, known: Mapping[int, float], else_: float) -> tuple[float, ...]:
         """By the positions of the tenants; a quota that no purse is for does not change."""
         parts = [1.0] * len(self.site.decisions.tenants)
-        for purse, at in self._purses().items():
+        for purse, at in self._insight.purses.items():
             parts[at] = known.get(purse, else_)
         return tuple(parts)
 
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -1,6 +1,7 @@
 """Schedulers that talk: three real processes and a relay that loses, repeats, delays and cuts."""
 
 import contextlib
+import select
 import signal
 import socket
 import subprocess
@@ -10,7 +11,7 @@
 import pytest
 from relay import Relay
 from test_serve import serve_next
-from world import HOST, SETTINGS, WAIT, World, free_port
+from world import HOST, SETTINGS, WAIT, World, altered, free_port
 
 from carthinge import Dispatcher
 from carthinge import interface as io
@@ -116,6 +117,39 @@
             time.sleep(0.02)
 
 
+def test_two_that_are_pressed_have_an_idle_third_shed_until_their_work_is_done(tmp_path):
+    """Jobs that nobody begins raise the level at two; one has no part in the third, and must shed as well."""
+    query = {**SETTINGS["services"][0], "late_worth": 0.0, "hard_limit": 600_000_000}
+    patient = {**altered(try_limit=1), "services": [query, *SETTINGS["services"][1:]]}
+    with fleet(tmp_path, Relay(3, seed=9, loss=0.05, twice=0.1), workers=1, settings=patient) as worlds:
+        held = []
+        for world in worlds[:2]:
+            for number in range(3):
+                held.append((world, f"a{number}", world.submit(f"a{number}", deadline="600000m")))
+                world.take()[1].answer(202)
+        until = time.monotonic() + 6 * WAIT
+        while not figures(worlds[2])["level_most"]:
+            assert time.monotonic() < until, [figures(world) for world in worlds]
+            time.sleep(0.02)
+        assert not worlds[2].metrics()["overload"]["level_up"]  # of itself it would take all
+        idle, number = worlds[2], 0
+        while True:  # a part is always taken, and done at once, so that it is never pressed itself
+            client = idle.submit(f"b{number}", deadline="600000m")
+            ready, _, _ = select.select([client.sock, idle.workers[0].sock, *idle.kept], [], [], WAIT)
+            if client.sock in ready:
+                break
+            serve_next(idle, f"b{number}")
+            assert client.status() == 200 and time.monotonic() < until
+            number += 1
+        assert client.status() == 503 and idle.metrics()["overload"]["shed_by_level"] == 1
+        for world, name, client in held:
+            assert world.tell(name, "done", result="r") == 204
+            assert client.status() == 200
+        while figures(worlds[2])["level_most"]:
+            assert time.monotonic() < until, [figures(world) for world in worlds]
+            time.sleep(0.02)
+
+
 def test_what_is_no_message_or_has_not_the_seal_is_counted_and_harms_nobody(tmp_path):
     key = tmp_path / "key"
     key.write_text("a secret of some length\n")
--- a/tests/test_fleet_talk.py
+++ b/tests/test_fleet_talk.py
@@ -26,6 +26,9 @@
         signs = self.facts.get("well", {})
         return Facts(**{**self.facts, "well": {at: signs[at] for at in workers if at in signs}})
 
+    def repeats(self):
+        return self.facts["repeats_left"]
+
 
 @pytest.fixture
 def net():
@@ -62,6 +65,18 @@
         talk.view.parts[1] == 1.0 for talk in net.nodes.values()))
 
 
+def test_further_attempts_pass_to_the_busy_and_none_comes_of_nothing(net):
+    for name, told in net.told.items():
+        told.facts |= {"repeats_most": 8.0, "repeats_left": 0.0 if name == "n1" else 8.0}
+    passed = dict.fromkeys(net.nodes, 0.0)
+    for _ in range(40):
+        net.run(SECOND)
+        for name, talk in net.nodes.items():
+            passed[name] += talk.passed()
+    assert passed["n1"] > 8 and sum(passed.values()) <= 0
+    assert all(passed[name] < 0 for name in net.nodes if name != "n1")
+
+
 def within_the_whole(net):
     """At every moment: what is told to the decisions, not only what the ledgers hold."""
     assert sum(talk.view.parts[1] for talk in net.nodes.values()) <= 5
