--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -3,7 +3,7 @@
 import time
 
 from durable_world import FILE, accept, get, put
-from world import World
+from world import SETTINGS, World
 
 OPERATOR_FILE = FILE  # of the fixture `world`
 
@@ -183,27 +183,25 @@
     assert get(world, path)[1] == b"r" and world.metrics()["durable"]["leases_expired"] == 0
 
 
-def test_a_late_result_is_taken_while_nobody_has_the_job(world):
-    paths = {f"a{step}": put(world, f"a{step}", key=f"k{step}") for step in range(8)}
-    number, peer, (_, headers, _) = world.take()
-    req_id, token = headers["req-id"], int(headers["lease-token"])
-    peer.answer(202, Lease_Token=token)
-    begun, called_off = 0, False
-    while begun < 7 or not called_off:  # as many as the two workers get: one more has to wait
-        worker, peer, (line, others, _) = world.take()
-        if line.startswith("DELETE "):  # as soon as one was silent for long enough
-            peer.answer(200)
-            called_off |= line.startswith(f"DELETE /jobs/{req_id} ")
-        else:
-            peer.answer(202)
-            world.tell(others["req-id"], "started", worker)
-            begun += 1
-    until = time.monotonic() + 5
-    while world.metrics()["durable"]["leases"]:
-        assert time.monotonic() < until
-    assert world.tell(req_id, "done", number, result="late", token=token) == 204
-    assert get(world, paths[req_id])[1] == b"late"
-    assert world.metrics()["durable"]["late_results"] == 1
+def test_a_late_result_is_taken_while_nobody_has_the_job(tmp_path):
+    patience = {"objective": 60_000_000, "hard_limit": 600_000_000}
+    patient = [{**service, **patience} for service in SETTINGS["services"]]
+    with World(tmp_path, file=FILE, workers=2, settings={**SETTINGS, "services": patient}) as world:
+        paths = [put(world, f"a{step}", key=f"k{step}", deadline="300000m") for step in range(8)]
+        taken = [world.take() for _ in paths]  # both workers are full, and no silence is too long
+        number, peer, (_, headers, _) = taken[0]
+        late, token = headers["req-id"], int(headers["lease-token"])
+        for worker, other, (_, told, _) in taken[1:]:
+            other.answer(202)
+            assert world.tell(told["req-id"], "started", worker) == 204
+        peer.answer(202, Lease_Token=token)
+        _, peer, (line, _, _) = world.take()
+        assert line.startswith(f"DELETE /jobs/{late} ")  # its lease has run out
+        peer.answer(200)
+        world.wait_for_log(f"attempt_ended id={late} ")
+        assert world.tell(late, "done", number, result="late", token=token) == 204
+        assert get(world, paths[int(late[1:])])[1] == b"late"
+        assert world.metrics()["durable"]["late_results"] == 1
 
 
 def test_workers_that_know_nothing_of_leases_keep_their_jobs(world):
