Have two tests of upgrades wait until open jobs have followed to the new process

Cause: they killed the old process as soon as the new one said that it was ready, which says nothing of what is still being passed on; seen once on a busy machine, when the client's connection went with the old process. Change: they wait for the new one's count of open jobs.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -33,6 +33,14 @@
     return held
 
 
+def followed(world, count):
+    """Waits until so many jobs are the new process's: that it is ready says nothing of them."""
+    until = time.monotonic() + WAIT
+    while world.metrics()["in_flight"] < count:
+        assert time.monotonic() < until, world.log()
+        time.sleep(0.01)
+
+
 def counted(log, event):
     return sum(f"event={event}" in line for line in log.splitlines())
 
@@ -115,6 +123,7 @@
     world.tell("again", "started", last)
     world.counters()  # the 202 is read
     old, _ = world.upgrade()
+    followed(world, 4)
     old.kill()
     assert old.wait(WAIT)
     world.wait_for_log("event=alone")
@@ -135,6 +144,7 @@
         waiting = world.submit("waiting", deadline="9000m")
         world.counters()  # it is taken
         old, _ = world.upgrade()
+        followed(world, 5)
         old.kill()
         assert old.wait(WAIT)
         for client, at, name in held:
