--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -70,8 +70,7 @@
         point = mix(job.key or self.settings.position << 40 ^ job.id)
         shed = self.level.sheds(rank, job.work, bearable, point, self._run(), self.now)
         if self.shared is not None:
-            cell, unknown = (event.tenant, event.job_class), self.level.unknown(self.now)
-            agreed = self.shared.sheds(cell, rank, job.work, point, unknown, self.now)
+            agreed = self.shared.sheds((event.tenant, event.job_class), rank, job.work, point, self.now)
             self.level.shed += agreed and not shed
             shed |= agreed
         if line := self.level.news(self.now):
--- a/carthinge/fleet/levels.py
+++ b/carthinge/fleet/levels.py
@@ -98,10 +98,6 @@
         """The wait of those that began of late, in bearable ones."""
         return self._wait * faded(self._wait_at, now, FORGET) / self.bearable
 
-    def unknown(self, now: int) -> float:
-        """The part of the starts granted at first that it has not seen: 1 of an idle one, 0 of a busy one."""
-        return max(0.0, 1 - self._starts * faded(self._starts_at, now, RATE) / FIRST)
-
     def expected(self, run: float, now: int) -> float:
         """The wait of those that come now, in bearable ones; ``run`` is the part of a wait that is none."""
         if self._born < 0:
--- a/carthinge/fleet/levels_shared.py
+++ b/carthinge/fleet/levels_shared.py
@@ -3,8 +3,8 @@
 Each tells what its own level alone would shed of each cell, never what it sheds on the word of others: so no
 level holds itself up by being repeated, and the agreed one falls as the members' own pressure does.
 
-The agreed one acts where a scheduler has little of its own to go by: as far as it has not seen the starts
-that its own level grants it at first.  It only ever adds to the own one, and keeps what that always keeps.
+The agreed one acts where a scheduler has little of its own to go by: as far as fewer jobs have come of late
+than its own level grants a start to unseen.  It only adds to the own one, and keeps what that always keeps.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from carthinge.fleet.levels import LEAST, OFFERED, Offered, faded
+from carthinge.fleet.levels import FIRST, LEAST, OFFERED, Offered, faded
 
 Cell = tuple[int, int]  #: a tenant and a class, by their positions
 FULL: Final = 100  # all of a cell's work is shed: levels are per cent
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         self.agreed: Mapping[Cell, int] = {}  #: a cell that is not in it goes by the own level alone
         self._offered: dict[Cell, Offered] = {}
+        self._jobs, self._jobs_at = 0.0, 0  # that have come, fading as offered work does
 
     def told(self, kept: float, now: int) -> dict[Cell, int]:
         """What is shed of each cell where that part of all work is kept, the largest cell first; empty where
@@ -52,12 +53,13 @@
         return {cell: round(FULL * shed[cell] / sizes[cell])
                 for cell in sorted(sizes, key=sizes.__getitem__, reverse=True) if sizes[cell]}
 
-    def sheds(self, cell: Cell, rank: int, work: float, point: int, unknown: float, now: int) -> bool:
-        """Whether a job that has just come is shed by the agreed level; ``unknown``: how little the own one
-        has to go by, 0 to 1."""
+    def sheds(self, cell: Cell, rank: int, work: float, point: int, now: int) -> bool:
+        """Whether a job that has just come is shed by the agreed level."""
+        jobs = self._jobs * faded(self._jobs_at, now, OFFERED)
+        self._jobs, self._jobs_at = jobs + 1, now
         offered = self._offered.get(cell)
         if offered is None:
             offered = self._offered[cell] = Offered(since=now)
         offered.add(rank, work, now)
-        part = min(1 - LEAST, self.agreed.get(cell, 0) / FULL) * unknown
+        part = min(1 - LEAST, self.agreed.get(cell, 0) / FULL) * max(0.0, 1 - jobs / FIRST)
         return part > 0 and offered.shed(part, rank, point)
