Do not tell others of silent workers while starts are waited for

In overload workers are silent because their queues are long; two schedulers that said so had all others leave them alone.

--- a/carthinge/scheduler/fleet_facts.py
+++ b/carthinge/scheduler/fleet_facts.py
@@ -32,8 +32,9 @@
         """What the decisions know at that time, in microseconds; signs of these workers."""
         dispatcher = self.dispatcher
         known, desk = dispatcher.fleet.workers, dispatcher.desk
-        doubted = {worker.id: worker.strikes + max(0, worker.errors - 1) for worker in known.values()
-                   if worker.listed and (worker.strikes or worker.errors > 1)}
+        struck = not desk.level.up  # else silence is a queue, and no doubt that others should share
+        doubted = {worker.id: worker.strikes * struck + max(0, worker.errors - 1) for worker in known.values()
+                   if worker.listed and (worker.strikes * struck or worker.errors > 1)}
         well = {number: known[number].heard_at * MICROSECOND for number in workers
                 if number in known and number not in doubted}
         quotas = dispatcher.tenants.quotas
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -15,6 +15,7 @@
 
 from carthinge import Dispatcher
 from carthinge import interface as io
+from carthinge.scheduler.fleet_facts import Insight
 
 
 @contextlib.contextmanager
@@ -227,6 +228,16 @@
     assert [bucket.per_s for bucket in quotas] == [5.0, 5.0]
 
 
+def test_silence_is_told_as_a_doubt_only_while_it_is_no_queue(dispatcher):
+    insight, worker = Insight(dispatcher, {}, 1), dispatcher.fleet.workers[101]
+    worker.strikes = 1
+    assert insight.look((), 1_000_000).doubted == {101: 1}
+    dispatcher.desk.level.up = True
+    assert insight.look((), 1_000_000).doubted == {}
+    worker.errors = 3
+    assert insight.look((), 1_000_000).doubted == {101: 2}
+
+
 def test_settings_without_an_address_have_no_figures(tmp_path):
     with World(tmp_path, settings=SETTINGS) as world:
         assert "fleet" not in world.metrics()
