Count tries of dead workers by schedulers that know apart from first tries

probes_per_bad_worker_s grew with the number of schedulers, and the benchmark did not tell why. It now gives beside the total the part that comes from schedulers which have found the worker dead themselves (_again).

--- a/benchmarks/fleet_overload.py
+++ b/benchmarks/fleet_overload.py
@@ -185,7 +185,10 @@
 
 
 def bad(world: World, make: Make = Dispatcher, seed: object = 1, quick: bool = False) -> dict[str, Any]:
-    """What is sent to a worker that is dead once one scheduler has found that, a second, by schedulers."""
+    """What is sent to a worker that is dead once one scheduler has found that, a second, by schedulers.
+
+    ``_again`` is the part of it that comes from schedulers which have found it themselves; the rest are first
+    tries, one for each scheduler that meets the worker, which nobody can spare it without talk."""
     before, lasts = (2, 6) if quick else (5, 20)
     figures: dict[str, Any] = {}
     for ill in (Ill.REFUSES, Ill.SILENT):
@@ -195,7 +198,9 @@
                                  loads=spans((before + lasts, 0.6))), make, seed)
             count = max(1, round(0.05 * world.workers))
             rates = [second.to_bad / count for second in tally.seconds[before:before + lasts]]
+            again = sum(second.to_bad_again for second in tally.seconds[before:before + lasts])
             figures[f"{ill.value}_{schedulers}"] = round(sum(rates) / lasts, 2)
+            figures[f"{ill.value}_{schedulers}_again"] = round(again / count / lasts, 2)
             figures[f"{ill.value}_{schedulers}_later_half"] = round(sum(rates[lasts // 2:]) * 2 / lasts, 2)
             print(f"    {ill.value}, {schedulers} schedulers:", *(f"{rate:.1f}" for rate in rates))
     return figures
--- a/carthinge/model/scheduler.py
+++ b/carthinge/model/scheduler.py
@@ -119,6 +119,8 @@
         self.attempts.clear()
         self.exchanges.clear()
         self._events.clear()
+        for worker in self._world.workers.values():
+            worker.found.discard(self.position)  # it will have to find out anew
         self._wake = 0
         return clients
 
@@ -158,7 +160,7 @@
         self.attempts.discard(attempt)
         exchange, worker = attempt.exchange, attempt.worker
         if result in NO_ANSWER and worker.ill in MUTE:
-            worker.found = True
+            worker.found.add(self.position)
         if result is io.Result.OK and exchange.owed:
             exchange.owed = False
             exchange.client.served()
@@ -203,7 +205,9 @@
 
     def _count_send(self, worker: ModelWorker) -> Any:
         second = self._tally.at(self._agenda.now)
-        second.to_bad += worker.found and worker.ill in MUTE
+        if worker.ill in MUTE:
+            second.to_bad += bool(worker.found)
+            second.to_bad_again += self.position in worker.found
         return second
 
     def _cancel(self, action: io.Cancel) -> None:
@@ -248,7 +252,8 @@
         module = self.module
 
         def answer(number: int, result: io.Result, report: tuple[float, ...]) -> None:
-            worker.found |= result is not io.Result.OK
+            if result is not io.Result.OK:
+                worker.found.add(self.position)
             if self.module is module:
                 self.hear(io.ProbeResult(number, result, self._agenda.now - now, report))
 
--- a/carthinge/model/tally.py
+++ b/carthinge/model/tally.py
@@ -32,6 +32,7 @@
     attempts: int = 0
     probes: int = 0
     to_bad: int = 0  #: attempts and probes to workers that give no answer, and one scheduler knows
+    to_bad_again: int = 0  #: of these, by schedulers that know it themselves
     busy: int = 0  #: microseconds of worker time, counted at their end
     wasted: int = 0  #: of these, on what answered nobody
     held: int = 0  #: running and waiting at all workers, summed over the samples
--- a/carthinge/model/workers.py
+++ b/carthinge/model/workers.py
@@ -75,7 +75,7 @@
         self.speed = max(0.1 * kind.speed, rng.gauss(kind.speed, kind.speed * kind.speed_spread))
         self.ill: Ill | None = None
         self.size = 1.0
-        self.found = False  # while it is ill: some scheduler knows
+        self.found: set[int] = set()  # while it is ill: the schedulers that know
         self.started = -1  # when it last came back, -1 for long ago
         self.held = 0  # running and waiting
         self.running: list[Piece] = []
@@ -219,7 +219,7 @@
 
     def fall_ill(self, ill: Ill, size: float) -> None:
         """Until :meth:`recover`."""
-        self.ill, self.size, self.found = ill, size, False
+        self.ill, self.size, self.found = ill, size, set()
         if ill is Ill.HANG:
             for piece in self.running:
                 piece.turn += 1
