Hold what is cheap or late for told slots while overloaded, if late worth counts

In the model's family with late worth (reports) the repeats were calls back from queues at workers, which nothing kept short: such jobs never came to the level.

--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -54,20 +54,34 @@
         """Whether a job that has just come is turned away by the level; a client's repeat costs budget."""
         if repeat:
             self.budget.spend()
-        spec = job.spec
-        if spec.late_worth > 0:  # measured: to refuse it loses more than the delay that it adds
+        spec, now = job.spec, self.now
+        worth_late = spec.late_worth > 0  # measured: to refuse it loses more than the delay that it adds
+        if worth_late and self.settings.reports is io.Reports.OFF:
             return False
         pace = self.fleet.mean_pace()
         slack = spec.objective + (spec.stretch - pace) * job.work
         worth = spec.worth if self.settings.worth_by_work else spec.worth / job.cost
-        rank = standing(over_share, job.came + slack > self.now, worth)
-        bearable = max(slack, spec.objective / 4)
-        run = 0.0 if self.settings.tells_start else pace * self.mean_work
-        point = mix(job.key or self.settings.position << 40 ^ job.id)
-        shed = self.level.sheds(rank, job.work, bearable, point, run, self.now)
-        if line := self.level.news(self.now):
+        job.standing = standing(over_share, job.came + slack > now, worth)
+        job.point = mix(job.key or self.settings.position << 40 ^ job.id)
+        bearable = max(slack, spec.objective / 4)  # and so much more, as worth is left when it is late
+        bearable += spec.late_worth * max(0.0, job.give_up - now - bearable)
+        low = self.level.sheds(job.standing, job.work, bearable, job.point, self._no_wait(), now)
+        if line := self.level.news(now):
             self.actions.append(io.LogLine(line))
-        return shed
+        self.level.shed += low and not worth_late
+        return low and not worth_late
+
+    def holds(self, job: Job) -> bool:
+        """Whether a job whose late answer is worth something waits here for a slot that is told to be
+        free, as the level would shed it, or it comes late already: it must not stand before others."""
+        if not self.level.up or job.spec.late_worth <= 0 or self.settings.reports is io.Reports.OFF:
+            return False
+        late = job.came + job.spec.objective + job.spec.stretch * job.work < self.now
+        return self.level.below(job.standing, job.point, self._no_wait(), self.now) or late and self.level.up
+
+    def _no_wait(self) -> float:
+        """The part of what seems a wait at a worker that is a run."""
+        return 0.0 if self.settings.tells_start else self.fleet.mean_pace() * self.mean_work
 
     def rationed(self) -> bool:
         """Whether silence costs budget: not where queues are seen and short, for then it mostly is a
