--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
+from typing import TYPE_CHECKING
 
 from carthinge import interface as io
 from carthinge.fleet import comeback
@@ -13,12 +14,15 @@
 from carthinge.roster import Fleet, Loads
 from carthinge.timers import Timers
 
+if TYPE_CHECKING:
+    from carthinge.fleet.levels_shared import SharedLevel
+
 
 class Desk:
     """Each part is handed the desk of its dispatcher, and the parts that it asks.  No decisions."""
 
     __slots__ = ("settings", "rng", "now", "actions", "jobs", "fleet", "freed", "timers", "after",
-                 "mean_work", "served", "level", "budget", "arrivals", "heat", "queue")
+                 "mean_work", "served", "level", "shared", "budget", "arrivals", "heat", "queue")
 
     def __init__(self, settings: io.Settings, seed: int,
                  part: Callable[[Desk, list[Worker]], list[Worker]]) -> None:
@@ -35,6 +39,7 @@
         self.mean_work = float(self.shortest())
         self.served, self.arrivals = Rate(), Rate()
         self.level, self.budget = Level(self.shortest()), Budget(settings.instances)
+        self.shared: SharedLevel | None = None  # with schedulers that talk
         self.heat, self.queue = Heat(), Queue()
 
     def shortest(self) -> int:
@@ -50,9 +55,9 @@
         """What is out from here, as a message."""
         return Loads.pack(self.fleet.workers.values(), self.rng)
 
-    def sheds(self, job: Job, over_share: bool, repeat: bool) -> bool:
+    def sheds(self, job: Job, over_share: bool, event: io.Arrival) -> bool:
         """Whether a job that has just come is turned away by the level; a client's repeat costs budget."""
-        if repeat:
+        if event.repeat:
             self.budget.spend()
         spec, now = job.spec, self.now
         worth_late = spec.late_worth > 0  # measured: to refuse it loses more than the delay that it adds
@@ -65,11 +70,14 @@
         job.point = mix(job.key or self.settings.position << 40 ^ job.id)
         bearable = max(slack, spec.objective / 4)  # and so much more, as worth is left when it is late
         bearable += spec.late_worth * max(0.0, job.give_up - now - bearable)
-        low = self.level.sheds(job.standing, job.work, bearable, job.point, self._no_wait(), now)
+        shed = self.level.sheds(job.standing, job.work, bearable, job.point, self._run(), now)
+        if self.shared is not None and not worth_late:
+            of = event.tenant, event.job_class
+            shed |= self.shared.sheds(of, job.standing, job.work, job.point, now)
         if line := self.level.news(now):
             self.actions.append(io.LogLine(line))
-        self.level.shed += low and not worth_late
-        return low and not worth_late
+        self.level.shed += shed and not worth_late
+        return shed and not worth_late
 
     def holds(self, job: Job) -> bool:
         """Whether a job whose late answer is worth something waits here for a slot that is told to be
@@ -77,12 +85,24 @@
         if not self.level.up or job.spec.late_worth <= 0 or self.settings.reports is io.Reports.OFF:
             return False
         late = job.came + job.spec.objective + job.spec.stretch * job.work < self.now
-        return self.level.below(job.standing, job.point, self._no_wait(), self.now) or late and self.level.up
+        return self.level.below(job.standing, job.point, self._run(), self.now) or late and self.level.up
 
-    def _no_wait(self) -> float:
-        """The part of what seems a wait at a worker that is a run."""
+    def _run(self) -> float:
+        """The part of a wait for an answer that is none: where starts are told, waits are for these."""
         return 0.0 if self.settings.tells_start else self.fleet.mean_pace() * self.mean_work
 
+    def agree(self, levels: Mapping[tuple[int, int], int]) -> None:
+        """What all that talk have come to; from the first time on this one keeps what it needs for that."""
+        if self.shared is None:
+            from carthinge.fleet.levels_shared import SharedLevel
+
+            self.shared = SharedLevel()
+        self.shared.agreed = levels
+
+    def levels(self, now: int) -> dict[tuple[int, int], int]:
+        """What this one finds by itself, for the others."""
+        return self.shared.told(self.level.kept(self._run(), now), now) if self.shared is not None else {}
+
     def rationed(self) -> bool:
         """Whether silence costs budget: not where queues are seen and short, for then it mostly is a
         worker that hangs."""
