--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -59,33 +59,23 @@
         """Whether a job that has just come is turned away by the level; a client's repeat costs budget."""
         if event.repeat:
             self.budget.spend()
-        spec, now = job.spec, self.now
-        worth_late = spec.late_worth > 0  # measured: to refuse it loses more than the delay that it adds
-        if worth_late and self.settings.reports is io.Reports.OFF:
+        spec = job.spec
+        if spec.late_worth > 0:  # measured: to refuse it loses more than the delay that it adds
             return False
         pace = self.fleet.mean_pace()
         slack = spec.objective + (spec.stretch - pace) * job.work
         worth = spec.worth if self.settings.worth_by_work else spec.worth / job.cost
-        job.standing = standing(over_share, job.came + slack > now, worth)
-        job.point = mix(job.key or self.settings.position << 40 ^ job.id)
-        bearable = max(slack, spec.objective / 4)  # and so much more, as worth is left when it is late
-        bearable += spec.late_worth * max(0.0, job.give_up - now - bearable)
-        shed = self.level.sheds(job.standing, job.work, bearable, job.point, self._run(), now)
-        if self.shared is not None and not worth_late:
-            of = event.tenant, event.job_class
-            shed |= self.shared.sheds(of, job.standing, job.work, job.point, now)
-        if line := self.level.news(now):
+        rank = standing(over_share, job.came + slack > self.now, worth)
+        bearable = max(slack, spec.objective / 4)
+        point = mix(job.key or self.settings.position << 40 ^ job.id)
+        shed = self.level.sheds(rank, job.work, bearable, point, self._run(), self.now)
+        if self.shared is not None:
+            agreed = self.shared.sheds((event.tenant, event.job_class), rank, job.work, point, self.now)
+            self.level.shed += agreed and not shed
+            shed |= agreed
+        if line := self.level.news(self.now):
             self.actions.append(io.LogLine(line))
-        self.level.shed += shed and not worth_late
-        return shed and not worth_late
-
-    def holds(self, job: Job) -> bool:
-        """Whether a job whose late answer is worth something waits here for a slot that is told to be
-        free, as the level would shed it, or it comes late already: it must not stand before others."""
-        if not self.level.up or job.spec.late_worth <= 0 or self.settings.reports is io.Reports.OFF:
-            return False
-        late = job.came + job.spec.objective + job.spec.stretch * job.work < self.now
-        return self.level.below(job.standing, job.point, self._run(), self.now) or late and self.level.up
+        return shed
 
     def _run(self) -> float:
         """The part of a wait for an answer that is none: where starts are told, waits are for these."""
--- a/carthinge/fleet/levels.py
+++ b/carthinge/fleet/levels.py
@@ -133,13 +133,11 @@
         return {"level_up": int(self.up), "level_rises": self.rises, "shed_by_level": self.shed,
                 "attempts_waiting": max(0, self.waiting)}
 
-    def below(self, rank: int, point: int, run: float, now: int) -> bool:
-        """Whether a job is in the part that is not kept now: by its standing, then by its point."""
-        kept = self.kept(run, now)
-        return kept < 1 and self._offered.shed(1 - kept, rank, point)
-
     def sheds(self, rank: int, work: float, bearable: float, point: int, run: float, now: int) -> bool:
-        """The same of a job that has just come; its work and what it can bear count from now on."""
+        """Whether a job that has just come is shed: by its standing, and by its point within that."""
         self.bearable += (max(1.0, bearable) - self.bearable) * 0.05
         self._offered.add(rank, work, now)
-        return self.below(rank, point, run, now)
+        kept = self.kept(run, now)
+        shed = kept < 1 and self._offered.shed(1 - kept, rank, point)
+        self.shed += shed
+        return shed
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -163,10 +163,10 @@
     def _dispatchable(self, job: Job) -> bool:
         """Unless every eligible worker is busy; a blocked head looks again when one frees up."""
         desk = self.desk
-        job.held = desk.holds(job)
         known = desk.now < job.look_at and job.list_seen == desk.fleet.version
         if known and not (job.key and desk.freed):  # one of them may be the key's home
-            job.choice = next((w for w in desk.freed if self.pick.estimate(w, job) is not None), None)
+            estimate = self.pick.estimate
+            job.choice = next((worker for worker in desk.freed if estimate(worker, job) is not None), None)
             return job.choice is not None or job.queue.pass_over(job)
         job.choice = self.pick.best(job, pool := self.pick.eligible(job))
         if job.choice or not pool:
--- a/carthinge/policy/pick.py
+++ b/carthinge/policy/pick.py
@@ -128,12 +128,12 @@
         pace = worker.pace or pool.pace
         if worker.free_at >= 0 and now - worker.free_at < desk.mean_work * pace / max(1.0, pool.slots):
             # A report is older than the outcome it came with: a slot that is free from here counts too.
-            free = worker.free if asks or job.held else max(worker.free, pool.slots - worker.held())
+            free = worker.free if asks else max(worker.free, pool.slots - worker.held())
             if free < job.slots + (asks and -job.rank < SPARE_WORTH * self.top_worth):
                 return None  # cheap work leaves a slot for dear work
         else:
             cap = min(worker.cap, pool.slots or worker.cap)  # more would wait there, out of reach of worth
-            if job.held or worker.slots_out and worker.held() + job.slots > cap:
+            if worker.slots_out and worker.held() + job.slots > cap:
                 return None
             if asks and now < job.queued + job.spec.objective * PROBE_WAIT:
                 return None  # its probes are on their way
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -191,9 +191,6 @@
     streaming: bool = False
     silent: bool = False  # called off at a worker where it had begun and gave no sign
     hedged: bool = False  # a copy may be sent as soon as it seems to wait in a queue
-    standing: int = 1 << 16  # in the order in which the level sheds; high for what never came to it
-    point: int = 0  # its place among equals there
-    held: bool = False  # only a slot that is told to be free is for it
     bearable: float = 0.0  # the wait at a worker beyond which it counts as busy for this job
     choice: Worker | None = None  # the pick for it, made when its head was found dispatchable
     look_at: int = 0  # a blocked head is not picked for before
