Let cold workers have what warm ones carry, and send there what would be shed

Each second a scheduler was let have 0.2 jobs at all cold ones together, and used a tenth of that; the warm ones had 9 jobs a second each, waited for 0.5 s.

Cause: the allowance came from a rate of ten seconds' memory that restarts began at nothing, over all workers, cold ones included; a grant was lost unless its worker was drawn in that second; a worker that cannot have a line was taken for as long a wait as all others; and the level shed before anybody looked.

Change: paces are those of a warm worker, and a cold one is as much slower as it is cold. A cold worker may have what a warm one carries, or one slot's work; who may send there looks at it in every pick; what the level would shed goes there if it can begin at once. Rates count for the time they were counted.

--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -22,7 +22,8 @@
     """Each part is handed the desk of its dispatcher, and the parts that it asks.  No decisions."""
 
     __slots__ = ("settings", "rng", "now", "actions", "jobs", "fleet", "freed", "timers", "after",
-                 "mean_work", "served", "level", "shared", "budget", "arrivals", "heat", "queue")
+                 "mean_work", "served", "level", "shared", "budget", "arrivals", "heat", "queue",
+                 "carried", "_warm_part", "_warm", "_warm_until")
 
     def __init__(self, settings: io.Settings, seed: int,
                  part: Callable[[Desk, list[Worker]], list[Worker]]) -> None:
@@ -41,11 +42,40 @@
         self.level, self.budget = Level(self.shortest()), Budget(settings.instances)
         self.shared: SharedLevel | None = None  # with schedulers that talk
         self.heat, self.queue = Heat(), Queue()
+        self.carried = Rate()  # work that a mean warm worker has served for this one
+        self._warm_part, self._warm, self._warm_until = 1.0, 0, 0
 
     def shortest(self) -> int:
         """The least objective of all classes."""
         return min(spec.objective for spec in self.settings.classes)
 
+    def warmth(self, worker: Worker, at: int = -1) -> float:
+        """The part of its capacity that a worker surely has then, or by now: it rises evenly or sooner."""
+        since, least = (self.now if at < 0 else at) - worker.started, self.settings.cold_start_share
+        if worker.started <= 0 or since >= self.settings.cold_time:
+            return 1.0
+        return least + (1 - least) * max(0, since) / self.settings.cold_time
+
+    def pace(self, worker: Worker, at: int = -1) -> float:
+        """Running time over hinted work of what begins there then, or by now: cold ones are slower."""
+        return worker.known_pace() / self.warmth(worker, at)
+
+    def _warm_up(self) -> None:
+        """Looks once in the span of rule 4 how warm this one's part of the fleet is."""
+        if self.now >= self._warm_until:
+            self._warm_until = self.now + max(1, self.settings.fall_window)
+            parts = [self.warmth(worker) for worker in self.fleet.near]
+            self._warm_part, self._warm = sum(parts) / len(parts) if parts else 1.0, parts.count(1.0)
+
+    def mean_pace(self) -> float:
+        """The pace of a mean worker by now."""
+        self._warm_up()
+        return self.fleet.mean_pace() / self._warm_part
+
+    def span(self, attempt: Attempt) -> float:
+        """What a run that has begun takes by its hint, and its aim on top, for what the hint may be off."""
+        return attempt.job.work * self.pace(attempt.worker, attempt.begun) + attempt.job.spec.objective
+
     def attempt(self, event: io.Note | io.Outcome | io.StreamStarted) -> Attempt | None:
         """The one that an event names, while its job is known."""
         job = self.jobs.get(event.request)
@@ -62,7 +92,7 @@
         spec = job.spec
         if spec.late_worth > 0:  # measured: to refuse it loses more than the delay that it adds
             return False
-        pace = self.fleet.mean_pace()
+        pace = self.mean_pace()
         slack = spec.objective + (spec.stretch - pace) * job.work
         worth = spec.worth if self.settings.worth_by_work else spec.worth / job.cost
         rank = standing(over_share, job.came + slack > self.now, worth)
@@ -79,7 +109,7 @@
 
     def _run(self) -> float:
         """The part of a wait for an answer that is none: where starts are told, waits are for these."""
-        return 0.0 if self.settings.tells_start else self.fleet.mean_pace() * self.mean_work
+        return 0.0 if self.settings.tells_start else self.mean_pace() * self.mean_work
 
     def agree(self, levels: Mapping[tuple[int, int], int]) -> None:
         """What all that talk have come to; from the first time on this one keeps what it needs for that."""
@@ -106,8 +136,13 @@
     def ended(self, attempt: Attempt, served: bool) -> None:
         """An attempt has ended; where starts are not told, what its run does not explain was a wait."""
         self.level.ended(attempt.begun > 0, served, self.now)
+        if served:
+            self._warm_up()
+            self.served.add(attempt.job.work, self.now)
+            if self.warmth(attempt.worker) == 1:  # cold ones carry what they are let have
+                self.carried.add(attempt.job.work / max(1, self._warm), self.now)
         if served and not attempt.begun:
-            run = attempt.job.work * attempt.worker.known_pace()
+            run = attempt.job.work * self.pace(attempt.worker)
             self.level.waited(self.now - attempt.sent - run, self.now)
 
     def sharers(self) -> float:
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -25,7 +25,6 @@
     """What cold workers may get."""
 
     leaving: bool
-    warm_part: float
 
 
 class Signs(Protocol):
@@ -66,15 +65,15 @@
 _OF_ATTEMPT = tuple(item.name for item in fields(AttemptMemory) if item.name != "worker")
 
 
-def _meters(dispatcher: Decisions) -> dict[str, Desk | Signs | Cold]:
+def _meters(dispatcher: Decisions) -> dict[str, Desk | Signs]:
     """The part that keeps it, for each."""
     signs = dispatcher.signs
-    return {"mean_work": dispatcher.desk, "patience": signs, "run_patience": signs, "prompt": signs,
-            "warm_part": dispatcher.cold}
+    return {"mean_work": dispatcher.desk, "patience": signs, "run_patience": signs, "prompt": signs}
 
 
 def _rates(dispatcher: Decisions) -> dict[str, Rate]:
-    return {"served": dispatcher.desk.served, "arrivals": dispatcher.desk.arrivals}
+    return {"served": dispatcher.desk.served, "arrivals": dispatcher.desk.arrivals,
+            "carried": dispatcher.desk.carried}
 
 
 def memory_of(dispatcher: Decisions) -> Memory:
@@ -172,7 +171,8 @@
     for name, part in _meters(dispatcher).items():
         setattr(part, name, memory.meters[name])
     for name, rate in _rates(dispatcher).items():
-        rate.per_s, rate.since = memory.rates[name]
+        if name in memory.rates:  # the version before may not have counted it
+            (rate.per_s, rate.since), rate.seen = memory.rates[name], 1.0
     if len(memory.spans) == len(dispatcher.spans):
         dispatcher.spans[:] = memory.spans
     if len(memory.quotas) == len(dispatcher.tenants.quotas):
--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -33,7 +33,7 @@
 
     def expected(self, worker: Worker, job: Job) -> float:
         """Time to the first sign of an attempt: its start where that is told, else its answer."""
-        run = 0.0 if self.desk.settings.tells_start else job.work * worker.known_pace()
+        run = 0.0 if self.desk.settings.tells_start else job.work * self.desk.pace(worker)
         blind = self.desk.settings.reports is io.Reports.OFF  # what is usual at all workers is not silence
         seen = self.desk.queue.left(self.desk.now) if blind else 0.0
         return job.spec.objective * SIGN_LEAST + run + seen + worker.work_out / max(1.0, worker.pool.slots)
@@ -43,7 +43,7 @@
         notes = self.desk.settings.progress * NOTE_PATIENCE
         if not attempt.begun:  # a queue is not silence
             return int(max(attempt.expected * self.patience, notes if attempt.job.hedged else 0))
-        span = attempt.span()
+        span = self.desk.span(attempt)
         span *= self.run_patience if self._runs_well(attempt, span) else PATIENCE_START
         return int(min(span, notes or span))
 
@@ -60,7 +60,7 @@
 
     def ran(self, attempt: Attempt) -> None:
         """Whether jobs that were silent at well workers are lost or only long shows when they end."""
-        span = attempt.span()
+        span = self.desk.span(attempt)
         spans = (self.desk.now - attempt.begun) / span
         least, _, most = RUN_PATIENCE
         if spans <= 1:
@@ -133,12 +133,12 @@
             self.doubts.heard(worker)
             worker.refusals = worker.errors = 0
             self.desk.budget.earn()
-            self.desk.served.add(job.work, now)
             (self.signs.ran if attempt.begun else self.signs.begun)(attempt)
             worker.cap += 1.0 / max(1.0, worker.cap)
             if attempt.begun or attempt.alone:
                 old = worker.known_pace()
-                sample = (now - (attempt.begun or attempt.sent)) / max(1.0, job.work)
+                since = attempt.begun or attempt.sent
+                sample = (now - since) * self.desk.warmth(worker, (since + now) // 2) / max(1.0, job.work)
                 sample = min(max(sample, old / OUTLIER), old * OUTLIER)
                 worker.pace = old + (sample - old) * GAIN
                 worker.pool.pace += (sample - worker.pool.pace) * GAIN / 3
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -83,7 +83,9 @@
         if event.key and desk.heat.add(event.key):
             self.fleet.renew()
         attach(self, job, sent)
-        if not sent and desk.sheds(job, over, event):
+        if not sent and desk.sheds(job, over, event):  # but not what a cold worker can begin at once
+            job.spared, job.bearable = True, 0.0
+        if job.spared and all(self.pick.estimate(worker, job) is None for worker in self.cold.granted()):
             self._conclude(job)
         elif not job.open:
             self.enqueue(job)
@@ -96,7 +98,7 @@
         job.waiting, job.queued = True, desk.now
         last = job.give_up - desk.settings.answer_grace
         strict, told = job.spec.late_worth <= 0, desk.settings.tells_start
-        pace = self.fleet.mean_pace() if (job.hedged if strict else told) else 1.0  # else it has queues in it
+        pace = desk.mean_pace() if (job.hedged if strict else told) else 1.0  # else it has queues in it
         slack = job.spec.objective + (job.spec.stretch - pace) * job.work
         # Some are always tried, or nobody would learn that what was slow is not slow any more.
         in_time = job.came + int(max(slack, job.spec.objective * SIGN_LEAST))
@@ -169,7 +171,7 @@
             job.choice = next((worker for worker in desk.freed if estimate(worker, job) is not None), None)
             return job.choice is not None or job.queue.pass_over(job)
         job.choice = self.pick.best(job, pool := self.pick.eligible(job))
-        if job.choice or not pool:
+        if job.choice or not pool or job.spared:
             return True
         job.narrow = len(pool) < len(desk.fleet.pool(job.spec.kind)) or (
             job.work > desk.mean_work and any(self.cold.is_cold(worker) for worker in pool))
--- a/carthinge/policy/health.py
+++ b/carthinge/policy/health.py
@@ -10,7 +10,6 @@
 
 DOUBT_LIMIT: Final = 0.4  # of the fleet: if more is silent, it is not the workers that are ill
 ERRORS_ILL: Final = 2  # in a row: a worker that fails all at once is always free, and would be picked again
-WARM_LEAST: Final = 0.5  # of the fleet: with all cold at once, what was served before says too much
 COLD_SPREAD: Final = 2.0  # half the deviations of chance that keep a cold worker from being pushed over
 
 
@@ -30,7 +29,7 @@
         """An attempt ended there as it should not; a full worker is left alone until a slot may be free."""
         desk = self.desk
         if result is io.Result.FULL:
-            pause = desk.mean_work * worker.known_pace() / max(1.0, worker.pool.slots)
+            pause = desk.mean_work * desk.pace(worker) / max(1.0, worker.pool.slots)
             pause = min(pause * 2**worker.refusals, max(pause, desk.settings.cold_time))
             worker.refusals += 1
             worker.avoid(desk.now + int(pause * desk.rng.uniform(0.5, 1.5)))
@@ -66,40 +65,37 @@
 
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
-        self.warm_part, self._warm_until = 1.0, 0  # the mean warmth of the fleet, as seen here
         self.leaving = False  # it is another dispatcher's to send then
+        self._span, self._granted = -1, list[Worker]()
 
     def is_cold(self, worker: Worker) -> bool:
-        return worker.started > 0 and self.desk.now < worker.started + self.desk.settings.cold_time
+        return self.desk.warmth(worker) < 1
 
     def allows(self, worker: Worker, job: Job) -> bool:
         """Whether a cold worker may get this job as well."""
         return not self.leaving and job.work <= self.allowance(worker)
 
+    def granted(self) -> list[Worker]:
+        """Those that may get something from here in the present span: hundreds share what a cold worker may
+        have, so each has a part of it now and then, which is lost unless it is looked for."""
+        span, near = self.desk.now // max(1, self.desk.settings.fall_window), self.desk.fleet.near
+        if span != self._span:
+            self._span, self._granted = span, [w for w in near if self.is_cold(w) and self.allowance(w) > 0]
+        return self._granted
+
     def allowance(self, worker: Worker) -> float:
-        """Work that it may still get from here in the present span: the mean served by a worker, or what its
+        """Work that it may still get from here in the present span: what a warm worker carries, or what its
         slots can do, less by how cold it is, and so little that chance does not push it over."""
         if not worker.near:  # others have it in their part, and share its allowance among them
             return 0.0
         desk, settings = self.desk, self.desk.settings
-        slot = (desk.now - worker.started) // max(1, settings.fall_window)
-        if slot != worker.cold_slot:
-            worker.cold_slot = slot
-            near, sharers = max(1, len(desk.fleet.near)), desk.sharers()
-            if desk.now >= self._warm_until:  # the warm ones serve most of what is served
-                self._warm_until = desk.now + settings.fall_window
-                self.warm_part = max(WARM_LEAST, sum(self._warmth(other) for other in desk.fleet.near) / near)
-            # Refusals must not raise it: work sent does not count.
-            served = desk.served.per_s / 1e6 / self.warm_part / near
-            shown = worker.pool.slots / worker.known_pace() / sharers
-            own = self._warmth(worker) * max(served, shown) * settings.fall_window / desk.mean_work
+        if worker.cold_slot != (span := desk.now // max(1, settings.fall_window)):
+            worker.cold_slot = span
+            sharers = desk.sharers()
+            # Refusals must not raise it: work sent does not count.  One slot it has, whatever was shown.
+            shown = max(1.0, worker.pool.slots) / worker.known_pace() / sharers
+            carried = max(shown, desk.carried.per_s / 1e6)
+            own = desk.warmth(worker) * carried * settings.fall_window / desk.mean_work
             safe = (math.sqrt(COLD_SPREAD**2 + settings.fall_multiple * own * sharers) - COLD_SPREAD) ** 2
-            jobs = own * min(1.0, safe / max(own * sharers, 1e-9))
-            worker.cold_left = math.floor(jobs + desk.rng.random()) * desk.mean_work
+            worker.cold_left = math.floor(min(own, safe / sharers) + desk.rng.random()) * desk.mean_work
         return worker.cold_left
-
-    def _warmth(self, worker: Worker) -> float:
-        """The part of its capacity that a worker surely has by now."""
-        settings = self.desk.settings
-        risen = (self.desk.now - worker.started) / settings.cold_time if self.is_cold(worker) else 1.0
-        return settings.cold_start_share + (1 - settings.cold_start_share) * max(0.0, risen)
--- a/carthinge/policy/pick.py
+++ b/carthinge/policy/pick.py
@@ -69,6 +69,7 @@
                 estimate += step + LINE_WORK * self.desk.mean_work * (len(own) > 1 and worker.in_line > 0)
                 if homes:  # the further from its first homes, the likelier it has to fetch the key
                     far = max(0, homes.index(worker) - wide) if worker in homes else KEY_HOMES
+                    far *= not self.cold.is_cold(worker)  # it fetches whatever it gets first
                     estimate += FETCH_WORK * self.desk.mean_work * far / KEY_HOMES
                 # Ties are drawn for; else the next in line after ineligible ones gets their part.
                 ties = 1 if estimate < least else ties + (estimate == least)
@@ -96,7 +97,7 @@
             drawn.extend(worker for worker in self.reports.latest if worker.free >= job.slots)
         elif self.blind:  # where a job from here has just ended is a slot that no other gateway was told of
             drawn.extend(w for w in self.reports.latest if w.sent_at > desk.now - desk.settings.idle_close)
-        return drawn + homes
+        return drawn + homes + [w for w in self.cold.granted() if w.cold_left > 0 and w not in homes]
 
     def may_repeat(self, worker: Worker, job: Job) -> bool:
         """Whether a job may run here too, where earlier attempts may have run (rule 2)."""
@@ -125,7 +126,7 @@
             return None
         if self.cold.is_cold(worker) and not self.cold.allows(worker, job):
             return None
-        pace = worker.pace or pool.pace
+        pace = desk.pace(worker)
         if worker.free_at >= 0 and now - worker.free_at < desk.mean_work * pace / max(1.0, pool.slots):
             # A report is older than the outcome it came with: a slot that is free from here counts too.
             free = worker.free if asks else max(worker.free, pool.slots - worker.held())
@@ -159,6 +160,7 @@
         if settings.reports is io.Reports.OFF:  # nothing else tells what others have sent there
             now, others = self.desk.now, 1 - 1 / settings.instances
             usual = min(self.desk.queue.left(now), QUEUE_USUAL * self.desk.shortest())
+            usual *= not self.cold.is_cold(worker)  # which all together send no more than it can do
             wait = max(wait, others * worker.queue.left(now, usual))
         if rated and settings.weights is io.Weights.LIVE:
             held = worker.pool.size / worker.entry.rating - 1.0
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -14,6 +14,7 @@
 MASK: Final = (1 << 64) - 1
 STRONGEST: Final = 1e6  # slots
 RATE_MEMORY: Final = 10.0  # seconds
+RATE_YOUNG: Final = 0.1  # of that, which the first count stands for
 ASIDE_MOST: Final = 16  # blocked jobs of a tenant that are passed over: to look at each takes time
 SMALL_HEAP: Final = 64  # entries; below that nothing is gained by sweeping what is over
 
@@ -156,10 +157,6 @@
         self.worker.in_line += in_line - self.in_line
         self.in_line = in_line
 
-    def span(self) -> float:
-        """What its run takes by its hint, and its aim on top, for what the hint may be off."""
-        return self.job.work * self.worker.known_pace() + self.job.spec.objective
-
     def over(self) -> bool:
         """No timer can do anything about it any more, now or later."""
         job = self.job
@@ -191,6 +188,7 @@
     streaming: bool = False
     silent: bool = False  # called off at a worker where it had begun and gave no sign
     hedged: bool = False  # a copy may be sent as soon as it seems to wait in a queue
+    spared: bool = False  # not shed, as a worker could begin it at once: it goes there or nowhere
     bearable: float = 0.0  # the wait at a worker beyond which it counts as busy for this job
     choice: Worker | None = None  # the pick for it, made when its head was found dispatchable
     look_at: int = 0  # a blocked head is not picked for before
@@ -337,18 +335,23 @@
 
 @dataclass(slots=True, eq=False)
 class Rate:
-    """A decaying rate of what is added to it."""
+    """A decaying rate of what is added to it, over the time that it has been counted for."""
 
     per_s: float = 0.0
     since: int = 0
+    seen: float = 0.0  # the part of its memory that it has been counted for, 0 before the first
 
     def add(self, amount: float, now: int) -> None:
-        self.per_s = self.left(now) + amount / RATE_MEMORY
+        """Guards against a rate that is taken for low because its counting has just begun."""
+        fade = math.exp((self.since - now) / 1e6 / RATE_MEMORY) if self.seen else 1.0
+        before, self.seen = self.seen, max(RATE_YOUNG, 1 - (1 - self.seen) * fade)
+        self.per_s = (self.per_s * before * fade + amount / RATE_MEMORY) / self.seen
         self.since = now
 
     def left(self, now: int) -> float:
         """What it has come down to since the last was added."""
-        return self.per_s * math.exp((self.since - now) / 1e6 / RATE_MEMORY)
+        fade = math.exp((self.since - now) / 1e6 / RATE_MEMORY)
+        return self.per_s * self.seen * fade / max(RATE_YOUNG, 1 - (1 - self.seen) * fade)
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_policy_workers.py
+++ b/tests/test_policy_workers.py
@@ -94,15 +94,18 @@
     """A rate in the wrong unit once let everything through (colombo rough-2, failback)."""
     gateway = started(settings(), 1, 2)
     serve(gateway, 200, 20_000)
+    gateway.fleet.kinds[0].pace = gateway.fleet.workers[1].pace = 1.0  # jobs take what their hints say
     now = 4_000_000
     gateway.handle(now, [listing(io.WorkerEntry(1, started=now), io.WorkerEntry(2, state=io.State.GONE),
                                  kind=io.Listing.CHANGES)])
     gateway.fleet.workers[1].cap = 10**9
-    sent = 0
+    sent, running = 0, []
     for step in range(190):
         now += 10_000
-        sends = of(io.Send, gateway.handle(now, [arrival(1000 + step, now=now)]))
-        gateway.handle(now + 1, [outcome(send.request, 0, 1, R.OK) for send in sends])
+        ended, running = [at for at in running if at[0] <= now], [at for at in running if at[0] > now]
+        events = [outcome(request, 0, 1, R.OK) for _, request in ended]
+        sends = of(io.Send, gateway.handle(now, [*events, arrival(1000 + step, now=now)]))
+        running += [(now + 50_000, send.request) for send in sends]
         sent += len(sends)
     assert 0 < sent < 50
 
