Count rates from their first seconds, and have a spared job leave or be refused at once

Cause: a rate that starts from nothing was divided by a floor that grew with it, 30% too low after two seconds (seen by a property test). A job spared from the level stood behind a blocked head of its tenant, so that its refusal was held back (seen by a test of one turn with forty arrivals).

Change: a rate is divided by the part of its memory that it was counted for. A spared job is its tenant's head: it leaves in the same turn or is refused in it.

--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -172,7 +172,7 @@
         setattr(part, name, memory.meters[name])
     for name, rate in _rates(dispatcher).items():
         if name in memory.rates:  # the version before may not have counted it
-            (rate.per_s, rate.since), rate.seen = memory.rates[name], 1.0
+            rate.resume(*memory.rates[name])
     if len(memory.spans) == len(dispatcher.spans):
         dispatcher.spans[:] = memory.spans
     if len(memory.quotas) == len(dispatcher.tenants.quotas):
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -84,7 +84,7 @@
             self.fleet.renew()
         attach(self, job, sent)
         if not sent and desk.sheds(job, over, event):  # but not what a cold worker can begin at once
-            job.spared, job.bearable = True, 0.0
+            job.spared, job.bearable, job.rank = True, 0.0, -math.inf
         if job.spared and all(self.pick.estimate(worker, job) is None for worker in self.cold.granted()):
             self._conclude(job)
         elif not job.open:
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -14,7 +14,7 @@
 MASK: Final = (1 << 64) - 1
 STRONGEST: Final = 1e6  # slots
 RATE_MEMORY: Final = 10.0  # seconds
-RATE_YOUNG: Final = 0.1  # of that, which the first count stands for
+RATE_YOUNG: Final = 0.1  # of that, for which the first counts stand at the least
 ASIDE_MOST: Final = 16  # blocked jobs of a tenant that are passed over: to look at each takes time
 SMALL_HEAP: Final = 64  # entries; below that nothing is gained by sweeping what is over
 
@@ -339,19 +339,28 @@
 
     per_s: float = 0.0
     since: int = 0
-    seen: float = 0.0  # the part of its memory that it has been counted for, 0 before the first
+    born: int | None = None  # when the first was counted
 
     def add(self, amount: float, now: int) -> None:
         """Guards against a rate that is taken for low because its counting has just begun."""
-        fade = math.exp((self.since - now) / 1e6 / RATE_MEMORY) if self.seen else 1.0
-        before, self.seen = self.seen, max(RATE_YOUNG, 1 - (1 - self.seen) * fade)
-        self.per_s = (self.per_s * before * fade + amount / RATE_MEMORY) / self.seen
+        if self.born is None:
+            self.born = self.since = now
+        self.per_s = self.left(now) + amount / RATE_MEMORY / self._counted(now)
         self.since = now
 
     def left(self, now: int) -> float:
         """What it has come down to since the last was added."""
         fade = math.exp((self.since - now) / 1e6 / RATE_MEMORY)
-        return self.per_s * self.seen * fade / max(RATE_YOUNG, 1 - (1 - self.seen) * fade)
+        return self.per_s * fade * self._counted(self.since) / self._counted(now)
+
+    def resume(self, per_s: float, since: int) -> None:
+        """Goes on with one that was counted elsewhere, for long enough."""
+        self.per_s, self.since, self.born = per_s, since, since - int(1e7 * RATE_MEMORY)
+
+    def _counted(self, now: int) -> float:
+        """The part of its memory that it has been counted for."""
+        age = now - self.born if self.born is not None else 0
+        return max(RATE_YOUNG, 1 - math.exp(-age / 1e6 / RATE_MEMORY))
 
 
 @dataclass(slots=True, eq=False)
