Send to a cold worker that can begin first while the shed level is up

Change: while the level is up, a cold worker that may have the job now goes before all others; what is spared uses the same choice. `allows` answers for warm workers too.

--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -85,7 +85,7 @@
         attach(self, job, sent)
         if not sent and desk.sheds(job, over, event):  # but not what a cold worker can begin at once
             job.spared, job.bearable, job.rank = True, 0.0, -math.inf
-        if job.spared and all(self.pick.estimate(worker, job) is None for worker in self.cold.granted()):
+        if job.spared and not self.pick.at_once(job):
             self._conclude(job)
         elif not job.open:
             self.enqueue(job)
--- a/carthinge/policy/health.py
+++ b/carthinge/policy/health.py
@@ -72,8 +72,8 @@
         return self.desk.warmth(worker) < 1
 
     def allows(self, worker: Worker, job: Job) -> bool:
-        """Whether a cold worker may get this job as well."""
-        return not self.leaving and job.work <= self.allowance(worker)
+        """Whether a worker may get this job as well: a warm one any, a cold one within its allowance."""
+        return not self.is_cold(worker) or not self.leaving and job.work <= self.allowance(worker)
 
     def granted(self) -> list[Worker]:
         """Those that may get something from here in the present span: hundreds share what a cold worker may
--- a/carthinge/policy/pick.py
+++ b/carthinge/policy/pick.py
@@ -56,7 +56,13 @@
     def best(self, job: Job, pool: list[Worker]) -> Worker | None:
         """Of the eligible ones in ``pool``; None where all are busy."""
         near = self.desk.fleet.near if job.spec.kind == -1 and job.never_ran() else pool
-        return self._least(job, near) or (self._least(job, pool) if near is not pool else None)
+        first = self.at_once(job) if self.desk.level.up else None  # all others are waited for
+        return first or self._least(job, near) or (self._least(job, pool) if near is not pool else None)
+
+    def at_once(self, job: Job) -> Worker | None:
+        """The best of the cold workers that may have it from here: nobody sends more than they can begin."""
+        fit = [(cost, w.id, w) for w in self.cold.granted() if (cost := self.estimate(w, job)) is not None]
+        return min(fit)[2] if fit else None
 
     def _least(self, job: Job, pool: list[Worker]) -> Worker | None:
         best, least, ties = None, math.inf, 0
@@ -67,9 +73,8 @@
                 break  # none that is further down can be better
             if (estimate := self.estimate(worker, job)) is not None:
                 estimate += step + LINE_WORK * self.desk.mean_work * (len(own) > 1 and worker.in_line > 0)
-                if homes:  # the further from its first homes, the likelier it has to fetch the key
+                if homes and not self.cold.is_cold(worker):  # the further off, the likelier to fetch the key
                     far = max(0, homes.index(worker) - wide) if worker in homes else KEY_HOMES
-                    far *= not self.cold.is_cold(worker)  # it fetches whatever it gets first
                     estimate += FETCH_WORK * self.desk.mean_work * far / KEY_HOMES
                 # Ties are drawn for; else the next in line after ineligible ones gets their part.
                 ties = 1 if estimate < least else ties + (estimate == least)
@@ -118,13 +123,9 @@
         now, pool, kind = desk.now, worker.pool, job.spec.kind
         if not worker.ready or worker.avoid_until > now or kind not in (-1, worker.entry.kind):
             return None
-        if worker.errors >= ERRORS_ILL and worker.slots_out:
-            return None  # one at a time, to see whether it serves again
-        if worker.in_line and not job.key:  # elsewhere a key would have to be fetched
-            return None  # others have its slots, whatever a report or the count here says
-        if job.attempts and not self.may_repeat(worker, job):
-            return None
-        if self.cold.is_cold(worker) and not self.cold.allows(worker, job):
+        if worker.errors >= ERRORS_ILL and worker.slots_out or worker.in_line and not job.key:
+            return None  # one at a time while it errs; others have its slots, but elsewhere is a key fetched
+        if job.attempts and not self.may_repeat(worker, job) or not self.cold.allows(worker, job):
             return None
         pace = desk.pace(worker)
         if worker.free_at >= 0 and now - worker.free_at < desk.mean_work * pace / max(1.0, pool.slots):
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -114,3 +114,18 @@
     assert len(of(io.Refuse, actions)) > 20
     assert not any(job.spared and job.waiting for job in gateway.jobs.values())
     assert [send.worker for send in of(io.Send, actions)].count(2) <= 1
+
+
+def test_while_the_level_is_up_a_cold_worker_that_can_begin_goes_before_those_that_are_waited_for():
+    """Its allowance is lost with its second; a wait that has not been seen was guessed to be short."""
+    def sent(level_up):
+        gateway = started(settings(WORTHLESS_LATE, reports=io.Reports.OFF), *range(1, 4))
+        gateway.handle(NOW, [cold(3)])
+        gateway.cold.granted()
+        gateway.fleet.workers[3].cold_left = 1e6
+        gateway.desk.level.up = level_up
+        gateway.desk.level.waited(2e4, NOW)  # longer than where it falls, shorter than where it rises
+        return [send.worker for send in of(io.Send, gateway.handle(NOW, [arrival(1, now=NOW, hint=90_000)]))]
+
+    assert sent(True) == [3]
+    assert sent(False) != [3]
