Ping more members a period while most checks fail: a part that is cut off knows it in time

Seen: with 1,100 members and one in 20 cut off (1% loss), 516 periods went by until all on both sides held the others for away; 145 with 200 members, 79 with 100, growing with the size.

Cause: a member asks one other a period, and is told of suspicions by beats. In the small part nineteen of twenty beats go to those who are gone, so that news does not come round and each of them has to ask all by itself. Checked: the side of the many was done early; rumours are dropped after so many tellings whether anybody heard them or not.

Change: the pings of a period double while more checks fail than pass, up to half of the checks that may be out at once, and are one again with the first period in which most pass.

--- a/carthinge/fleet/membership.py
+++ b/carthinge/fleet/membership.py
@@ -59,6 +59,7 @@
         self._order: list[str] = []  # of this round's pings; beats go through one of their own
         self._beats: list[str] = []
         self._checks: dict[int, Member] = {}  # who is asked just now whether it is there
+        self._pace, self._lost = 1, 0  # pings a period; checks that failed in it less those that passed
         self._page_from = 0  # of somebody's list: the place that is wanted next
         self._page_asked = False
         self._joining = True  # the whole list is wanted
@@ -140,8 +141,7 @@
             return
         self._rounds += 1
         self._at(now + self.period, self._round)
-        if (member := self._next(self._order)) is not None:
-            self._check(now, member)
+        self._ping_some(now)
         told: set[str] = set()
         for _ in range(FANOUT):
             if (member := self._next(self._beats)) is None or member.name in told:
@@ -156,7 +156,24 @@
             if here := self.here():
                 self._pull(self._rng.choice(here))
         if self._rounds % FORGET_EVERY == 0:
-            self._forget(now)
+            for member in [one for one in self._away.values() if now - one.since > self.period * REMEMBERED]:
+                self._drop(member)
+
+    def _ping_some(self, now: timedelta) -> None:
+        """One, and twice as many as before while most checks fail: then a great part is gone, and news of
+        that hardly comes round, as most of whom it is told are gone too.  Half of the checks are others'."""
+        self._pace = min(2 * self._pace, self._burst() // 2) if self._lost > 0 else 1
+        self._lost = 0
+        for _ in range(self._pace):
+            if (member := self._next(self._order)) is not None and not self._asked(member):
+                self._check(now, member)
+
+    def _asked(self, member: Member) -> bool:
+        return any(other is member for other in self._checks.values())
+
+    def _burst(self) -> int:
+        """Checks at once, at the most: where a great part of the fleet has gone together all are wanted."""
+        return max(FANOUT, len(self.members) // 32)
 
     def _next(self, order: list[str]) -> Member | None:
         """The next of a round through all, in an order drawn anew for each round."""
@@ -182,11 +199,6 @@
         elif seeds:
             self.voice.knock(self._rng.choice(seeds))
 
-    def _forget(self, now: timedelta) -> None:
-        for member in list(self._away.values()):
-            if now - member.since > self.period * REMEMBERED:
-                self._drop(member)
-
     def _drop(self, member: Member) -> None:
         del self.members[member.name], self._away[member.name]
         if self._homes.get(member.address) is member:
@@ -199,8 +211,7 @@
     def _home(self, address: str) -> Member | None:
         """Who is here and has that address."""
         member = self._homes.get(address)
-        known = member is not None and member.address == address and member.standing in HERE
-        return member if known else None
+        return member if member and member.address == address and member.standing in HERE else None
 
     def _pull(self, member: Member) -> None:
         self._page_asked = True
@@ -232,6 +243,7 @@
         if member is None or self.members.get(member.name) is not member:
             return
         member.failed += 1
+        self._lost += 1
         if member.standing is Standing.ALIVE:
             self._suspect(now, member)
         elif member.standing is Standing.SUSPECT:
@@ -251,10 +263,9 @@
     def _again(self, now: timedelta, member: Member, incarnation: int) -> None:
         if member.standing is not Standing.SUSPECT or member.incarnation != incarnation:
             return
-        # Guards against a burst where a great part of the fleet has gone at once.
-        if len(self._checks) >= max(FANOUT, len(self.members) // 32):
+        if len(self._checks) >= self._burst():
             self._at(now + self.period / 2, lambda later: self._again(later, member, incarnation))
-        elif not any(other is member for other in self._checks.values()):
+        elif not self._asked(member):
             self._check(now, member)
 
     def _patience(self) -> timedelta:
@@ -343,6 +354,7 @@
             return
         del self._checks[packet.number]
         member.failed = 0
+        self._lost -= 1
         if member.standing is Standing.SUSPECT:  # its word is on its way round; here it has passed
             self._stand(now, member, Standing.ALIVE)
 
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -208,6 +208,29 @@
     assert net.run(FOUND_WITHIN * PERIOD, lambda: agreed(net))
 
 
+@pytest.mark.parametrize(("size", "seed"), [(60, 1), (60, 2), (100, 3)])
+def test_a_few_that_are_cut_off_know_it_long_before_they_have_asked_everybody(size, seed):
+    """One ping a period, and news that mostly goes to those who are gone: it took 80 periods among 100."""
+    net = fleet(size, seed)
+    left = {f"n{number}" for number in range(0, size, 20)}
+    net.passes = lambda sender, to: (sender in left) == (to in left)
+    assert net.run(size * 6 // 10 * PERIOD, lambda: all(
+        view(machine) == (left if name in left else set(net.nodes) - left)
+        for name, machine in net.nodes.items())), f"seed {seed}"
+
+
+def test_while_few_messages_are_lost_nobody_pings_more():
+    """Pings go faster only where most of them fail."""
+    net = fleet(20, 5, Rough(loss=0.1))
+    paces = set()
+    for _ in range(60):
+        net.run(PERIOD)
+        paces |= {machine._pace for machine in net.nodes.values()}
+    assert paces <= {1, 2, 4}  # once in a while a member's only ping in a period is lost with its checks
+    assert sum(machine._pace > 1 for machine in net.nodes.values()) <= 2
+    assert not dead_at(net)
+
+
 def test_a_short_pause_is_not_taken_for_a_stop():
     net = fleet(3)
     net.stop("n1")
