Bear settings whose cold share is 0: paces are divided by warmth

Seen on reading again: with cold_start_share 0 a worker that has just started has no warmth, and its pace was a division by zero that would have ended the scheduler. Warmth is a hundredth at the least; a test fails without it.

--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Mapping
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from carthinge import interface as io
 from carthinge.fleet import comeback
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from carthinge.fleet.levels_shared import SharedLevel
 
+WARM_LEAST: Final = 0.01  # guards against settings that tell no share, or 0: paces are divided by warmth
+
 
 class Desk:
     """Each part is handed the desk of its dispatcher, and the parts that it asks.  No decisions."""
@@ -51,7 +53,8 @@
 
     def warmth(self, worker: Worker, at: int = -1) -> float:
         """The part of its capacity that a worker surely has then, or by now: it rises evenly or sooner."""
-        since, least = (self.now if at < 0 else at) - worker.started, self.settings.cold_start_share
+        since = (self.now if at < 0 else at) - worker.started
+        least = max(WARM_LEAST, self.settings.cold_start_share)
         if worker.started <= 0 or since >= self.settings.cold_time:
             return 1.0
         return least + (1 - least) * max(0, since) / self.settings.cold_time
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -129,3 +129,10 @@
 
     assert sent(True) == [3]
     assert sent(False) != [3]
+
+
+def test_settings_without_a_cold_share_stop_nothing():
+    gateway = started(settings(cold_start_share=0.0), 1, 2)
+    gateway.handle(NOW, [cold(1, 2)])
+    assert gateway.handle(NOW, [arrival(1, now=NOW)]) is not None
+    assert gateway.desk.pace(gateway.fleet.workers[1]) > 1
