--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,15 +1,19 @@
 """The real program as a process; or within the test's own, for what depends on the order within a turn."""
 
+import contextlib
 import json
 import os
+import socket
 
 import hypothesis
 import pytest
-from world import HOST, SETTINGS, World, free_port, member
+from world import HOST, SETTINGS, Listener, Peer, World, free_port, member
 
 from carthinge.net.config import load
 from carthinge.scheduler.program import Program
 
+pytest_plugins = ["known_red"]
+
 hypothesis.settings.register_profile("everywhere", deadline=None)  # how busy the machine is says nothing
 hypothesis.settings.register_profile("gate", parent=hypothesis.settings.get_profile("everywhere"),
                                      derandomize=True)  # there the same examples each time: the same verdict
@@ -63,3 +67,24 @@
         return program
 
     return serve
+
+
+@pytest.fixture
+def dial():
+    """A client that connects to a program of the test's own process."""
+    with contextlib.ExitStack() as opened:
+
+        def dial(program):
+            listen = program.config.listen
+            sock = opened.enter_context(socket.create_connection((listen.host, listen.port)))
+            return Peer(sock)
+
+        yield dial
+
+
+@pytest.fixture
+def worker():
+    """A stub worker."""
+    listener = Listener()
+    yield listener
+    listener.close()
