--- a/benchmarks/fleet_size.py
+++ b/benchmarks/fleet_size.py
@@ -24,8 +24,9 @@
 
 from carthinge import Dispatcher
 from carthinge import interface as io
+from carthinge.net.discovery import _LISTS
 from carthinge.net.loop import Clock
-from carthinge.net.route_table import _LISTS, RouteTable
+from carthinge.net.route_table import RouteTable
 from carthinge.settings import Facts, read_site
 
 SIZES = (200, 500, 1100)
--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -10,7 +10,8 @@
 from carthinge.fleet import comeback
 from carthinge.fleet.budget import Budget
 from carthinge.fleet.levels import Level, standing
-from carthinge.records import Attempt, Heat, Job, Queue, Rate, Worker, mix
+from carthinge.meters import Heat, Queue, Rate
+from carthinge.records import Attempt, Job, Worker, mix
 from carthinge.roster import Fleet, Loads
 from carthinge.timers import Timers
 
@@ -47,6 +48,16 @@
         self.carried = Rate()  # work that a mean warm worker has served for this one
         self._warm_part, self._warm, self._warm_until = 1.0, 0, 0
 
+    def adopt(self, settings: io.Settings, anew: bool) -> None:
+        """Settings for what comes from now on; ``anew``: none of the classes was known before, so that what
+        jobs have shown says nothing of those that come."""
+        self.settings = settings
+        self.budget.resize(settings.instances)
+        if anew:
+            self.mean_work = float(self.shortest())
+            self.level.bearable = max(1.0, self.mean_work)
+            self.served, self.arrivals, self.carried = Rate(), Rate(), Rate()
+
     def shortest(self) -> int:
         """The least objective of all classes."""
         return min(spec.objective for spec in self.settings.classes)
--- a/carthinge/durable/admission.py
+++ b/carthinge/durable/admission.py
@@ -15,7 +15,8 @@
 from carthinge.durable.register import Register
 from carthinge.durable.seal import key_digest, request_digest
 from carthinge.durable.writer import Writer
-from carthinge.net.exchange import Book, Job, Terms
+from carthinge.net.book import Book
+from carthinge.net.exchange import Job, Terms
 from carthinge.net.loop import MICROSECOND, Loop, Timer
 
 ACCEPTED_WITHIN: Final = timedelta(seconds=1)  # else a job is shed: its client must not wait for a sick disk
--- a/carthinge/durable/held.py
+++ b/carthinge/durable/held.py
@@ -74,6 +74,10 @@
 
     # ---- the book's client ----------------------------------------------------------------
 
+    def has_left(self) -> bool:
+        """Never: a durable job goes on without its clients."""
+        return False
+
     def serve(self, result: bytes) -> None:
         self.jobs.end(self, Ending(JobState.SERVED, result))
 
--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -28,7 +28,8 @@
 from carthinge.durable.tenure import Tenure
 from carthinge.durable.writer import Writer
 from carthinge.net import log
-from carthinge.net.exchange import Attempt, Book, Job, Terms
+from carthinge.net.book import Book
+from carthinge.net.exchange import Attempt, Job, Terms
 from carthinge.net.http import Address
 from carthinge.net.loop import MICROSECOND, READ, Loop
 from carthinge.net.route_table import EgressTarget
--- a/carthinge/fleet/budget.py
+++ b/carthinge/fleet/budget.py
@@ -19,6 +19,11 @@
         self.left = self.most / MOST  # a start brings a tenth of what may be saved up
         self.spent = 0
 
+    def resize(self, instances: int) -> None:
+        """There are so many schedulers from now on."""
+        self.most = self.most_of(instances)
+        self.left = min(self.left, self.most)
+
     def pass_on(self, attempts: float) -> None:
         """So many have come from others, or gone to them where that is below 0."""
         self.left = min(max(0.0, self.left + attempts), self.most)
--- a/carthinge/front/call_backs.py
+++ b/carthinge/front/call_backs.py
@@ -9,9 +9,10 @@
 import msgspec
 
 from carthinge.interface import Result
+from carthinge.net.book import Book
 from carthinge.net.counters import Counters
 from carthinge.net.egress import Egress
-from carthinge.net.exchange import Attempt, Book
+from carthinge.net.exchange import Attempt
 from carthinge.net.http import BadRequestError
 
 if TYPE_CHECKING:  # not loaded where no job is durable
--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -16,9 +16,10 @@
 from carthinge.front.call_backs import CALL_BACK, NO_ANSWER, CallBacks
 from carthinge.front.translator import JOBS, Translator
 from carthinge.net import log
+from carthinge.net.book import Book
 from carthinge.net.channel import Waiting
 from carthinge.net.counters import Counters
-from carthinge.net.exchange import Book, Exchange
+from carthinge.net.exchange import Exchange
 from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes, call_bytes
 from carthinge.net.loop import MICROSECOND, Loop, Timer
 from carthinge.net.places import Places
@@ -30,7 +31,7 @@
 
 PIPELINED: Final = 8  # requests that may wait on one connection; clients of this protocol send one at a time
 WAITING_SHARE: Final = 0.75  # of all places: workers' call-backs need some, or no job would ever end
-SLOW_REQUEST: Final = timedelta(seconds=10)  # from the first byte of a later request to its last
+SLOW_REQUEST: Final = timedelta(seconds=10)  # from the first byte of a request to its last
 
 
 class Gate(Protocol):
@@ -80,6 +81,12 @@
     def silent(self) -> bool:
         return not self._stream.unsent and self._stream.silent()
 
+    def began(self) -> bool:
+        return self._reader.under_way
+
+    def has_left(self) -> bool:
+        return self._stream.left()
+
     def at_rest(self) -> bool:
         """Its client waits for an answer, and has sent nothing more."""
         return not (self._current is None or self._waiting or self._reader.under_way or self._finished
@@ -132,6 +139,11 @@
         self._ingress.waiting.discard(self)
         return self._stream.release()
 
+    def finish(self) -> None:
+        self._finished = True
+        self._ingress.places.end(self)
+        self._stream.finish()
+
     def close(self) -> None:
         self._stream.close()
         self.ended("closed here")
@@ -184,8 +196,8 @@
             if self._slow is not None:
                 self._slow.cancel()
                 self._slow = None
-        elif self._slow is None and self not in self._ingress.places.fresh:
-            fault = BadRequestError(HTTPStatus.BAD_REQUEST, "the request took too long to arrive")
+        elif self._slow is None:
+            fault = BadRequestError(HTTPStatus.REQUEST_TIMEOUT, "the request took too long to arrive")
             self._slow = self._ingress.loop.call_after(SLOW_REQUEST, lambda: self._turn_away(fault))
 
     def _turn_away(self, fault: BadRequestError) -> None:
@@ -198,7 +210,7 @@
         self._stream.write(refusal * (len(self._waiting) + (self._current is not None)))
         self._waiting.clear()
         self._current = None
-        self._refuse(fault, keep_alive=False)
+        self._refuse(fault, readable=False)
 
     # ---- requests -------------------------------------------------------------------------
 
@@ -262,10 +274,10 @@
         terms = replace(terms, patience=ingress.patience(terms.patience, request.came))
         self.owe(ingress.book.take(job, terms, self))
 
-    def _refuse(self, fault: BadRequestError, keep_alive: bool = True) -> None:
+    def _refuse(self, fault: BadRequestError, readable: bool = True) -> None:
         self._ingress.counters.bad_input += 1
         log.logger().debug("bad_input", status=int(fault.status), why=str(fault))
-        self._answer(fault.status, f"{fault}\n".encode(), keep_alive=keep_alive)
+        self._answer(fault.status, f"{fault}\n".encode(), readable=readable)
         self._ingress.places.misused(self)
 
     # ---- answers --------------------------------------------------------------------------
@@ -288,17 +300,19 @@
         self._ingress.places.misused(self)
 
     def _answer(self, status: int, body: bytes = b"", headers: list[tuple[str, str]] | None = None,
-                keep_alive: bool = True) -> None:
+                keep_alive: bool = True, readable: bool = True) -> None:
+        """``keep_alive``: the connection may go on; it does where more has been read of it, as that is owed
+        an answer too, unless it is not ``readable`` any more."""
         request, self._current, self._exchange = self._current, None, None
         self._ingress.waiting.discard(self)
         if request is not None and request.method == b"HEAD":
             body = b""
-        keep_alive &= self._ingress.keeps_connections() and (request is None or request.keep_alive)
+        more = bool(self._waiting) or self._reader.under_way
+        keep_alive = readable and (more or keep_alive and self._ingress.keeps_connections()) \
+            and (request is None or request.keep_alive)
         self._stream.write(answer_bytes(status, body, headers or (), keep_alive))
         if not keep_alive:
-            self._finished = True
-            self._ingress.places.end(self)
-            self._stream.finish()
+            self.finish()
         elif self._waiting:
             self._ingress.loop.soon(self._next)
 
--- a/carthinge/front/ingress.py
+++ b/carthinge/front/ingress.py
@@ -4,7 +4,6 @@
 
 import socket
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING, Final, cast
 
@@ -12,10 +11,11 @@
 from carthinge.front.connection import IngressConnection
 from carthinge.front.translator import Translator
 from carthinge.net import log
+from carthinge.net.book import Book
 from carthinge.net.channel import Waiting
 from carthinge.net.counters import Counters
+from carthinge.net.deadlines import Drain, patience_left
 from carthinge.net.egress import Egress
-from carthinge.net.exchange import Book
 from carthinge.net.listener import Listener
 from carthinge.net.loop import Loop
 from carthinge.net.places import Places
@@ -25,19 +25,10 @@
     from carthinge.front.durable_front import DurableFront
 
 PAUSE_TOLD: Final = timedelta(seconds=10)  # pauses that follow on one another are logged once in a while
-FIRST_REQUEST: Final = timedelta(milliseconds=2500)  # from connecting to the last byte of a first request
+FIRST_REQUEST: Final = timedelta(milliseconds=2500)  # from connecting to the first byte of a request
 FRESH_CHECKED: Final = timedelta(milliseconds=200)  # how often that is looked at
 
 
-@dataclass(frozen=True, slots=True)
-class Drain:
-    """Up to when what is done, once the program is to end."""
-
-    arriving_until: timedelta  #: clients may still be sent here; what they send has its whole time
-    answered_by: timedelta  #: the last answer to what comes after that
-    kept_until: timedelta  #: from then on every answer ends its connection, so that clients turn elsewhere
-
-
 class Ingress:
     """The listening socket and the connections that came in on it."""
 
@@ -75,13 +66,8 @@
         return self.draining is None or self.loop.now < self.draining.kept_until
 
     def patience(self, asked: timedelta, came: timedelta) -> timedelta:
-        """What is left of it, for a request that ``came`` then: its client's time ran while it was unread.
-
-        Guards against SIGKILL, too, which would find unanswered what came late in a drain.
-        """
-        drain, now = self.draining, self.loop.now
-        asked -= now - came
-        return asked if drain is None or now < drain.arriving_until else min(asked, drain.answered_by - now)
+        """What is left of it, for a request that ``came`` then: its client's time ran while it was unread."""
+        return patience_left(asked, came, self.loop.now, self.draining)
 
     def rest(self) -> None:
         """Takes no new connection in; they wait for another process that listens on the same socket."""
@@ -145,11 +131,18 @@
         for connection in self._connections():
             connection.go_on()
 
-    def close_idle(self) -> None:
-        """Ends the connections on which nothing is under way."""
-        for connection in self.places.all():
+    def end_idle(self) -> None:
+        """Ends the connections on which nothing is under way; one that has just come in may say something."""
+        for connection in self._connections():
+            since = self.places.fresh.get(connection)
+            if since is not None and self.loop.now < since + self._greeting:
+                continue
             if connection.idle() and connection.silent():
-                connection.close()
+                connection.finish()
+
+    def somebody_waits(self) -> bool:
+        """A connection has come in and was not accepted yet: what is on it is taken already."""
+        return self._listener is not None and self._listener.somebody_waits()
 
     def close(self) -> None:
         if self._listener is not None:
@@ -192,10 +185,10 @@
             log.logger().warning("accept_paused", why=why, connections=len(self.places))
 
     def _check_fresh(self) -> None:
-        """Guards against clients that connect and say nothing, or never end their first request."""
+        """Guards against clients that connect and say nothing."""
         for holder in self.places.overdue(self.loop.now, FIRST_REQUEST):
             self.counters.connections_in_silent += 1
-            holder.close()
+            holder.finish()
         self._checking = bool(self.places.fresh)
         if self._checking:
             self.loop.call_after(FRESH_CHECKED, self._check_fresh)
--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -126,9 +126,16 @@
 
 @dataclass(slots=True)
 class Inherit:
-    """Another dispatcher's memory, before anything else is told."""
+    """Another dispatcher's memory, before anything else is told.
+
+    Its settings need not have been this one's: for each class, tenant and machine kind of this one comes its
+    position there, -1 for one that was not there.
+    """
 
     memory: Memory
+    classes: Sequence[int]
+    tenants: Sequence[int]
+    kinds: Sequence[int]
 
 
 @dataclass(slots=True)
@@ -206,6 +213,7 @@
     settings: Settings
     classes: Sequence[int]  #: for each class its position before, -1 for a new one
     tenants: Sequence[int]  #: the same for the tenants
+    kinds: Sequence[int] | None = None  #: the same for the machine kinds, None where they are as before
 
 
 @dataclass(slots=True)
@@ -314,6 +322,7 @@
     request: int
     worker: int
     timeout: int = 0  #: 0 for until the client gives up
+    start_by: int = 0  #: clock time from which on it may not go out any more; 0 for no such limit
 
 
 @dataclass(slots=True)
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
-from dataclasses import fields
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import fields, replace
 from typing import Any, Protocol
 
 from carthinge import interface as io
 from carthinge.desk import Desk
 from carthinge.interface import AttemptMemory, JobMemory, Memory, WorkerMemory
-from carthinge.records import Attempt, Bucket, Job, Kind, Rate, TenantQueue
+from carthinge.meters import Bucket, Rate
+from carthinge.records import Attempt, Job, Kind, TenantQueue
 from carthinge.roster import Fleet
 
 
@@ -92,7 +93,7 @@
 
 def handlers(dispatcher: Decisions) -> dict[type, Callable[[Any], None]]:
     """Of the events by which a dispatcher takes over from another, or hears what several know together."""
-    return {io.Inherit: lambda event: recall(dispatcher, event.memory),
+    return {io.Inherit: lambda event: recall(dispatcher, event),
             io.Leave: lambda event: _leave(dispatcher, event),
             io.Restore: lambda event: dispatcher.arrive(event.arrival, event.attempts),
             io.TakeOver: lambda event: _take_over(dispatcher, event),
@@ -164,20 +165,25 @@
             attempt.leave()
 
 
-def recall(dispatcher: Decisions, memory: Memory) -> None:
-    """Of classes and tenants only where both know as many: they have no names here."""
-    dispatcher.desk.fleet.out.update(memory.out)
-    _into_fleet(dispatcher.desk.fleet, memory)
+def recall(dispatcher: Decisions, event: io.Inherit) -> None:
+    """What was learned of classes and tenants that have the same names here, and of all workers."""
+    memory, desk = event.memory, dispatcher.desk
+    desk.fleet.out.update(memory.out)
+    _into_fleet(desk.fleet, memory, {was: now for now, was in enumerate(event.kinds) if was >= 0})
+    for at, was in enumerate(event.classes):
+        if was >= 0:
+            dispatcher.spans[at] = min(memory.spans[was], desk.settings.classes[at].deadline)
+    for bucket, was in zip(dispatcher.tenants.quotas, event.tenants, strict=True):
+        if was >= 0:
+            level, bucket.since = memory.quotas[was]
+            bucket.level = min(level, bucket.depth)
+    if all(was < 0 for was in event.classes):  # jobs of another kind altogether
+        return
     for name, part in _meters(dispatcher).items():
         setattr(part, name, memory.meters[name])
     for name, rate in _rates(dispatcher).items():
         if name in memory.rates:  # the version before may not have counted it
             rate.resume(*memory.rates[name])
-    if len(memory.spans) == len(dispatcher.spans):
-        dispatcher.spans[:] = memory.spans
-    if len(memory.quotas) == len(dispatcher.tenants.quotas):
-        for bucket, (level, since) in zip(dispatcher.tenants.quotas, memory.quotas, strict=True):
-            bucket.level, bucket.since = level, since
 
 
 def _of_fleet(fleet: Fleet) -> list[WorkerMemory]:
@@ -185,11 +191,15 @@
             for worker in fleet.workers.values()]
 
 
-def _into_fleet(fleet: Fleet, memory: Memory) -> None:
-    """Its load is not taken over: what is out stays with the dispatcher that sent it."""
+def _into_fleet(fleet: Fleet, memory: Memory, kinds: Mapping[int, int]) -> None:
+    """Its load is not taken over: what is out stays with the dispatcher that sent it.
+
+    ``kinds``: positions here by those there.
+    """
     for number, pace, slots, size in memory.kinds:
-        fleet.kinds[number] = Kind(pace, slots, size)
+        if number in kinds:
+            fleet.kinds[kinds[number]] = Kind(pace, slots, size)
     for known in memory.workers:
-        worker = fleet.add(known.entry, known.cap)
+        worker = fleet.add(replace(known.entry, kind=kinds.get(known.entry.kind, 0)), known.cap)
         for name in _LEARNED:
             setattr(worker, name, getattr(known, name))
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -11,8 +11,9 @@
 
 from carthinge.interface import JobMemory, Memory
 from carthinge.net.loop import READ, WRITE, Loop
+from carthinge.net.members import Member
 
-FORMAT: Final = 1  # of these messages: a process that speaks another one is left alone
+FORMAT: Final = 2  # of these messages: a process that speaks another one is left alone
 LENGTH: Final = 4  # bytes of a message's length before it
 CHUNK: Final = 65536
 SOCKETS_AT_ONCE: Final = 32
@@ -32,6 +33,8 @@
     address: str
     ready: bool
     listed: bool
+    member: Member | None  #: as discovery has named it last, if it has
+    started_us: int  #: its last start on the monotonic clock, 0 for long ago
 
 
 class State(msgspec.Struct, frozen=True, tag=True):
@@ -39,9 +42,11 @@
 
     discovery: str
     revision: int | None
-    wall_origin_us: int
     targets: list[Target]
     memory: Memory
+    classes: tuple[str, ...]  #: what the positions in ``memory`` stand for
+    tenants: tuple[str, ...]
+    kinds: tuple[str, ...]
 
 
 class Begun(msgspec.Struct, frozen=True, tag=True):
--- a/carthinge/net/config.py
+++ b/carthinge/net/config.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from carthinge.net.http import Address
-from carthinge.net.route_table import Listed
+from carthinge.net.members import Listed
 from carthinge.operator_file import FileError, Options, check_classes, read
 from carthinge.settings import Facts, Site, read_site, shape_of
 
--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -11,9 +11,12 @@
 
 from carthinge.interface import Result
 from carthinge.net import log
+from carthinge.net.book import Book
+from carthinge.net.caller import Caller
 from carthinge.net.counters import Counters
-from carthinge.net.exchange import Attempt, Book
-from carthinge.net.http import Address, Answer, Caller, call_bytes
+from carthinge.net.deadlines import deadline_header
+from carthinge.net.exchange import Attempt
+from carthinge.net.http import Address, Answer, call_bytes
 from carthinge.net.load import read_load
 from carthinge.net.loop import MILLISECOND, Loop
 from carthinge.settings import Site
@@ -23,8 +26,9 @@
 DELETE_AGAIN_MOST: Final = timedelta(milliseconds=320)  # after several in a row
 ARRIVES_WITHIN: Final = 0.4  # of the time to connect, in which the network goes to and fro: a written DELETE
 ARRIVES_LEAST: Final = timedelta(milliseconds=100)  # on a fast one it is the worker that may be slow to read
-UNUSABLE: Final = (HTTPStatus.BAD_REQUEST, HTTPStatus.NOT_FOUND)  # the request's fault, not the worker's
 LEFT: Final = "its worker leaves"
+CLIENT_LEFT: Final = "its client has left"
+UNUSABLE: Final = (HTTPStatus.BAD_REQUEST, HTTPStatus.NOT_FOUND)  # the request's fault, not the worker's
 NEEDED: Final = ("free_slots",)  # of a load report
 LATE_ANSWER: Final = 8  # times that: for an answer on which nothing depends any more
 
@@ -59,23 +63,28 @@
     # ---- attempts -------------------------------------------------------------------------
 
     def send(self, attempt: Attempt) -> None:
+        caller = self._connection(attempt.target.address)
+        call = self._calls[attempt] = _AttemptCall(self, caller, attempt)
+        caller.start(call)
+
+    def request_of(self, attempt: Attempt) -> bytes | None:
+        """An attempt as it is written now that its connection is up; None where it must not go out any more.
+
+        It is put together no earlier: connections come up late, and what its worker is told of the time that
+        is left has to be true when it goes out.
+        """
+        why_not = self._book.why_not_sent(attempt)
+        if why_not is not None:
+            self._calls.pop(attempt, None)
+            self.ended(attempt, Result.MOOT, None, why_not)
+            return None
         job = attempt.exchange.job
-        left = max(1, (attempt.due - self._loop.clock.now()) // MILLISECOND)
-        headers = [("Req-Id", job.id.encode()), ("Req-Deadline", b"%dm" % left), *job.headers]
+        headers = [("Req-Id", job.id.encode()), deadline_header(attempt.due, self._loop.clock.now()),
+                   *job.headers]
         if attempt.token:
             headers += [("Lease-Token", b"%d" % attempt.token),
                         ("Lease-Duration", b"%dm" % (self.lease // MILLISECOND))]
-        if attempt.target.left:  # since it was picked: a durable job's grant was being written meanwhile
-            self.ended(attempt, Result.MOOT, None, LEFT)
-            return
-        address = attempt.target.address
-        try:
-            caller = self._connection(address)
-        except OSError as fault:
-            self.ended(attempt, Result.CONNECT_FAILED, None, str(fault))
-            return
-        call = self._calls[attempt] = _AttemptCall(self, caller, attempt)
-        caller.start(call, call_bytes("POST", job.subject, str(address), headers, job.body))
+        return call_bytes("POST", job.subject, str(attempt.target.address), headers, job.body)
 
     def stop_unsent(self) -> None:
         """Of the attempts at workers that leave, those whose connection is not up yet.
@@ -85,9 +94,19 @@
         """
         for attempt, call in list(self._calls.items()):
             if attempt.target.left and call.caller.connecting:
-                del self._calls[attempt]
-                self._drop(call.caller)
-                self.ended(attempt, Result.MOOT, None, LEFT)
+                self._stop_unsent(attempt, call, LEFT)
+
+    def client_left(self, attempt: Attempt) -> None:
+        """Of an attempt whose connection is not up yet nothing may go out any more, whatever the settings
+        say of withdrawals: its worker has not heard of it."""
+        call = self._calls.get(attempt)
+        if call is not None and call.caller.connecting:
+            self._stop_unsent(attempt, call, CLIENT_LEFT)
+
+    def _stop_unsent(self, attempt: Attempt, call: _AttemptCall, why: str) -> None:
+        del self._calls[attempt]
+        self._drop(call.caller)
+        self.ended(attempt, Result.MOOT, None, why)
 
     def withdraw(self, attempt: Attempt, gone: Callable[[], None]) -> None:
         call = self._calls.pop(attempt, None)
@@ -101,18 +120,12 @@
         self._delete(attempt, gone, DELETE_AGAIN)
 
     def _delete(self, attempt: Attempt, gone: Callable[[], None], again: timedelta) -> None:
-        address = attempt.target.address
-        try:
-            caller = self._connection(address)
-        except OSError as fault:
-            self.not_withdrawn(attempt, gone, again, str(fault))
-            return
+        caller = self._connection(attempt.target.address)
         connect = self._site.connect_timeout
         within = max(ARRIVES_LEAST, ARRIVES_WITHIN * connect)
         withdrawal = _Withdrawal(self._loop, self, caller, attempt, gone, again, within)
         self._loop.call_after(LATE_ANSWER * connect, withdrawal.cut)
-        path = f"/jobs/{attempt.exchange.job.id}".encode()
-        caller.start(withdrawal, call_bytes("DELETE", path, str(address)))
+        caller.start(withdrawal)
 
     def not_withdrawn(self, attempt: Attempt, gone: Callable[[], None], again: timedelta, why: str) -> None:
         """Guards against a DELETE that was reset on its way, or never sent since its worker cannot be reached
@@ -173,7 +186,7 @@
     # ---- connections ----------------------------------------------------------------------
 
     def connection(self, address: Address) -> Caller:
-        """For a call that is no attempt; ``free`` takes it back.  OSError where there is none to be had."""
+        """For a call that is no attempt; ``free`` takes it back."""
         return self._connection(address)
 
     def _connection(self, address: Address) -> Caller:
@@ -186,15 +199,22 @@
                 # Its worker has closed it: a call on it would end as a reset, which proves nothing.
                 self._drop(caller)
                 return self._connection(address)
+        caller = Caller(self._loop, address, self._site.connect_timeout)
+        caller.admitted = lambda: self._admit(caller)
+        caller.open()
+        return caller
+
+    def _admit(self, caller: Caller) -> bool:
+        """Whether one more connection may be opened; one that nobody uses makes room."""
+        if caller in self._open:  # it was, and this machine was short of something else
+            return True
         if len(self._open) >= self.most:
             if not self._idle:
-                raise OSError("all connections to workers are in use")
+                return False
             self._drop(next(iter(self._idle)))
-        caller = Caller(self._loop, address, self._site.connect_timeout)
-        caller.open()
         self._open.add(caller)
         self._counters.connections_out += 1
-        return caller
+        return True
 
     def close_idle(self, address: Address) -> None:
         """Guards against connections to a worker that is restarted by hand: what is sent on them is lost."""
@@ -225,6 +245,10 @@
         else:
             self._keep_idle(caller, self._loop.now)
 
+    def unused(self, caller: Caller) -> None:
+        """It has come up for a call that is not wanted any more: kept from the next turn on."""
+        self._loop.soon(lambda: self.free(caller))
+
     def _keep_idle(self, caller: Caller, since: timedelta) -> None:
         self._idle[caller] = since
         if not self._sweeping:
@@ -259,6 +283,12 @@
         self.caller = caller
         self._attempt = attempt
 
+    def request(self) -> bytes | None:
+        data = self._egress.request_of(self._attempt)
+        if data is None:
+            self._egress.unused(self.caller)
+        return data
+
     def written(self) -> None:
         self._egress.arrived(self._attempt)
 
@@ -279,10 +309,14 @@
         self._egress.ended(self._attempt, result, answer, f"status {answer.status}")
 
     def broken(self, written: bool, why: str) -> None:
-        """Before its last byte was written an attempt cannot have run; afterwards nobody knows."""
+        """Before its last byte was written an attempt cannot have run; afterwards nobody knows.
+
+        A worker that was never tried, as this machine was short of something, is not to blame.
+        """
         self._egress.over(self._attempt)
         self._egress.free(self.caller)
-        self._egress.ended(self._attempt, Result.RESET if written else Result.CONNECT_FAILED, None, why)
+        unsent = Result.MOOT if self.caller.short else Result.CONNECT_FAILED
+        self._egress.ended(self._attempt, Result.RESET if written else unsent, None, why)
 
     def cut(self) -> None:
         if self.caller.call is self:
@@ -305,6 +339,10 @@
         self._arrives_within = arrives_within
         self._over = False
 
+    def request(self) -> bytes:
+        path = f"/jobs/{self._attempt.exchange.job.id}".encode()
+        return call_bytes("DELETE", path, str(self._attempt.target.address))
+
     def written(self) -> None:
         """On its way, on a connection of its own: it must not be overtaken by an attempt elsewhere."""
         self._loop.call_after(self._arrives_within, lambda: self._arrived("written"))
--- a/carthinge/net/listener.py
+++ b/carthinge/net/listener.py
@@ -12,8 +12,9 @@
 from carthinge.net.loop import READ, Loop
 
 ACCEPTED_AT_ONCE: Final = 16  # few: what was accepted before is read in between, and not pushed out unread
+GONE_AT_ONCE: Final = 8  # more that were gone before they were accepted look like a fault of this machine
 ACCEPT_PAUSE: Final = timedelta(milliseconds=50)
-NO_DESCRIPTOR: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+GONE_UNACCEPTED: Final = (errno.ECONNABORTED, errno.EPROTO)  # with the connection it is off the backlog
 
 
 class ListenerOwner(Protocol):
@@ -63,7 +64,7 @@
         if not self._closed:
             self._closed = True
             self._update()
-            self._sock.close()
+            self._loop.sockets.close(self._sock)
 
     def pause(self) -> None:
         """Leaves those who come waiting, until ``resume`` or for another process that listens here."""
@@ -74,7 +75,7 @@
 
     def resume(self) -> None:
         if self._paused and not self._closed:
-            self._left = self._somebody_waits()
+            self._left = self._backlog()
         self._paused = False
         self._update()
 
@@ -82,6 +83,7 @@
         if not self._left:
             self._since = self._loop.since
         self._left = True
+        gone = 0
         # Guards against room made for a connection that is not there: only the first is known to wait.
         for _ in range(min(ACCEPTED_AT_ONCE, max(1, self._owner.free()))):
             if not self._registered:
@@ -91,20 +93,31 @@
                 self._rest(why)
                 return
             try:
-                sock, _ = self._sock.accept()
+                sock = self._loop.sockets.accept(self._sock)
             except BlockingIOError:
                 self._left = False
                 return
             except OSError as fault:
-                if fault.errno in NO_DESCRIPTOR:
-                    self._rest(str(fault))
-                    return
-                continue  # that one was gone before it was accepted
+                gone += fault.errno in GONE_UNACCEPTED
+                if fault.errno in GONE_UNACCEPTED and gone < GONE_AT_ONCE:
+                    continue
+                self._rest(str(fault))
+                return
+            self._enter(sock)
+        # Guards against one who comes in each turn, and would be taken for as old as the first of them.
+        self._left = self.somebody_waits()
+
+    def _enter(self, sock: socket.socket) -> None:
+        try:
             self._owner.enter(sock, self._since)
-        self._left = self._somebody_waits()
+        except OSError:  # it is gone already, or this machine has no room for it in the selector
+            self._loop.sockets.close(sock)
+
+    def somebody_waits(self) -> bool:
+        """A connection has come in for this process and was not accepted yet."""
+        return not (self._closed or self._paused) and self._backlog()
 
-    def _somebody_waits(self) -> bool:
-        """Guards against one who comes in each turn, and would be taken for as old as the first of them."""
+    def _backlog(self) -> bool:
         poll = select.poll()
         poll.register(self._sock, select.POLLIN)
         return bool(poll.poll(0))
--- a/carthinge/net/loop.py
+++ b/carthinge/net/loop.py
@@ -4,13 +4,15 @@
 
 import selectors
 import socket
-import time
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 from heapq import heapify, heappop, heappush
 from typing import Final
 
+from carthinge.net.clock import Clock
+from carthinge.net.sockets import Sockets
+
 READ: Final = selectors.EVENT_READ
 WRITE: Final = selectors.EVENT_WRITE
 MICROSECOND: Final = timedelta(microseconds=1)
@@ -19,31 +21,6 @@
 LONGEST_WAIT: Final = timedelta(minutes=1)  # a selector overflows where a client is patient for years
 
 
-class Clock:
-    """Monotonic time since one day before the machine's start: a recent start has a time.
-
-    All processes of a machine read the same: what one of them has learned keeps its times for the next.
-    """
-
-    HISTORY: Final = timedelta(days=1)
-
-    def __init__(self) -> None:
-        # Read once, and handed on with all else: a start keeps its time for good.
-        since_start = timedelta(microseconds=time.monotonic_ns() // 1000)
-        self.wall_origin = timedelta(seconds=time.time()) - since_start
-
-    def now(self) -> timedelta:
-        return timedelta(microseconds=time.monotonic_ns() // 1000) + self.HISTORY
-
-    def wall(self) -> timedelta:
-        """The wall clock, which may be set: time since 1970."""
-        return timedelta(microseconds=time.time_ns() // 1000)
-
-    def of_unix_ms(self, unix_ms: int) -> timedelta:
-        """A time by the wall clock on this one; zero for what was before it, and for 0 (long ago)."""
-        return max(timedelta(milliseconds=unix_ms) - self.wall_origin + self.HISTORY, timedelta())
-
-
 class Timer:
     """A call that is due at a time, unless it is cancelled before."""
 
@@ -61,6 +38,7 @@
 
     def __init__(self) -> None:
         self.clock = Clock()
+        self.sockets = Sockets()
         self.now = self.clock.now()  # the time of this turn
         self.since = self.now  # what is ready in this turn became so no earlier
         self.turns = 0  # so many have begun
@@ -101,6 +79,7 @@
         asked = self.clock.now()
         ready = self._selector.select(self._patience(idle))
         before, self.now = self.now, self.clock.now()
+        self.clock.check_for_step(self.now)
         # What wakes the selector is news; what was there may have come at any time since the last look.
         self.since = self.now if self.now - asked >= MILLISECOND else before
         self.turns += 1
--- a/carthinge/net/places.py
+++ b/carthinge/net/places.py
@@ -20,7 +20,14 @@
     def silent(self) -> bool:
         """Nothing waits on it to be read, and nothing to be sent."""
 
-    def close(self) -> None: ...
+    def began(self) -> bool:
+        """A part of a request has come on it."""
+
+    def finish(self) -> None:
+        """Ends it in order: what may be on its way from the other side is not met by a reset."""
+
+    def close(self) -> None:
+        """Ends it at once, for its descriptor's sake."""
 
     def release(self) -> socket.socket:
         """Lets go of its socket, which stays open."""
@@ -69,12 +76,12 @@
             order.pop(holder, None)
 
     def overdue(self, now: timedelta, span: timedelta) -> list[Holder]:
-        """Those on which no whole request has come within ``span`` of their start, not even unread."""
+        """Those on which nothing has come within ``span`` of their start, not even unread."""
         late = []
         for holder, since in self.fresh.items():
             if now < since + span:
                 break
-            if holder.silent():
+            if holder.silent() and not holder.began():
                 late.append(holder)
         return late
 
@@ -87,7 +94,8 @@
         # Guards against a request that has come and was not read yet: with the connection it would be lost.
         if done := _first_silent(self.ending):
             return done
-        greeted = (holder for holder, since in self.fresh.items() if now >= since + greeting)
+        greeted = [holder for holder, since in self.fresh.items() if now >= since + greeting]
+        greeted.sort(key=lambda holder: holder.began())  # of a request that has begun some would be lost
         if len(self.fresh) > self.most * FRESH_SHARE:  # the kept ones do not suffer for these
             return _first_silent(greeted)
         return _first_silent(self.kept, idle=True) or _first_silent(greeted)
--- a/carthinge/net/probes.py
+++ b/carthinge/net/probes.py
@@ -8,8 +8,9 @@
 from typing import Final
 
 from carthinge.interface import ProbeResult, Result
+from carthinge.net.caller import Caller
 from carthinge.net.egress import Egress
-from carthinge.net.http import Answer, Caller, call_bytes
+from carthinge.net.http import Answer, call_bytes
 from carthinge.net.load import read_load
 from carthinge.net.loop import MICROSECOND, Loop
 from carthinge.net.route_table import EgressTarget
@@ -29,14 +30,10 @@
     def send(self, target: EgressTarget, connect_timeout: timedelta) -> None:
         """Asks a worker; one that cannot be reached or says nothing within its time has not answered."""
         probe = _Probe(self, target)
-        try:
-            caller = self.egress.connection(target.address)
-        except OSError:
-            probe.end(Result.CONNECT_FAILED)
-            return
+        caller = self.egress.connection(target.address)
         self.loop.call_after(ANSWERED_WITHIN * connect_timeout, lambda: probe.cut(caller))
         probe.caller = caller
-        caller.start(probe, call_bytes("GET", PATH, str(target.address)))
+        caller.start(probe)
 
     def ended(self, target: EgressTarget, result: Result, took: timedelta, report: tuple[float, ...]) -> None:
         self._tell(ProbeResult(target.number, result, took // MICROSECOND, report))
@@ -51,6 +48,9 @@
         self._target = target
         self._sent = probes.loop.now
 
+    def request(self) -> bytes:
+        return call_bytes("GET", PATH, str(self._target.address))
+
     def written(self) -> None:
         """Nothing follows from that."""
 
--- /dev/null
+++ b/carthinge/net/sockets.py
@@ -0,0 +1,66 @@
+"""The socket calls that the program makes, in one place.
+
+Production and tests use the same calls: a test replaces :attr:`Loop.sockets` by a subclass whose calls fail
+in the ways that Linux documents, at the moment that the test chooses.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from typing import Final
+
+PEEKED: Final = 1  # bytes: whether there is anything is all that is asked
+
+#: Shortages of this machine that pass by themselves.  They say nothing of the other side.
+LOCAL_SHORTAGES: Final = frozenset({
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETUNREACH,
+    errno.ENETDOWN, errno.ENOSPC})
+#: A send that failed so may be made again: nothing of it was taken, and the connection stands.
+SEND_AGAIN: Final = frozenset({errno.ENOBUFS, errno.ENOMEM})
+
+
+class Sockets:
+    """Each method is one system call, or the few that belong together."""
+
+    def connect(self, host: str, port: int) -> socket.socket:
+        """A socket that is connecting or connected; OSError where not even that is possible."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.connect((host, port))
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.close(sock)
+            raise
+        return sock
+
+    def connect_error(self, sock: socket.socket) -> int:
+        """The error number of a connect that is over, 0 where it succeeded."""
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def accept(self, listening: socket.socket) -> socket.socket:
+        return listening.accept()[0]
+
+    def receive(self, sock: socket.socket, most: int) -> bytes:
+        return sock.recv(most)
+
+    def peek(self, sock: socket.socket) -> bytes:
+        """What waits to be read, or a part of it, which stays there; empty at the other side's end."""
+        return sock.recv(PEEKED, socket.MSG_PEEK)
+
+    def send(self, sock: socket.socket, data: bytes | bytearray) -> int:
+        return sock.send(data)
+
+    def end_sending(self, sock: socket.socket) -> None:
+        """Tells the other side that nothing more will come."""
+        sock.shutdown(socket.SHUT_WR)
+
+    def close(self, sock: socket.socket) -> None:
+        """The descriptor is free afterwards, whatever the call says of what was still to be sent."""
+        try:
+            sock.close()
+        except OSError:
+            sock.detach()
--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -28,8 +28,12 @@
 
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
+        self.begin_anew()
+
+    def begin_anew(self) -> None:
+        """Nothing is known yet of the jobs that come."""
         self.patience, self.run_patience = PATIENCE_START, RUN_PATIENCE[1]
-        self.prompt = desk.mean_work / 16  # the median time from a send to its start
+        self.prompt = self.desk.mean_work / 16  # the median time from a send to its start
 
     def expected(self, worker: Worker, job: Job) -> float:
         """Time to the first sign of an attempt: its start where that is told, else its answer."""
@@ -84,10 +88,11 @@
 
     def send(self, job: Job, worker: Worker) -> None:
         desk = self.desk
+        start_by = job.repeat_by()
         attempt = job.sent(worker, desk.now, self.signs.expected(worker, job))
         if self.cold.is_cold(worker):
             worker.cold_left -= job.work
-        desk.actions.append(io.Send(job.id, worker.id))
+        desk.actions.append(io.Send(job.id, worker.id, start_by=start_by))
         self.attend(attempt)
         desk.level.waiting += 1
         if desk.settings.tells_start:
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -52,11 +52,17 @@
 
     def _adopt(self, event: io.Retune) -> None:
         """Settings for what comes from now on; what was learned of classes and tenants holds."""
-        settings = self.desk.settings = event.settings
+        settings = event.settings
+        anew = all(was < 0 for was in event.classes)  # of such jobs nothing is known
+        self.desk.adopt(settings, anew)
+        if anew:
+            self.signs.begin_anew()
         self.tenants.adopt(settings, event.tenants)
         self.reports.asks = settings.reports is io.Reports.PROBES and settings.may_probe
         self.pick.adopt(settings)
-        self.spans = [self.spans[was] if was >= 0 else 0 for was in event.classes]
+        self.fleet.retune(event.kinds)
+        self.spans = [min(self.spans[was], spec.deadline) if was >= 0 else 0
+                      for was, spec in zip(event.classes, settings.classes, strict=True)]
 
     def arrive(self, event: io.Arrival, sent: Sequence[io.AttemptMemory] = ()) -> None:
         """Takes a job in, with the attempts that it has had elsewhere."""
--- a/carthinge/policy/news.py
+++ b/carthinge/policy/news.py
@@ -11,6 +11,9 @@
 CAP_START: Final = 4.0  # outstanding slots at a worker that nothing is known of
 PROBE_SPEND: Final = 0.008  # points of service spent on probes for each job
 WATCH_AGAIN: Final = 0.0125  # of the span to ask within: two lists lost in a row may not miss a drain
+AGAIN_LEAST: Final = 2_000_000  # microseconds: the longest pause between calls that fail, of a few gateways
+AGAIN_EACH: Final = 20_000  # for each gateway, where many share one list of fixed capacity
+AGAIN_MOST: Final = 4_000_000  # a change counts as told 6 s after it could be had
 TELL_SPEND: Final = 0.02  # points of service spent on messages for each job
 TELL_LEAST: Final = 50_000
 
@@ -26,7 +29,9 @@
         desk, settings = self.desk, self.desk.settings
         if event.listing is io.Listing.FAILED:  # where no time to ask within is told, the grace bounds it
             self._tries += 1
+            most = min(max(AGAIN_LEAST, AGAIN_EACH * settings.instances), AGAIN_MOST)
             spread = (settings.ask_within or settings.drain_grace) * min(1.0, WATCH_AGAIN * 2**self._tries)
+            spread = min(spread, most)  # what discovery has when it can be reached counts as told soon after
             desk.after(desk.now + int(desk.rng.uniform(0.3, 1.0) * spread), desk.watch)
             return
         if event.listing is io.Listing.CACHED:
--- a/carthinge/policy/tenants.py
+++ b/carthinge/policy/tenants.py
@@ -5,7 +5,8 @@
 from typing import Final
 
 from carthinge import interface as io
-from carthinge.records import Bucket, Job, TenantQueue
+from carthinge.meters import Bucket
+from carthinge.records import Job, TenantQueue
 
 QUOTA_DEPTH: Final = 5.0  # requests a tenant may be ahead of its quota here, for chance
 QUOTA_SECONDS: Final = 3.0  # or so many seconds of its quota, if that is more
--- a/carthinge/roster.py
+++ b/carthinge/roster.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from heapq import nlargest
 from random import Random
 from struct import Struct
@@ -88,10 +88,21 @@
             known = self.workers.get(entry.worker)
             if known is None:
                 known, changed = self.add(entry, cap), True
+            known.pool = self.kinds.setdefault(entry.kind, known.pool)
             changed |= known.renew(entry, entry.worker in self.out)
         if changed:
             self.renew()
 
+    def retune(self, kinds: Sequence[int] | None) -> None:
+        """Other settings hold: what was learned of a machine kind goes on under its position now.
+
+        ``kinds``: for each of them its position before, -1 for a new one, None where all stay as they are.
+        """
+        if kinds is not None:
+            before, self.kinds = self.kinds, {}
+            self.kinds.update({now: before[was] for now, was in enumerate(kinds) if was in before})
+        self.renew()
+
     def by_hand(self, event: io.ByHand, cap: float, now: int) -> None:
         """Out until it is put back, whatever is listed; then it is cold, and nothing learned of it holds."""
         worker = self.workers.get(event.worker)
--- a/carthinge/scheduler/partner.py
+++ b/carthinge/scheduler/partner.py
@@ -11,9 +11,11 @@
 from carthinge.front.ingress import Ingress
 from carthinge.interface import Leave, Message
 from carthinge.memory import job_memory, memory_of
+from carthinge.net.book import Book
 from carthinge.net.channel import Beat, Open, OpenAttempt, State, Waiting
+from carthinge.net.config import Config
 from carthinge.net.egress import Egress
-from carthinge.net.exchange import Attempt, Book, Exchange, Job
+from carthinge.net.exchange import Attempt, Exchange, Job
 from carthinge.net.http import Address
 from carthinge.net.loop import MICROSECOND, Loop
 from carthinge.net.route_table import RouteTable
@@ -33,7 +35,7 @@
 
     def __init__(self, loop: Loop, upgrade: Upgrade, table: RouteTable, dispatcher: Dispatcher, book: Book,
                  egress: Egress, ingress: Ingress, durable: DurableJobs | None,
-                 discovery: Callable[[], Address], begin: Callable[[State | None], None],
+                 config: Callable[[], Config], begin: Callable[[State | None], None],
                  by_hand_here: Callable[[str, bool, bool], bool]) -> None:
         """``begin`` and ``by_hand_here``: what the program does of what :class:`Upgrade` asks for."""
         self.begin = begin
@@ -46,14 +48,15 @@
         self._egress = egress
         self._ingress = ingress
         self._durable = durable
-        self._discovery = discovery
+        self._config = config
         self.fleet: FleetLink | None = None
         self._most_in, self._most_out = ingress.places.most, egress.most
 
     def state(self) -> State:
-        wall_origin = self._loop.clock.wall_origin // MICROSECOND
-        return State(str(self._discovery()), self._table.revision, wall_origin, self._table.told(),
-                     memory_of(self._dispatcher))
+        config = self._config()
+        site = config.site
+        return State(str(config.discovery), self._table.revision, self._table.told(),
+                     memory_of(self._dispatcher), site.classes, site.tenants, site.kinds)
 
     def leave(self, leaving: bool) -> None:
         self._book.tell(Leave(leaving))
@@ -116,7 +119,7 @@
         for number, sent in enumerate(exchange.attempts):
             target = self._table.target(sent.worker, Address.parse(sent.address))
             taken.attempts.append(Attempt(taken, number, target, sent.sent_us * MICROSECOND,
-                                          sent.due_us * MICROSECOND, sent.open, arrived=True))
+                                          sent.due_us * MICROSECOND, open=sent.open, arrived=True))
         client.owe(taken)
         self._book.take_over(taken, self._ingress.translator.tenant(exchange.tenant) or 0, exchange.memory)
 
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -14,20 +14,23 @@
 from types import FrameType
 from typing import TYPE_CHECKING, Any, Final
 
-from carthinge.front.ingress import Drain, Ingress
+from carthinge.front.ingress import Ingress
 from carthinge.front.operator import PLACES, Operator
 from carthinge.interface import ByHand, Inherit, Listing, Retune, WorkerList
 from carthinge.net import log
+from carthinge.net.book import Book
 from carthinge.net.channel import State
 from carthinge.net.config import Config, ConfigError
 from carthinge.net.counters import Counters
+from carthinge.net.deadlines import Drain
+from carthinge.net.discovery import DiscoveryWatch
 from carthinge.net.egress import Egress
-from carthinge.net.exchange import Book, Terms
+from carthinge.net.exchange import Terms
 from carthinge.net.http import Address
 from carthinge.net.listener import bind
 from carthinge.net.loop import MICROSECOND, READ, Loop
 from carthinge.net.probes import Probes
-from carthinge.net.route_table import RouteTable, RouteWatch, number_of
+from carthinge.net.route_table import RouteTable, number_of
 from carthinge.policy import Dispatcher
 from carthinge.scheduler.partner import Partner
 from carthinge.scheduler.upgrade import Upgrade
@@ -68,8 +71,8 @@
         self.upgrade = Upgrade(self.loop, str(config.listen))
         self.ingress = Ingress(self.loop, config.site, self.book, self.egress, self.counters, rest - out,
                                lambda: bool(self.table.ready), self.upgrade)
-        self.watch = RouteWatch(self.loop, config.discovery, self.table, config.site, self.counters,
-                                self._listed)
+        self.watch = DiscoveryWatch(self.loop, config.discovery, self.table, config.site, self.counters,
+                                    self._listed)
         self.book.target = self.egress
         self.book.watch = self.watch.start
         probes = Probes(self.loop, self.egress, self.book.tell)
@@ -79,7 +82,7 @@
         if config.options.durable.folder:
             self._make_durable()
         self.partner = Partner(self.loop, self.upgrade, self.table, self.dispatcher, self.book, self.egress,
-                               self.ingress, self.durable, lambda: self.config.discovery, self.begin,
+                               self.ingress, self.durable, lambda: self.config, self.begin,
                                self.by_hand_here)
         self.upgrade.scheduler = self.partner
         if config.options.fleet.listen:
@@ -156,7 +159,10 @@
         else:
             self.config = replace(self.config, discovery=Address.parse(state.discovery))
             self.watch.move(self.config.discovery)
-            self.book.tell(Inherit(state.memory))
+            site = self.config.site
+            self.book.tell(Inherit(state.memory, _positions(site.classes, state.classes),
+                                   _positions(site.tenants, state.tenants),
+                                   _positions(site.kinds, state.kinds)))
             self.book.tell(self.table.go_on(state))
             self.partner.share(0)
         if self.durable is not None:
@@ -270,7 +276,10 @@
         before, site = self.config.site, config.site
         self.config = replace(self.config, discovery=config.discovery, site=site, shape=config.shape)
         self.book.tell(Retune(site.decisions, _positions(site.classes, before.classes),
-                              _positions(site.tenants, before.tenants)))
+                              _positions(site.tenants, before.tenants),
+                              _positions(site.kinds, before.kinds)))
+        if (site.zones, site.kinds) != (before.zones, before.kinds):
+            self.book.tell(self.table.retune(site))
         self.book.ended.name(site.classes)
         self.ingress.retune(site)
         self.egress.retune(site)
@@ -303,14 +312,14 @@
     def _check_over(self) -> None:
         """Ends once nothing has been under way for a little while: what is on its way here is taken still."""
         if not self.upgrade.leaving:  # else they go to the process that has taken over
-            self.ingress.close_idle()
+            self.ingress.end_idle()
         owed = any(exchange.keeper is None for exchange in self.book.exchanges.values())
         connected = len(self.ingress.places) > 0
         front, drain = self.ingress.durable, self.ingress.draining
         if front is not None and drain is not None and self.loop.now >= drain.answered_by:
             # Workers go on calling back about durable jobs: those are the next process's.
             connected = bool(front.waiting)
-        if owed or connected or self.upgrade.passing:
+        if owed or connected or self.upgrade.passing or self.ingress.somebody_waits():
             self._quiet_since = None
         elif self._quiet_since is None:
             self._quiet_since = self.loop.now
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from carthinge import interface as io
-from carthinge.records import Rate
+from carthinge.meters import Rate
 
 NOW = 20_000_000
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from carthinge import interface as io
-from carthinge.records import Heat
+from carthinge.meters import Heat
 from carthinge.roster import Fleet
 
 ids = st.sets(st.integers(1, 1 << 48), min_size=2, max_size=12)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -33,7 +33,7 @@
 from carthinge.model.agenda import Agenda, micros
 from carthinge.model.scheduler import ANSWER_MARGIN, Scheduler
 from carthinge.model.workers import ModelWorker
-from carthinge.net import exchange as real
+from carthinge.net import book as real
 from carthinge.net.counters import Counters
 from carthinge.net.loop import Timer
 
@@ -154,6 +154,9 @@
         terms = real.Terms(arrival.job_class, "", arrival.tenant, "", patience * us, hint=arrival.hint * us)
 
         class Waiting:
+            def has_left(self):
+                return False
+
             def serve(self, result):
                 client.served()
 
@@ -185,6 +188,9 @@
         worker = self.play.workers[attempt.target.number]
         self.agenda.at(self.agenda.now + self.play.worker_delay(), worker.withdraw, sent, self)
 
+    def client_left(self, attempt):
+        """A model's worker has an attempt as soon as it is sent."""
+
     def note(self, sent, done):
         self.book.note(sent.attempt, done)
         self.book.decide_all()
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -18,6 +18,9 @@
     def silent(self):
         return not self.unread
 
+    def began(self):
+        return False
+
     def close(self):
         raise AssertionError("the places close nobody themselves")
 
--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,156 @@
+"""The wall clock may be set either way at any time: spans are those of the monotonic clock."""
+
+import json
+import time
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from in_process import lists, turns
+from world import SETTINGS, job, member
+
+from carthinge.interface import Listing
+from carthinge.net.clock import PERIODS_KEPT, STEP_LEAST, Clock
+from carthinge.net.loop import MICROSECOND
+from carthinge.net.members import Listed, Member
+from carthinge.net.route_table import RouteTable, number_of
+from carthinge.settings import Facts, read_site
+
+STEPS = [timedelta(hours=1), timedelta(hours=-1), timedelta(seconds=3), timedelta(seconds=-3)]
+S = timedelta(seconds=1)
+
+
+class Machine:
+    """Both clocks of a machine, at a test's word."""
+
+    def __init__(self, monkeypatch):
+        self.monotonic, self.wall = timedelta(days=3), timedelta(days=20_000)
+        monkeypatch.setattr(time, "monotonic_ns", lambda: self.monotonic // MICROSECOND * 1000)
+        monkeypatch.setattr(time, "time_ns", lambda: self.wall // MICROSECOND * 1000)
+
+    def passes(self, span):
+        self.monotonic += span
+        self.wall += span
+
+    def step(self, by):
+        self.wall += by
+
+    def wall_ms(self):
+        return self.wall // timedelta(milliseconds=1)
+
+
+@pytest.fixture
+def machine(monkeypatch):
+    return Machine(monkeypatch)
+
+
+@pytest.mark.parametrize("step", STEPS, ids=str)
+def test_a_start_before_a_step_and_one_after_it_are_both_as_old_as_they_are(machine, step):
+    clock = Clock()
+    machine.passes(60 * S)
+    clock.check_for_step(clock.now())
+    before, at = machine.wall_ms(), clock.now()
+    machine.passes(2 * S)
+    clock.check_for_step(clock.now())
+    machine.step(step)
+    clock.check_for_step(clock.now())
+    machine.passes(2 * S)
+    after, then = machine.wall_ms(), clock.now()
+    machine.passes(S)
+    clock.check_for_step(clock.now())
+    assert clock.of_unix_ms(after) == then
+    told = clock.of_unix_ms(before)
+    assert told == at or told > at and step < timedelta(), "where it is open, the later of the possible times"
+    assert told <= clock.now()
+
+
+@given(st.lists(st.tuples(st.timedeltas(timedelta(), timedelta(minutes=5)),
+                          st.timedeltas(-timedelta(days=2), timedelta(days=2))), max_size=8),
+       st.integers(0, 2**44))
+def test_no_reading_is_in_the_future_or_before_all_time(steps, reading):
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        machine = Machine(monkeypatch)
+        clock = Clock()
+        for span, by in steps:
+            machine.passes(span)
+            machine.step(by)
+            clock.check_for_step(clock.now())
+            just_now = clock.of_unix_ms(machine.wall_ms())
+            assert timedelta() <= clock.now() - just_now <= STEP_LEAST + timedelta(milliseconds=1)
+        assert timedelta() <= clock.of_unix_ms(reading) <= clock.now()
+
+
+def test_a_clock_that_is_set_again_and_again_takes_no_more_room(machine):
+    clock = Clock()
+    for _ in range(3 * PERIODS_KEPT):
+        machine.passes(S)
+        machine.step(S)
+        clock.check_for_step(clock.now())
+    assert len(clock._periods) <= PERIODS_KEPT + 1
+
+
+@pytest.mark.parametrize("step", STEPS, ids=str)
+def test_a_worker_that_is_listed_again_after_a_step_has_not_started_anew(machine, step):
+    """Its start would be translated to another time, and all that was learned of it thrown away."""
+    clock = Clock()
+    table = RouteTable(read_site(Facts.from_nested(SETTINGS)), clock)
+    machine.passes(30 * S)
+    named = Listed(revision=1, members=[Member(**member("s-0", 1, up_since_ms=machine.wall_ms()))])
+    first, = table.take(named, Listing.WHOLE).entries
+    machine.passes(4 * S)
+    machine.step(step)
+    clock.check_for_step(clock.now())
+    again, = table.take(named, Listing.WHOLE).entries
+    assert again.started == first.started == (clock.now() - 4 * S) // MICROSECOND
+    anew = Listed(revision=2, members=[Member(**member("s-0", 1, up_since_ms=machine.wall_ms()))])
+    restarted, = table.take(anew, Listing.WHOLE).entries
+    assert restarted.started == clock.now() // MICROSECOND
+
+
+@pytest.mark.parametrize("step", STEPS, ids=str)
+def test_a_cold_worker_is_cold_after_a_step(serve, monkeypatch, step):
+    """An hour on, a worker that had just started was warm at once, and got what a warm one can do."""
+    program = serve()
+    real = time.time_ns
+    program.loop.turn(idle=False)
+    monkeypatch.setattr(time, "time_ns", lambda: real() + step // MICROSECOND * 1000)
+    program.loop.turn(idle=False)
+    lists(program, member("s-0", 1, up_since_ms=time.time_ns() // 1_000_000))
+    turns(program, lambda: not program.book.events)
+    worker = program.dispatcher.fleet.workers[number_of("s-0")]
+    assert 0.3 < program.dispatcher.desk.warmth(worker) < 0.4
+
+
+@pytest.mark.parametrize("step", STEPS, ids=str)
+def test_deadlines_and_timers_do_not_follow_the_wall_clock(serve, dial, monkeypatch, step):
+    program = serve()
+    client = dial(program).send(job("a1", deadline="5000m"))
+    turns(program, lambda: program.book.exchanges)
+    real = time.time_ns
+    monkeypatch.setattr(time, "time_ns", lambda: real() + step // MICROSECOND * 1000)
+    monkeypatch.setattr(time, "time", lambda: time.time_ns() / 1e9)
+    exchange, = program.book.exchanges.values()
+    left, due = exchange.give_up - program.loop.clock.now(), program.loop._timers[0][0]
+    assert timedelta(seconds=4) < left < timedelta(seconds=5)
+    for _ in range(5):
+        program.loop.turn(idle=False)
+        program.book.decide()
+    assert exchange.owed and program.loop._timers[0][0] >= due
+    again = dial(program).send(job("b1", deadline="5000m"))
+    turns(program, lambda: "b1" in program.book.by_id)
+    left = program.book.by_id["b1"].give_up - program.loop.clock.now()
+    assert timedelta(seconds=4) < left < timedelta(seconds=5)
+    client.close()
+    again.close()
+
+
+def test_no_span_of_the_program_is_measured_with_the_wall_clock():
+    """Only these may read it: to be shown, to be stored beside the monotonic time, or to be translated."""
+    from pathlib import Path
+
+    allowed = {"net/clock.py", "durable/jobs.py", "scheduler/fleet_link.py"}
+    folder = Path(__file__).parent.parent / "carthinge"
+    reads = {str(file.relative_to(folder)) for file in folder.rglob("*.py")
+             if any(word in file.read_text() for word in ("time.time", ".wall()", "datetime.now", "utcnow"))}
+    assert reads == allowed, json.dumps(sorted(reads ^ allowed))
