Hand the store over without holding the loop, and serve beside a damaged record

A hand-over waited in the loop for the store's thread, up to 0.5 s on a sick disk, longer than a grace of 0.2 s; and where the thread was still in a call of the disk then, a second one was started on the same store. The hand-over is now a few steps between turns, and a writer that is asked to stop can go on with the thread it has. What came up while the store was to leave and stayed after all (a job that got on disk, a grant) was dropped until a restart; it is carried out now. One damaged open job kept the whole scheduler from starting: it is named, counted and left as it is, and the others are served.

--- a/carthinge/durable/admission.py
+++ b/carthinge/durable/admission.py
@@ -34,6 +34,9 @@
     def next(self) -> int:
         """A number that no job and no attempt of this store ever had."""
 
+    def postpone(self, call: Callable[[], None]) -> None:
+        """While the store is to leave: ``call`` is made if it stays."""
+
 
 class Admission:
     """Takes durable jobs on."""
@@ -88,7 +91,10 @@
             for waiter in held.waiters:
                 self._found(found, accepted.digest, waiter)
             return
-        if held.ending is not None or self._jobs.leaving:  # shed meanwhile; or another process has it
+        if held.ending is not None:  # shed meanwhile
+            return
+        if self._jobs.leaving:
+            self._jobs.postpone(partial(self._on_disk, held, None))
             return
         terms = self._terms_of(accepted, accepted.give_up * MICROSECOND - self._loop.now)
         if terms is None:
--- a/carthinge/durable/handover.py
+++ b/carthinge/durable/handover.py
@@ -13,6 +13,7 @@
 
 from carthinge.durable.errors import StoreError
 from carthinge.durable.jobs import DurableJobs
+from carthinge.durable.writer import Writer
 from carthinge.net.exchange import Attempt
 
 CALM_WITHIN: Final = timedelta(milliseconds=500)  # of asking; what is under way then counts as perhaps sent
@@ -20,30 +21,47 @@
 TAKEN_BACK_WITHIN: Final = timedelta(seconds=5)  # one that is being killed has the store a moment longer
 
 
-def hand_over(jobs: DurableJobs, busy: Callable[[Attempt], bool], done: Callable[[bool], None]) -> None:
-    """Lets go of the store; ``done`` hears whether another process may have it now.
+class HandOver:
+    """Lets go of the store, a little at a time: the loop is never held, however sick the disk is."""
 
-    ``busy``: an attempt is on its way to its worker, and gets a moment to arrive there.
-    """
-    clock = jobs.loop.clock
-    jobs.leaving = True
-    until = clock.now() + CALM_WITHIN
+    def __init__(self, jobs: DurableJobs, busy: Callable[[Attempt], bool],
+                 done: Callable[[bool], None]) -> None:
+        """``done`` hears whether another process may have the store now.
 
-    def try_to() -> None:
+        ``busy``: an attempt is on its way to its worker, and gets a moment to arrive there.
+        """
+        self._jobs = jobs
+        self._busy = busy
+        self._done = done
+        self._until = jobs.loop.clock.now() + CALM_WITHIN
+        jobs.leaving = True
+        self._wait_for_calm()
+
+    def _wait_for_calm(self) -> None:
+        """Until all is read back, and nothing is on its way to a worker."""
+        jobs = self._jobs
         writer = jobs.writer
         if writer is None or writer.failing or not jobs.leaving:
-            done(False)
-        elif not jobs.loaded or jobs.under_way(busy) and clock.now() < until:
-            jobs.loop.call_after(CALM_CHECKED, try_to)
-        elif writer.stop(CALM_WITHIN):
+            self._done(False)
+        elif not jobs.loaded or jobs.under_way(self._busy) and jobs.loop.clock.now() < self._until:
+            jobs.loop.call_after(CALM_CHECKED, self._wait_for_calm)
+        else:
+            self._until = jobs.loop.clock.now() + CALM_WITHIN
+            writer.request_stop()
+            self._wait_for_writer(writer)
+
+    def _wait_for_writer(self, writer: Writer) -> None:
+        """Until all is on disk."""
+        jobs = self._jobs
+        if writer.stopped and not writer.unwritten and jobs.leaving:
             jobs.close()
             jobs.forget_all()
-            done(True)
+            self._done(True)
+        elif not jobs.leaving or writer.stopped or jobs.loop.clock.now() >= self._until:
+            writer.resume()
+            self._done(False)
         else:
-            writer.start()
-            done(False)
-
-    try_to()
+            jobs.loop.call_after(CALM_CHECKED, lambda: self._wait_for_writer(writer))
 
 
 def take_back(jobs: DurableJobs, opened: Callable[[], None]) -> None:
@@ -52,10 +70,10 @@
     StoreError, from the loop, where it cannot be had.
     """
     clock = jobs.loop.clock
-    if jobs.writer is not None:
-        jobs.close()
-        jobs.forget_all()
-    jobs.leaving = False
+    if jobs.writer is not None:  # it was never let go of
+        jobs.stay()
+        opened()
+        return
     until = clock.now() + TAKEN_BACK_WITHIN
 
     def try_to() -> None:
--- a/carthinge/durable/records.py
+++ b/carthinge/durable/records.py
@@ -133,6 +133,15 @@
     attempts: list[StoredAttempt] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class OpenJobs:
+    """A part of the open jobs, as they were read back."""
+
+    jobs: list[StoredJob]
+    damaged: list[int]  #: numbers of those whose records cannot be read
+    last: int  #: the highest number that was looked at, 0 where there was none
+
+
 @dataclass(frozen=True, slots=True)
 class Found:
     """What the store has of a job that is asked for, whatever its state."""
--- a/carthinge/durable/store.py
+++ b/carthinge/durable/store.py
@@ -35,6 +35,7 @@
     Granted,
     HandedBack,
     JobState,
+    OpenJobs,
     Record,
     Renewed,
     StoredAttempt,
@@ -270,17 +271,19 @@
 
     # ---- reading --------------------------------------------------------------------------
 
-    def open_jobs(self, after: int, count: int) -> list[StoredJob]:
-        """Open jobs with numbers above ``after``, in order; StoreError where one is damaged."""
+    def open_jobs(self, after: int, count: int) -> OpenJobs:
+        """Open jobs with numbers above ``after``, in order."""
         jobs: dict[int, StoredJob] = {}
-        for number, req_id, tenant, name, key, digest, subject, body, headers, terms, came, give_up, crc \
-                in self._all("SELECT number, req_id, tenant, class, key, digest, subject, body, headers, "
+        damaged: list[int] = []
+        last = 0
+        for row in self._all("SELECT number, req_id, tenant, class, key, digest, subject, body, headers, "
                              "terms, came, give_up, crc FROM jobs WHERE state = 0 AND number > ? "
                              "ORDER BY number LIMIT ?", (after, count)):
-            if crc != body_crc(number, subject, body):
-                raise StoreError(f"{self.path}: job {number:x} is damaged")
-            jobs[number] = StoredJob(Accepted(number, req_id, tenant, name, key, digest, subject, body,
-                                              _HEADERS.decode(headers), _TERMS.decode(terms), came, give_up))
+            last = row[0]
+            try:
+                jobs[last] = _stored(row)
+            except (ValueError, TypeError, msgspec.MsgspecError):
+                damaged.append(last)
         if jobs:
             for job, *rest in self._all(
                     "SELECT job, token, number, worker, address, entry, sent, due, until, begun, state FROM "
@@ -288,7 +291,7 @@
                 if job in jobs:  # others in that span have ended
                     rest[-1] = AttemptState(rest[-1])
                     jobs[job].attempts.append(StoredAttempt(*rest))
-        return list(jobs.values())
+        return OpenJobs(list(jobs.values()), damaged, last)
 
     def find(self, number: int) -> Found | None:
         """A job by its number; StoreError where it is damaged."""
@@ -356,6 +359,15 @@
 _TERMS: Final[msgspec.msgpack.Decoder[Terms]] = msgspec.msgpack.Decoder(Terms)
 
 
+def _stored(row: Sequence[Any]) -> StoredJob:
+    """ValueError, TypeError or MsgspecError where the record is damaged."""
+    number, req_id, tenant, name, key, digest, subject, body, headers, terms, came, give_up, crc = row
+    if crc != body_crc(number, subject, body):
+        raise ValueError(f"job {number:x} is damaged")
+    return StoredJob(Accepted(number, req_id, tenant, name, key, digest, subject, body,
+                              _HEADERS.decode(headers), _TERMS.decode(terms), came, give_up))
+
+
 def _found(row: Sequence[Any]) -> Found:
     number, state, digest, result, token, timed_out, req_id = row
     return Found(number, JobState(state), digest, result or b"", token, bool(timed_out), req_id)
--- a/carthinge/durable/writer.py
+++ b/carthinge/durable/writer.py
@@ -47,6 +47,7 @@
         self._reads: deque[tuple[Read, Callable[[object], None]]] = deque()
         self._done: deque[tuple[Callable[[Any], None], Any]] = deque()
         self._stopping = False
+        self._ended = False  # the thread has begun nothing more and will not
         self._resting = False  # the thread waits, or is about to
         self._stuck = 0  # records of a batch that is being written
         self.wake_in, self._wake_out = socket.socketpair()
@@ -79,23 +80,44 @@
             self._changed.notify()
 
     def start(self) -> None:
-        """Also goes on after a ``stop`` that left something unwritten."""
-        self._stopping = False
+        """Begins to write, in a thread of its own."""
+        self._stopping = self._ended = False
         self._thread = Thread(target=self._work, name="store", daemon=True)
         self._thread.start()
 
-    def stop(self, patience: timedelta) -> bool:
-        """Writes what there is and ends the thread; False where the disk would not take it.  Blocks."""
+    def request_stop(self) -> None:
+        """The thread is to write what there is and end; ``stopped`` tells when it has.  Does not block."""
         with self._changed:
             self._stopping = True
             self._changed.notify()
+
+    def resume(self) -> None:
+        """Goes on after ``request_stop``, whether or not the thread has ended since.
+
+        It may be in the middle of a call that a sick disk holds: there must not be two threads on one store.
+        """
+        with self._changed:
+            ended = self._ended
+            self._stopping = False
+        if ended:
+            self._thread.join()
+            self.start()
+
+    def stop(self, patience: timedelta) -> bool:
+        """Writes what there is and ends the thread; False where the disk would not take it.  Blocks."""
+        self.request_stop()
         self._thread.join(patience.total_seconds())
-        return not self._thread.is_alive() and not self._records
+        return self.stopped and not self._records
 
     @property
     def stopped(self) -> bool:
         return not self._thread.is_alive()
 
+    @property
+    def unwritten(self) -> bool:
+        """Something that was to be written is not on disk."""
+        return bool(self._records)
+
     def close(self) -> None:
         self.wake_in.close()
         self._wake_out.close()
@@ -129,21 +151,37 @@
                 reads, self._reads = self._reads, deque()
                 self._stuck = len(batch)
                 stopping = self._stopping and not self._records
-            if batch and not self._write(batch):
-                self._records.extendleft(reversed(batch))
-                self._stuck = 0
-                return
+            if batch:
+                try:
+                    written = self._write(batch)
+                except Exception as fault:  # a defect: with the thread gone silently, all would wait for ever
+                    log.logger().error("store_broken", why=repr(fault), path=str(self._store.path))
+                    self.failing = repr(fault)
+                    self.failures += 1
+                    self._put_back(batch)
+                    self._ended = True
+                    return
+                if not written:
+                    self._put_back(batch)
             for read, done in reads:
                 self._read(read, done)
             now = timedelta(microseconds=self._clock().now)
             if now >= last_forget + FORGET_EVERY and not stopping:
                 last_forget = now
                 self._forget()
-            if stopping and not self._reads:
-                return
+            with self._changed:
+                unwritable = self._records and self.failing
+                if self._stopping and not self._reads and (unwritable or not self._records):
+                    self._ended = True
+                    return
+
+    def _put_back(self, batch: list[tuple[Record, Done | None]]) -> None:
+        with self._changed:
+            self._records.extendleft(reversed(batch))
+            self._stuck = 0
 
     def _write(self, batch: list[tuple[Record, Done | None]]) -> bool:
-        """False where the thread is to end with the batch unwritten."""
+        """False where it is not written and the thread was asked to end."""
         again = AGAIN_FIRST
         while True:
             try:
@@ -154,11 +192,6 @@
                     log.logger().error("store_failing", why=str(fault), path=str(self._store.path))
                 self.failing = str(fault)
                 self.failures += 1
-            except Exception as fault:  # a defect: with the thread gone silently, all would wait for ever
-                log.logger().error("store_broken", why=repr(fault), path=str(self._store.path))
-                self.failing = repr(fault)
-                self.failures += 1
-                return False
             self._forget()  # there may be room then
             with self._changed:
                 self._changed.wait_for(lambda: self._stopping, again.total_seconds())
--- a/carthinge/front/durable_front.py
+++ b/carthinge/front/durable_front.py
@@ -217,10 +217,10 @@
         return found
 
     def _missing(self, status: int) -> None:
-        gone = {HTTPStatus.NOT_FOUND: b"no such job\n", HTTPStatus.GONE: b"the job is forgotten\n"}
-        unknown = status not in gone
-        headers = self._stay_away(timedelta(seconds=1)) if unknown else []
-        self._reply(status, gone.get(HTTPStatus(status), b"the store cannot be read\n"), headers)
+        known = {HTTPStatus.NOT_FOUND: b"no such job\n", HTTPStatus.GONE: b"the job is forgotten\n",
+                 HTTPStatus.INTERNAL_SERVER_ERROR: b"the record of the job is damaged\n"}
+        headers = [] if status in known else self._stay_away(timedelta(seconds=1))
+        self._reply(status, known.get(HTTPStatus(status), b"the store cannot be read\n"), headers)
 
     # ---- the answer -----------------------------------------------------------------------
 
--- a/carthinge/scheduler/partner.py
+++ b/carthinge/scheduler/partner.py
@@ -92,9 +92,9 @@
         if self._durable is None:
             gone(True)
         else:
-            from carthinge.durable.handover import hand_over
+            from carthinge.durable.handover import HandOver
 
-            hand_over(self._durable, self._egress.calling, gone)
+            HandOver(self._durable, self._egress.calling, gone)
 
     def alone(self) -> None:
         """All places and descriptors are this process's again."""
--- /dev/null
+++ b/tests/test_durable_handover.py
@@ -0,0 +1,141 @@
+"""The store changes hands on a disk that is sick, or while requests are half read: the loop is never held."""
+
+import threading
+import time
+from datetime import timedelta
+
+import pytest
+from durable_world import FILE, get, put
+from faults import let_pass
+from in_process import readable, reading, turns
+from world import World, job
+
+from carthinge.durable.handover import CALM_WITHIN, HandOver, take_back
+
+ASYNC = {"kind": "reindex", "deadline": "9000m", "Idempotency_Key": "k1", "Prefer": "respond-async"}
+
+
+class SickDisk:
+    """Transactions stand still from a test's word on, and fail or go through at another."""
+
+    def __init__(self, store):
+        self.apply, self.free, self.entered = store.apply, threading.Event(), threading.Event()
+        store.apply = self
+
+    def __call__(self, batch, time):
+        self.entered.set()
+        assert self.free.wait(30), "the test did not let the disk go"
+        return self.apply(batch, time)
+
+
+@pytest.fixture
+def program(make_program, tmp_path):
+    file = tmp_path / "carthinge.toml"
+    file.write_text(FILE.replace("{folder}", str(tmp_path / "store")))
+    program = make_program(file=file, workers=1)
+    program.upgrade.find()
+    turns(program, lambda: program.serving() and program.durable.loaded)
+    yield program
+    program.durable.close()
+
+
+def test_a_hand_over_on_a_sick_disk_never_holds_the_loop(program, dial):
+    """It waited for the store's thread for up to 0.5 s, longer than a short grace for drains."""
+    disk = SickDisk(program.durable._store)
+    client = dial(program).send(job("a1", **ASYNC))
+    turns(program, disk.entered.is_set)
+    ended = []
+    began = time.monotonic()
+    HandOver(program.durable, lambda attempt: False, ended.append)
+    longest = timedelta(seconds=time.monotonic() - began)
+    until = program.loop.clock.now() + 2 * CALM_WITHIN
+    while not ended:
+        began = time.monotonic()
+        program.loop.turn(idle=False)
+        program.book.decide()
+        longest = max(longest, timedelta(seconds=time.monotonic() - began))
+        let_pass(program, timedelta(milliseconds=5))
+        assert program.loop.clock.now() < until + CALM_WITHIN
+    assert ended == [False] and longest < CALM_WITHIN / 2
+    assert len([thread for thread in threading.enumerate() if thread.name == "store"]) == 1
+    disk.free.set()
+    take_back(program.durable, lambda: None)
+    turns(program, lambda: readable(client.sock))
+    assert client.status() in (202, 503)
+
+
+def test_what_comes_up_while_the_store_was_to_leave_is_carried_out_if_it_stays(program, dial):
+    """A job that got on disk meanwhile was in neither process's book, and its client was never answered."""
+    disk = SickDisk(program.durable._store)
+    client = dial(program).send(job("a1", **ASYNC))
+    turns(program, disk.entered.is_set)
+    program.durable.leaving = True  # asked for while the job is being written
+    disk.free.set()
+    turns(program, lambda: program.durable._postponed)
+    assert not program.book.exchanges
+    program.durable.stay()
+    turns(program, lambda: program.book.exchanges)
+    assert reading(client, program)[0].split()[1] == "202"
+
+
+def test_a_grant_that_was_decided_on_meanwhile_is_written_if_the_store_stays(program, dial):
+    """The attempt was neither sent nor ended: its job waited for nothing up to its deadline."""
+    program.durable.leaving = False
+    client = dial(program).send(job("a1", **ASYNC))
+    grant = program.durable.grant
+
+    def leaving_first(*given):
+        program.durable.leaving = True
+        program.durable.grant = grant
+        grant(*given)
+
+    program.durable.grant = leaving_first
+    turns(program, lambda: program.durable._postponed)
+    assert program.counters.attempts == 0
+    program.durable.stay()
+    turns(program, lambda: program.counters.attempts)
+    assert reading(client, program)[0].split()[1] == "202"
+
+
+def test_a_writer_that_is_asked_to_stop_and_to_go_on_has_one_thread_and_loses_nothing(program):
+    writer = program.durable.writer
+    for _ in range(200):
+        writer.request_stop()
+        writer.resume()
+    assert len([thread for thread in threading.enumerate() if thread.name == "store"]) == 1
+    heard = []
+    writer.ask(lambda store: store.open_jobs(0, 1), heard.append)
+    turns(program, lambda: heard)
+
+
+def test_a_durable_request_that_is_half_read_at_a_hand_over_is_answered_once(tmp_path):
+    """Its first half came before the store had left, and its second to a process that has none."""
+    with World(tmp_path, workers=1, file=FILE, held=True) as world:
+        text = job("a1", **ASYNC)
+        client = world.connect().send(text[:90])
+        world.counters()  # it has been read by then
+        old, _ = world.upgrade()
+        client.send(text[90:])
+        assert client.read()[0].split()[1] == "202"
+        old.terminate()
+        assert old.wait(10) == 0
+        number, peer, (_, headers, _) = world.take()
+        assert headers["req-id"] == "a1"
+        peer.answer(202)
+        world.tell("a1", "done", number, result="r")
+        client.send(job("a1", **ASYNC).replace(b"Prefer: respond-async\r\n", b""))
+        assert client.read()[2] == b"r"
+
+
+def test_an_upgrade_that_begins_while_open_jobs_are_read_back_loses_none_of_them(tmp_path):
+    with World(tmp_path, workers=1, file=FILE, held=True) as world:
+        names = [put(world, f"a{number}", key=f"k{number}") for number in range(40)]
+        world.kill()
+        world.process = world.start()  # reads them back
+        world.upgrade()  # and hands them over at once
+        for _ in names:
+            number, peer, (_, headers, _) = world.take()
+            peer.answer(202)
+            world.tell(headers["req-id"], "done", number, result="r", token=int(headers["lease-token"]))
+        for name in names:
+            assert get(world, name)[0] == 200
