Count drains from when the signal may have come, descriptors by the process's limit

SIGKILL follows SIGTERM, not the turn that reads it: with the loop busy for 0.1 s, what came 0.7 s after the signal had its whole time and could be found unanswered. Drains count from the beginning of the span in which the signal can have come, and give whole time for 0.6 s. Places for connections were shared out by the configuration's number of descriptors, so that under a lower limit of the process accepting took the last one, and discovery could not be called.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -139,11 +139,6 @@
         self._ingress.waiting.discard(self)
         return self._stream.release()
 
-    def finish(self) -> None:
-        self._finished = True
-        self._ingress.places.end(self)
-        self._stream.finish()
-
     def close(self) -> None:
         self._stream.close()
         self.ended("closed here")
@@ -312,7 +307,9 @@
             and (request is None or request.keep_alive)
         self._stream.write(answer_bytes(status, body, headers or (), keep_alive))
         if not keep_alive:
-            self.finish()
+            self._finished = True
+            self._ingress.places.end(self)
+            self._stream.finish()
         elif self._waiting:
             self._ingress.loop.soon(self._next)
 
--- a/carthinge/front/ingress.py
+++ b/carthinge/front/ingress.py
@@ -132,13 +132,17 @@
             connection.go_on()
 
     def end_idle(self) -> None:
-        """Ends the connections on which nothing is under way; one that has just come in may say something."""
+        """Ends the connections on which nothing is under way; one that has just come in may say something.
+
+        They are closed at once: a request that crosses the end is not read, and its client sends it again
+        elsewhere.  No answer can be lost with it, as a client has its answer before it asks again.
+        """
         for connection in self._connections():
             since = self.places.fresh.get(connection)
             if since is not None and self.loop.now < since + self._greeting:
                 continue
             if connection.idle() and connection.silent():
-                connection.finish()
+                connection.close()
 
     def somebody_waits(self) -> bool:
         """A connection has come in and was not accepted yet: what is on it is taken already."""
@@ -188,7 +192,7 @@
         """Guards against clients that connect and say nothing."""
         for holder in self.places.overdue(self.loop.now, FIRST_REQUEST):
             self.counters.connections_in_silent += 1
-            holder.finish()
+            holder.close()
         self._checking = bool(self.places.fresh)
         if self._checking:
             self.loop.call_after(FRESH_CHECKED, self._check_fresh)
--- a/carthinge/net/places.py
+++ b/carthinge/net/places.py
@@ -23,11 +23,7 @@
     def began(self) -> bool:
         """A part of a request has come on it."""
 
-    def finish(self) -> None:
-        """Ends it in order: what may be on its way from the other side is not met by a reset."""
-
-    def close(self) -> None:
-        """Ends it at once, for its descriptor's sake."""
+    def close(self) -> None: ...
 
     def release(self) -> socket.socket:
         """Lets go of its socket, which stays open."""
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import resource
 import signal
 import socket
 import sys
@@ -44,7 +45,8 @@
 SPARE_SOCKETS: Final = 48  # of the limit: for the listener, discovery, the log and what the runtime holds
 BACKLOG: Final = 1024
 EGRESS_SHARE: Final = 0.4  # of the rest: a call holds its connection only until the 202
-STILL_ARRIVING: Final = timedelta(milliseconds=700)  # after SIGTERM clients are sent here for up to 0.4 s
+STILL_ARRIVING: Final = timedelta(milliseconds=600)  # after SIGTERM clients are sent here for up to 0.4 s
+MUST_BE_ANSWERED: Final = timedelta(milliseconds=700)  # what comes later than that, before SIGKILL
 LONGEST_GRACE: Final = timedelta(seconds=3)  # SIGKILL may come so long after that, or a deadline if shorter
 LAST_ANSWERS: Final = timedelta(milliseconds=300)  # before SIGKILL may come
 LAST_MOVES: Final = timedelta(seconds=1)  # before that: clients turn to other schedulers, if there are any
@@ -65,7 +67,8 @@
         self.dispatcher = Dispatcher(config.site.decisions, config.seed)
         self.book = Book(self.loop, self.dispatcher, self.table.targets, self.counters)
         self.book.ended.name(config.site.classes)
-        rest = max(16, config.limits.sockets - SPARE_SOCKETS - (PLACES if config.operator else 0))
+        descriptors = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        rest = max(16, descriptors - SPARE_SOCKETS - (PLACES if config.operator else 0))
         out = int(rest * EGRESS_SHARE)
         self.egress = Egress(self.loop, config.site, self.book, self.counters, out)
         self.upgrade = Upgrade(self.loop, str(config.listen))
@@ -296,9 +299,10 @@
             self.fleet.close(leave=not self.upgrade.leaving)
         decisions = self.config.site.decisions
         longest = max(spec.deadline for spec in decisions.classes) * MICROSECOND
-        arriving_until = self.loop.now + STILL_ARRIVING
+        told = self.loop.since  # the signal came no earlier: SIGKILL follows it, however late it was heard
+        arriving_until = told + STILL_ARRIVING
         grace = min(longest, LONGEST_GRACE)
-        last = arriving_until + grace - min(LAST_ANSWERS, grace / 2)  # some of a short one is left
+        last = told + MUST_BE_ANSWERED + grace - min(LAST_ANSWERS, grace / 2)  # some of a short one is left
         # Guards against clients with nobody to turn to: a lone scheduler's have none, and in a rolling
         # restart the scheduler before this one may not serve again yet.
         kept_until = last if decisions.instances == 1 else max(arriving_until, last - LAST_MOVES)
