--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -15,6 +15,9 @@
 from world import HOST, SETTINGS, World
 
 LATE = 0.5  # seconds after its time: by then an answer is lost
+GONE = 0.1  # seconds after its client has left: by then no attempt may begin
+TOLD = 0.15  # seconds more than its client has left may be told to a worker
+LEAVES = 0.2  # of the clients, before they have their answer
 CLIENTS, EACH = 16, 5
 ANSWERS = {200, 502, 503, 504}  # 200 only with what a worker made for that request
 BAD = ["reset", "mute", "silent", "declined", "error", "garbage", "failed", "twice"]
@@ -60,6 +63,15 @@
         self.classes = {spec["name"]: spec for spec in self.settings["services"]}
         self.breaches = []
         self.tasks = set()
+        self.due = {}  # when each job's client gives up
+        self.left = {}  # when its client left, if it did before its answer
+        self.lag = 0.0  # of this process itself, lately, at the most: its own slowness is no breach
+
+    async def feel_lag(self):
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(0.005)
+            self.lag = max(time.monotonic() - began - 0.005, self.lag * 0.98)
 
     async def listen(self):
         return [await asyncio.start_server(partial(self.serve, number), sock=stub.sock)
@@ -76,13 +88,20 @@
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
                 elif head.startswith("GET /metrics/load"):
                     writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 12\r\n\r\nqueue=3,x0=2")
-                elif not await self.work(number, fields["req-id"], writer):
+                elif not await self.work(number, fields["req-id"], float(fields["req-deadline"][:-1]) / 1000,
+                                         writer):
                     break
         writer.close()
 
-    async def work(self, number, job, writer):
+    async def work(self, number, job, told, writer):
         """One attempt; False where its connection ends without an answer."""
         out, ran = self.out.setdefault(job, set()), self.ran.setdefault(job, set())
+        now = time.monotonic()
+        if job in self.left and now > self.left[job] + GONE + self.lag:
+            self.breaches.append(f"{job}: begins {now - self.left[job]:.3f} s after its client has left")
+        left = self.due.get(job, now) - now
+        if job in self.due and told > max(left, 0.0) + TOLD + self.lag:
+            self.breaches.append(f"{job}: is told {told:.3f} s where {left:.3f} s are left")
         if number in out or out and not self.settings["caps"]["second_copies"]:
             self.breaches.append(f"{job}: a second copy, at worker {number} beside {out}")
         if ran and not self.repeatable(job, {*ran, number}):
@@ -150,6 +169,15 @@
     return int(head[0].split()[1]), headers, body, (reader, writer)
 
 
+async def leave(port, data, kept, after):
+    """Sends a request and goes, before its answer or with it; nothing is left of the connection."""
+    with contextlib.suppress(OSError):
+        _, writer = kept or await asyncio.open_connection(HOST, port)
+        writer.write(data)
+        await asyncio.sleep(after)
+        writer.transport.abort() if after else writer.close()
+
+
 async def client(world, number, rng, workers, killed, found):
     """Requests one after the other; notes all that is not one whole answer in time."""
     kept = None
@@ -164,6 +192,11 @@
         if rng.random() < 0.3 and kept is not None:
             kept[1].close()
             kept = None
+        workers.due[job] = sent + patience
+        if rng.random() < LEAVES:
+            kept = await leave(world.port, "\r\n".join(lines).encode(), kept, rng.choice([0.0, 0.01, 0.05]))
+            workers.left[job] = time.monotonic()
+            continue
         call = exchange(world.port, "\r\n".join(lines).encode(), kept)
         try:
             try:
@@ -173,6 +206,7 @@
                     raise
                 # The scheduler may close a kept connection: then the client sends once more on a new one.
                 sent = time.monotonic()
+                workers.due[job] = sent + patience
                 call = exchange(world.port, "\r\n".join(lines).encode())
                 status, headers, body, kept = await asyncio.wait_for(call, patience + LATE)
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as fault:
@@ -208,6 +242,7 @@
 async def play(world, rng):
     workers, killed, found = Workers(world, rng), [0], []
     kind = rng.choice(["503", "silent", "reset", "well"])
+    feeling = asyncio.create_task(workers.feel_lag())
     servers = await workers.listen()
     servers.append(await asyncio.start_server(partial(discovery, kind), sock=world.discovery.sock))
     clients = [asyncio.create_task(client(world, number, rng, workers, killed, found))
@@ -221,6 +256,7 @@
     await asyncio.gather(*clients)
     for number in range(CLIENTS, CLIENTS + 8):  # with all that the kill left behind
         await client(world, number, rng, workers, killed, found)
+    feeling.cancel()
     for server in servers:
         server.close()
     return found + workers.breaches
