--- a/tests/test_discovery_terms.py
+++ b/tests/test_discovery_terms.py
@@ -1,5 +1,6 @@
 """Discovery that fails: a change counts as told 6 s after discovery had it and could be reached."""
 
+import errno
 import json
 from datetime import timedelta
 
@@ -139,7 +140,8 @@
 def test_a_move_after_a_failure_in_the_same_turn_keeps_the_new_call(serve, discovery):
     """The failure of the old one was told a moment later, and ended the call that had begun meanwhile."""
     program = serve()
-    program.watch.move(Address("127.0.0.1", 1))  # nobody is there
+    faulty(program).fail("connect", errno.ECONNREFUSED)  # told at once, and not by the selector
+    program.watch.move(Address("127.0.0.1", 1))
     program.watch.move(Address("127.0.0.1", discovery.port))
     call = program.watch._caller.call
     for _ in range(20):
