--- a/benchmarks/durable.py
+++ b/benchmarks/durable.py
@@ -53,16 +53,21 @@
         runs: dict[str, list[float]] = {}
         for run in fleet.runs:
             runs.setdefault(run.key, []).append(run.began)
-        gaps = [later - first for begun in runs.values()
-                for first, later in zip(begun, begun[1:], strict=False)]
+        gaps = [
+            later - first for begun in runs.values() for first, later in zip(begun, begun[1:], strict=False)
+        ]
         served = [key for key, (status, _) in final.items() if status == 200]
         return {
             "accepted": len(self.accepted),
-            "answered_once": sum(1 for key, answer in final.items()
-                                 if self.answers.get(key, {answer}) == {answer}),
+            "answered_once": sum(
+                1 for key, answer in final.items() if self.answers.get(key, {answer}) == {answer}
+            ),
             "lost": sum(1 for key in self.accepted if key not in final or final[key][0] in (202, 404, 410)),
-            "answered_twice": sum(1 for key, seen in self.answers.items()
-                                  if len(seen | ({final[key]} if key in final else set())) > 1),
+            "answered_twice": sum(
+                1
+                for key, seen in self.answers.items()
+                if len(seen | ({final[key]} if key in final else set())) > 1
+            ),
             "served": len(served),
             "served_by_nobody": sum(1 for key in served if key not in runs),
             "keyed_repeats_in_window": sum(1 for gap in gaps if gap < WINDOW),
@@ -97,8 +102,12 @@
             until = time.monotonic() + 8.0
             while time.monotonic() < until:
                 tries += 1
-                headers = {**HEADERS, "Req-Id": f"c{number}-{tries}", "Req-Kind": kind,
-                           "Idempotency-Key": key}
+                headers = {
+                    **HEADERS,
+                    "Req-Id": f"c{number}-{tries}",
+                    "Req-Kind": kind,
+                    "Idempotency-Key": key,
+                }
                 if asynchronous:
                     headers["Prefer"] = "respond-async"
                 try:
@@ -146,13 +155,20 @@
     await fleet.stop()
     shutil.rmtree(scheduler.folder)
     verdict = audit.verdict(fleet, final)
-    return {"kills": count, **verdict, "sent": fleet.posts, "dropped_repeats": fleet.dropped,
-            "conflicts": fleet.conflicts, "unheard_calls": fleet.unheard,
-            "leases_expired_last_start": figures["leases_expired"]}
+    return {
+        "kills": count,
+        **verdict,
+        "sent": fleet.posts,
+        "dropped_repeats": fleet.dropped,
+        "conflicts": fleet.conflicts,
+        "unheard_calls": fleet.unheard,
+        "leases_expired_last_start": figures["leases_expired"],
+    }
 
 
-async def throughput(options: str, seconds: float, asynchronous: bool = False,
-                     clients: int = 64) -> tuple[float, list[float]]:
+async def throughput(
+    options: str, seconds: float, asynchronous: bool = False, clients: int = 64
+) -> tuple[float, list[float]]:
     """Jobs a second that clients in a closed loop get through, and how long each took."""
     fleet = FleetProcess(12)
     scheduler = Scheduler(fleet.names, options)
@@ -168,8 +184,12 @@
         step = 0
         while (began := time.monotonic()) < until:
             step += 1
-            headers = {**HEADERS, "Req-Id": f"{marker}-{number}-{step}", "Req-Kind": "reindex",
-                       "Idempotency-Key": f"{marker}-{number}-{step}"}
+            headers = {
+                **HEADERS,
+                "Req-Id": f"{marker}-{number}-{step}",
+                "Req-Kind": "reindex",
+                "Idempotency-Key": f"{marker}-{number}-{step}",
+            }
             if asynchronous:
                 headers["Prefer"] = "respond-async"
             status, _, _ = await connection.call("POST", "/api/x", headers, b"x" * 200)
@@ -201,10 +221,26 @@
     store = Store(scheduler.store, 4 << 30)
     store.open(moment)
     for start in range(0, jobs, 5000):
-        store.apply([Accepted(number + 1, f"old-{number}", "acme", "reindex", number.to_bytes(16, "big"),
-                              b"d" * 16, b"/api/x", b"x" * 200, (("Idempotency-Key", b"k%d" % number),),
-                              Terms(1, 50_000, 1.0, 0.0), now, now + 3_600_000_000)
-                     for number in range(start, min(jobs, start + 5000))], moment)
+        store.apply(
+            [
+                Accepted(
+                    number + 1,
+                    f"old-{number}",
+                    "acme",
+                    "reindex",
+                    number.to_bytes(16, "big"),
+                    b"d" * 16,
+                    b"/api/x",
+                    b"x" * 200,
+                    (("Idempotency-Key", b"k%d" % number),),
+                    Terms(1, 50_000, 1.0, 0.0),
+                    now,
+                    now + 3_600_000_000,
+                )
+                for number in range(start, min(jobs, start + 5000))
+            ],
+            moment,
+        )
     store.close()
     began = time.monotonic()
     scheduler.start()
@@ -225,8 +261,12 @@
     connection.close()
     scheduler.kill()
     shutil.rmtree(scheduler.folder)
-    return {"recovery_s_100k": took, "up_after_s": up_after, "up_slowest_ms": slowest * 1000,
-            "bytes_per_open_job": (used - empty) * 1024 * 1024 / jobs}
+    return {
+        "recovery_s_100k": took,
+        "up_after_s": up_after,
+        "up_slowest_ms": slowest * 1000,
+        "bytes_per_open_job": (used - empty) * 1024 * 1024 / jobs,
+    }
 
 
 def main() -> None:
@@ -246,14 +286,25 @@
             seen.append(asyncio.run(throughput(options, seconds / 2))[0])
     durable, plain = (sum(seen) / len(seen) for seen in rates.values())
     rate, took = asyncio.run(throughput(OPTIONS, seconds, asynchronous=True))
-    result |= {"durable_jobs_per_s": round(durable), "plain_jobs_per_s": round(plain),
-               "ratio": round(durable / plain, 3), "accept_p50_ms": round(percentile(took, 0.5) * 1000, 2),
-               "accept_p99_ms": round(percentile(took, 0.99) * 1000, 2), "accepts_per_s": round(rate)}
+    result |= {
+        "durable_jobs_per_s": round(durable),
+        "plain_jobs_per_s": round(plain),
+        "ratio": round(durable / plain, 3),
+        "accept_p50_ms": round(percentile(took, 0.5) * 1000, 2),
+        "accept_p99_ms": round(percentile(took, 0.99) * 1000, 2),
+        "accepts_per_s": round(rate),
+    }
     print("throughput:", result["durable_jobs_per_s"], "of", result["plain_jobs_per_s"], flush=True)
     result |= {name: round(value, 3) for name, value in asyncio.run(recovery(100_000)).items()}
     print(json.dumps(result))
-    broken = ("lost", "answered_twice", "keyed_repeats_in_window", "run_again_after_window",
-              "unsafe_run_twice", "served_by_nobody")
+    broken = (
+        "lost",
+        "answered_twice",
+        "keyed_repeats_in_window",
+        "run_again_after_window",
+        "unsafe_run_twice",
+        "served_by_nobody",
+    )
     if any(result[name] for name in broken) or result["answered_once"] != result["accepted"]:
         raise SystemExit(1)
 
--- a/benchmarks/fleet_overload.py
+++ b/benchmarks/fleet_overload.py
@@ -79,42 +79,137 @@
 _FAST = io.JobClass(objective=us(600), deadline=us(5_000), worth=1.0, stretch=1.75)
 BLIND = World(
     settings=io.Settings(
-        classes=(_SLOW, _FAST), kinds=2, weights=io.Weights.NOMINAL, tells_start=True, progress=us(2_000),
-        subscribe=True, may_cancel=True, may_advise=True, try_limit=6, max_retry_after=us(2_000),
-        idle_close=us(60_000), price_connection=0.02, answer_grace=us(20), drain_grace=us(300),
-        ask_within=us(10_000), cold_start_share=0.2, cold_time=us(18_000), fall_multiple=3.0,
-        fall_window=us(1_000)),
-    kinds=(WorkerKind(share=0.56, cores=4, speed=1.5, speed_spread=0.15, queue=52, cancel=Cancels.NONE,
-                      drops_expired=False, thrash=0.09, thrash_at=6.5),
-           WorkerKind(share=0.44, cores=5, speed=0.97, speed_spread=0.15, queue=62, cancel=Cancels.NONE,
-                      drops_expired=False, thrash=0.09, thrash_at=6.5)),
+        classes=(_SLOW, _FAST),
+        kinds=2,
+        weights=io.Weights.NOMINAL,
+        tells_start=True,
+        progress=us(2_000),
+        subscribe=True,
+        may_cancel=True,
+        may_advise=True,
+        try_limit=6,
+        max_retry_after=us(2_000),
+        idle_close=us(60_000),
+        price_connection=0.02,
+        answer_grace=us(20),
+        drain_grace=us(300),
+        ask_within=us(10_000),
+        cold_start_share=0.2,
+        cold_time=us(18_000),
+        fall_multiple=3.0,
+        fall_window=us(1_000),
+    ),
+    kinds=(
+        WorkerKind(
+            share=0.56,
+            cores=4,
+            speed=1.5,
+            speed_spread=0.15,
+            queue=52,
+            cancel=Cancels.NONE,
+            drops_expired=False,
+            thrash=0.09,
+            thrash_at=6.5,
+        ),
+        WorkerKind(
+            share=0.44,
+            cores=5,
+            speed=0.97,
+            speed_spread=0.15,
+            queue=62,
+            cancel=Cancels.NONE,
+            drops_expired=False,
+            thrash=0.09,
+            thrash_at=6.5,
+        ),
+    ),
     sorts=(JobSort(_SLOW, 0.5, ms(770), noise=0.28), JobSort(_FAST, 0.5, ms(400), noise=0.28)),
-    loads=(), clients=Clients(retries=0.75, backoff=ms(300), grows=True, honour=0.75))
+    loads=(),
+    clients=Clients(retries=0.75, backoff=ms(300), grows=True, honour=0.75),
+)
 MIXED = replace(BLIND, kinds=(BLIND.kinds[0], replace(BLIND.kinds[1], cancel=Cancels.QUEUED)))
 KEYED = replace(BLIND, keys=Keys(per_worker=9, zipf=1.07, kept_per_slot=1.0, setup=0.4, store=0.35))
 
 _QUERY = io.JobClass(objective=us(300), deadline=us(5_000), late_worth=0.2, stretch=2.5)
-_INDEX = io.JobClass(objective=us(600), deadline=us(10_000), effect=io.Effect.KEYED, window=us(15_000),
-                     worth=10.0, late_worth=0.5, stretch=1.75, priority=1)
+_INDEX = io.JobClass(
+    objective=us(600),
+    deadline=us(10_000),
+    effect=io.Effect.KEYED,
+    window=us(15_000),
+    worth=10.0,
+    late_worth=0.5,
+    stretch=1.75,
+    priority=1,
+)
 _SHARES = (0.24, 0.17, 0.16, 0.16, 0.08, 0.07, 0.07, 0.05)
 REPORTS = World(
     settings=io.Settings(
-        classes=(_QUERY, _INDEX), tenants=tuple(io.Tenant(share) for share in _SHARES), kinds=3,
-        weights=io.Weights.ROUGH, reports=io.Reports.ANSWERS, report_fields=("free_slots",),
-        tells_start=True, subscribe=True, worth_by_work=True, over_share_worth=0.2, may_cancel=True,
-        may_advise=True, try_limit=3, max_retry_after=us(2_000), idle_close=us(5_000),
-        price_connection=0.02, answer_grace=us(20), drain_grace=us(2_500), ask_within=us(10_000),
-        cold_start_share=0.4, cold_time=us(6_500), fall_multiple=4.0, fall_window=us(2_000)),
-    kinds=(WorkerKind(share=0.23, cores=3, speed=1.6, speed_spread=0.1, queue=44, drops_expired=False,
-                      thrash=0.09, thrash_at=9),
-           WorkerKind(share=0.44, cores=2, speed=0.97, speed_spread=0.15, queue=14, drops_expired=False,
-                      thrash=0.09, thrash_at=9),
-           WorkerKind(share=0.33, cores=2, speed=0.6, speed_spread=0.12, queue=14, cancel=Cancels.ALL,
-                      drops_expired=False, thrash=0.09, thrash_at=9)),
-    sorts=(JobSort(_QUERY, 0.52, ms(400), spread=2.0, noise=0.35),
-           JobSort(_INDEX, 0.48, ms(800), spread=2.0, noise=0.4)),
-    loads=(), clients=Clients(retries=1.5, backoff=ms(70), grows=True, honour=0.6), hints=0.5,
-    usage=(0.9, 0.9, 0.9, 0.9, 1.1, 0.9, 0.9, 1.1))
+        classes=(_QUERY, _INDEX),
+        tenants=tuple(io.Tenant(share) for share in _SHARES),
+        kinds=3,
+        weights=io.Weights.ROUGH,
+        reports=io.Reports.ANSWERS,
+        report_fields=("free_slots",),
+        tells_start=True,
+        subscribe=True,
+        worth_by_work=True,
+        over_share_worth=0.2,
+        may_cancel=True,
+        may_advise=True,
+        try_limit=3,
+        max_retry_after=us(2_000),
+        idle_close=us(5_000),
+        price_connection=0.02,
+        answer_grace=us(20),
+        drain_grace=us(2_500),
+        ask_within=us(10_000),
+        cold_start_share=0.4,
+        cold_time=us(6_500),
+        fall_multiple=4.0,
+        fall_window=us(2_000),
+    ),
+    kinds=(
+        WorkerKind(
+            share=0.23,
+            cores=3,
+            speed=1.6,
+            speed_spread=0.1,
+            queue=44,
+            drops_expired=False,
+            thrash=0.09,
+            thrash_at=9,
+        ),
+        WorkerKind(
+            share=0.44,
+            cores=2,
+            speed=0.97,
+            speed_spread=0.15,
+            queue=14,
+            drops_expired=False,
+            thrash=0.09,
+            thrash_at=9,
+        ),
+        WorkerKind(
+            share=0.33,
+            cores=2,
+            speed=0.6,
+            speed_spread=0.12,
+            queue=14,
+            cancel=Cancels.ALL,
+            drops_expired=False,
+            thrash=0.09,
+            thrash_at=9,
+        ),
+    ),
+    sorts=(
+        JobSort(_QUERY, 0.52, ms(400), spread=2.0, noise=0.35),
+        JobSort(_INDEX, 0.48, ms(800), spread=2.0, noise=0.4),
+    ),
+    loads=(),
+    clients=Clients(retries=1.5, backoff=ms(70), grows=True, honour=0.6),
+    hints=0.5,
+    usage=(0.9, 0.9, 0.9, 0.9, 1.1, 0.9, 0.9, 1.1),
+)
 FAMILIES = {"reports": REPORTS, "blind": BLIND, "mixed": MIXED, "keyed": KEYED}
 ORDINARY = ("reports", "blind")
 QUOTAS = 0.8  # of what the workers can do, all tenants' quotas together
@@ -125,8 +220,9 @@
     if not world.settings.tenants:
         return world
     jobs_per_s = Play(world, seed).capacity / world.mean_work().total_seconds()
-    tenants = tuple(replace(tenant, quota_per_s=tenant.share * QUOTAS * jobs_per_s)
-                    for tenant in world.settings.tenants)
+    tenants = tuple(
+        replace(tenant, quota_per_s=tenant.share * QUOTAS * jobs_per_s) for tenant in world.settings.tenants
+    )
     return replace(world, settings=replace(world.settings, tenants=tenants))
 
 
@@ -142,9 +238,11 @@
 @contextmanager
 def off() -> Iterator[None]:
     """Meanwhile modules decide as if none of this were there."""
-    with (mock.patch.object(Level, "kept", lambda *_: 1.0),
-          mock.patch.object(comeback, "stay_away", lambda room, least, most, point: most),
-          mock.patch.object(doubts, "owners", lambda sharers: 1.0)):
+    with (
+        mock.patch.object(Level, "kept", lambda *_: 1.0),
+        mock.patch.object(comeback, "stay_away", lambda room, least, most, point: most),
+        mock.patch.object(doubts, "owners", lambda sharers: 1.0),
+    ):
         yield
 
 
@@ -161,8 +259,14 @@
 # ---- the scenarios ------------------------------------------------------------------------------
 
 
-def calm(world: World = BLIND, make: Make = Dispatcher, seed: object = 1, quick: bool = False,
-         load: float = 0.6, burst: float = 1.5) -> list[Window]:
+def calm(
+    world: World = BLIND,
+    make: Make = Dispatcher,
+    seed: object = 1,
+    quick: bool = False,
+    load: float = 0.6,
+    burst: float = 1.5,
+) -> list[Window]:
     """No fault, and a burst of ``burst`` times the load for some seconds; the windows are of five seconds."""
     before, lasts, after = (5, 5, 15) if quick else (10, 8, 32)
     world = replace(world, loads=spans((before, load), (lasts, load * burst), (after, load)))
@@ -183,8 +287,14 @@
     tries = [second.tries for second in tally.seconds[before:last] if second.tries]
     asked = sum(second.asked for second in seconds)
     well = tally.window(1, before).in_time
-    recovered = next((second for second in range(before + lasts, whole - 1)
-                      if tally.window(second, second + 2).in_time >= 0.95 * well), None)
+    recovered = next(
+        (
+            second
+            for second in range(before + lasts, whole - 1)
+            if tally.window(second, second + 2).in_time >= 0.95 * well
+        ),
+        None,
+    )
     return {
         "worth_share": round(sum(second.earned for second in seconds) / asked, 4),
         "in_time_before": round(well, 4),
@@ -194,7 +304,8 @@
         "recovery_s": None if recovered is None else recovered - before - lasts,
         "retry_after_peak_ratio": round(max(tries) * len(tries) / sum(tries), 2) if tries else None,
         "waste_share": round(tally.window(0, whole).waste, 4),
-        "ends": {end.value: count for end, count in tally.ends().items()}}
+        "ends": {end.value: count for end, count in tally.ends().items()},
+    }
 
 
 def bad(world: World, make: Make = Dispatcher, seed: object = 1, quick: bool = False) -> dict[str, Any]:
@@ -207,14 +318,19 @@
     for ill in (Ill.REFUSES, Ill.SILENT):
         trouble = Trouble(ill, timedelta(seconds=before), timedelta(seconds=lasts), 0.05)
         for schedulers in (20, 200):
-            tally = play(replace(world, schedulers=schedulers, troubles=(trouble,),
-                                 loads=spans((before + lasts, 0.6))), make, seed)
+            tally = play(
+                replace(
+                    world, schedulers=schedulers, troubles=(trouble,), loads=spans((before + lasts, 0.6))
+                ),
+                make,
+                seed,
+            )
             count = max(1, round(0.05 * world.workers))
-            rates = [second.to_bad / count for second in tally.seconds[before:before + lasts]]
-            again = sum(second.to_bad_again for second in tally.seconds[before:before + lasts])
+            rates = [second.to_bad / count for second in tally.seconds[before : before + lasts]]
+            again = sum(second.to_bad_again for second in tally.seconds[before : before + lasts])
             figures[f"{ill.value}_{schedulers}"] = round(sum(rates) / lasts, 2)
             figures[f"{ill.value}_{schedulers}_again"] = round(again / count / lasts, 2)
-            figures[f"{ill.value}_{schedulers}_later_half"] = round(sum(rates[lasts // 2:]) * 2 / lasts, 2)
+            figures[f"{ill.value}_{schedulers}_later_half"] = round(sum(rates[lasts // 2 :]) * 2 / lasts, 2)
             print(f"    {ill.value}, {schedulers} schedulers:", *(f"{rate:.1f}" for rate in rates))
     return figures
 
@@ -235,14 +351,19 @@
     windows = (calm if scenario == "calm" else herd)(world, seed=seed, quick=quick)
     for window in windows:
         print("   ", window.line())
-    return {scenario: {"in_time_least": min(round(w.in_time, 4) for w in windows),
-                       "attempts_most": max(round(w.attempts, 3) for w in windows),
-                       "last": windows[-1].figures()}}
+    return {
+        scenario: {
+            "in_time_least": min(round(w.in_time, 4) for w in windows),
+            "attempts_most": max(round(w.attempts, 3) for w in windows),
+            "last": windows[-1].figures(),
+        }
+    }
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     scenarios = ("calm", "overload", "bad", "herd")
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--family", choices=FAMILIES)
--- a/benchmarks/fleet_size.py
+++ b/benchmarks/fleet_size.py
@@ -33,9 +33,19 @@
 
 
 def listed(count: int, first: int = 0) -> bytes:
-    members = [{"id": f"s-{number:08x}", "host_port": f"10.1.{number >> 8}.{number & 255}:9000",
-                "locality": "hall", "flavor": f"m{number % 3}", "cell": number // 8, "phase": "Ready",
-                "size": 1.0 + number % 3, "up_since_ms": 0} for number in range(first, first + count)]
+    members = [
+        {
+            "id": f"s-{number:08x}",
+            "host_port": f"10.1.{number >> 8}.{number & 255}:9000",
+            "locality": "hall",
+            "flavor": f"m{number % 3}",
+            "cell": number // 8,
+            "phase": "Ready",
+            "size": 1.0 + number % 3,
+            "up_since_ms": 0,
+        }
+        for number in range(first, first + count)
+    ]
     return json.dumps({"revision": 1, "complete": first == 0, "members": members}).encode()
 
 
@@ -53,13 +63,20 @@
     part, whole = run(size, jobs, price=0.02), run(size, jobs, price=0.0)
     with open("/proc/self/statm") as statm:
         pages = int(statm.read().split()[1])
-    return {**part, "job_whole_us": whole["job_us"], "job_tried_again_whole_us": whole["job_tried_again_us"],
-            "rss_mb": round(pages * 4096 / 1e6, 1)}
+    return {
+        **part,
+        "job_whole_us": whole["job_us"],
+        "job_tried_again_whole_us": whole["job_tried_again_us"],
+        "rss_mb": round(pages * 4096 / 1e6, 1),
+    }
 
 
 def run(size: int, jobs: int, price: float) -> dict[str, float]:
-    site = read_site(Facts.from_nested({**SITE, "instances": size, "machine_types": ["m0", "m1", "m2"],
-                                        "prices": {"handshake": price}}))
+    site = read_site(
+        Facts.from_nested(
+            {**SITE, "instances": size, "machine_types": ["m0", "m1", "m2"], "prices": {"handshake": price}}
+        )
+    )
     table, module = RouteTable(site, Clock()), Dispatcher(site.decisions, 7)
     now = 100_000_000
 
@@ -82,14 +99,25 @@
             if not sent:
                 raise SystemExit(f"{size} workers: job {number} was not sent")
             finished = result is io.Result.OK or attempt > 0
-            ended = io.Outcome(number, attempt, sent[0].worker, io.Result.OK if finished else result, 15_000,
-                               finished, (0.5, 10.0, 2.0))
+            ended = io.Outcome(
+                number,
+                attempt,
+                sent[0].worker,
+                io.Result.OK if finished else result,
+                15_000,
+                finished,
+                (0.5, 10.0, 2.0),
+            )
             now, attempt = now + 15_000, attempt + 1
             actions = module.handle(now, [ended])
         (twice if step % 2 else once).append(time.perf_counter() - began)
-    return {"first_list_ms": round(first * 1e3, 2), "same_list_ms": round(again * 1e3, 2),
-            "change_ms": round(changed * 1e3, 2), "job_us": round(median(once) * 1e6, 1),
-            "job_tried_again_us": round(median(twice) * 1e6, 1)}
+    return {
+        "first_list_ms": round(first * 1e3, 2),
+        "same_list_ms": round(again * 1e3, 2),
+        "change_ms": round(changed * 1e3, 2),
+        "job_us": round(median(once) * 1e6, 1),
+        "job_tried_again_us": round(median(twice) * 1e6, 1),
+    }
 
 
 def main() -> None:
--- a/benchmarks/fleet_talk.py
+++ b/benchmarks/fleet_talk.py
@@ -78,13 +78,22 @@
                     spans.append((net.now - began).total_seconds())
             if not unaware:
                 break
-        false += sum(standing is Standing.DEAD and who != name for node in net.nodes.values()
-                     for who, standing in node.news)
+        false += sum(
+            standing is Standing.DEAD and who != name
+            for node in net.nodes.values()
+            for who, standing in node.news
+        )
     spans.sort()
     half, most = len(spans) // 2, min(len(spans) - 1, int(0.99 * len(spans)))
-    return {"p50": round(spans[half], 1), "p99": round(spans[most], 1),
-            "found": len(spans), "false_deaths": false, "bytes_member_s": round(sent / size / quiet),
-            "messages_member_s": round(messages / size / quiet, 1), "longest": net.longest}
+    return {
+        "p50": round(spans[half], 1),
+        "p99": round(spans[most], 1),
+        "found": len(spans),
+        "false_deaths": false,
+        "bytes_member_s": round(sent / size / quiet),
+        "messages_member_s": round(messages / size / quiet, 1),
+        "longest": net.longest,
+    }
 
 
 def heal(size: int, every: int = 2) -> tuple[float, float]:
@@ -94,8 +103,10 @@
     left = {name for at, name in enumerate(net.nodes) if at % every == 1}
     cut, began = True, net.now
     net.passes = lambda sender, to: not cut or (sender in left) == (to in left)
-    while any(1 + len(node.here()) != (len(left) if name in left else size - len(left))
-              for name, node in net.nodes.items()):
+    while any(
+        1 + len(node.here()) != (len(left) if name in left else size - len(left))
+        for name, node in net.nodes.items()
+    ):
         net.run(SECOND)
     cut, healed = False, net.now
     while any(1 + len(node.here()) < size for node in net.nodes.values()):
@@ -106,10 +117,17 @@
 def budget(quick: bool) -> float:
     """The most that all parts sum up to, over the whole, in every order of splits and heals."""
     ways = {size: partitions([f"m{at}" for at in range(size)]) for size in (3, 4)}
-    worst = max(played(3, splits, (seed % 3,), seed).worst / (3 * BASE)
-                for seed, splits in enumerate(product(ways[3], repeat=3 if quick else 5)))
-    return max(worst, max(played(4, splits, (seed % 4,), seed).worst / (4 * BASE)
-                          for seed, splits in enumerate(product(ways[4], repeat=1 if quick else 3))))
+    worst = max(
+        played(3, splits, (seed % 3,), seed).worst / (3 * BASE)
+        for seed, splits in enumerate(product(ways[3], repeat=3 if quick else 5))
+    )
+    return max(
+        worst,
+        max(
+            played(4, splits, (seed % 4,), seed).worst / (4 * BASE)
+            for seed, splits in enumerate(product(ways[4], repeat=1 if quick else 3))
+        ),
+    )
 
 
 class Trying:
@@ -133,7 +151,7 @@
         held = talk.view.ruling.alone.get(self.WORKER, timedelta()) if talk is not None else timedelta()
         if now >= max(self.avoid, held):
             self.tries.append(now)
-            pause = min(FIRST_PAUSE * 2**min(self.strikes, 16), LONGEST_PAUSE)
+            pause = min(FIRST_PAUSE * 2 ** min(self.strikes, 16), LONGEST_PAUSE)
             self.strikes += 1
             self.avoid = now + pause * self.rng.uniform(0.75, 1.25) * SECOND
 
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -40,8 +40,13 @@
 class Scheduler:
     """The real program as a process, with a folder of its own."""
 
-    def __init__(self, workers: list[tuple[str, str]], options: str = "", site: dict[str, Any] | None = None,
-                 sockets: int = 4096) -> None:
+    def __init__(
+        self,
+        workers: list[tuple[str, str]],
+        options: str = "",
+        site: dict[str, Any] | None = None,
+        sockets: int = 4096,
+    ) -> None:
         """``workers``: names and addresses; ``{store}`` in ``options`` stands for the store's folder."""
         self.folder = Path(tempfile.mkdtemp(prefix="carthinge-bench"))
         self.store = self.folder / "store"
@@ -51,23 +56,44 @@
         (self.folder / "tmp").mkdir()
         options_path = self.folder / "carthinge.toml"
         options_path.write_text(options.replace("{store}", str(self.store)))
-        members = [{"id": name, "host_port": address, "locality": "hall", "flavor": "m", "cell": 0,
-                    "phase": "Ready", "size": 1.0, "up_since_ms": 0} for name, address in workers]
-        config = {"name": "n0", "listen": f"{self.host}:{self.port}", "seed": "8c1f",
-                  "discovery": f"{self.host}:{free_port(self.host)}",
-                  "operator": f"{self.host}:{self.operator}",
-                  "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": sockets},
-                  "known": {"revision": 1, "complete": True, "members": members}, "settings": site or SITE}
+        members = [
+            {
+                "id": name,
+                "host_port": address,
+                "locality": "hall",
+                "flavor": "m",
+                "cell": 0,
+                "phase": "Ready",
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+            for name, address in workers
+        ]
+        config = {
+            "name": "n0",
+            "listen": f"{self.host}:{self.port}",
+            "seed": "8c1f",
+            "discovery": f"{self.host}:{free_port(self.host)}",
+            "operator": f"{self.host}:{self.operator}",
+            "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": sockets},
+            "known": {"revision": 1, "complete": True, "members": members},
+            "settings": site or SITE,
+        }
         config_path = self.folder / "config.json"
         config_path.write_text(json.dumps(config))
-        self._environment = {**os.environ, "RELAY_CONFIG": str(config_path),
-                             "TMPDIR": str(self.folder / "tmp"), "CARTHINGE_FILE": str(options_path)}
+        self._environment = {
+            **os.environ,
+            "RELAY_CONFIG": str(config_path),
+            "TMPDIR": str(self.folder / "tmp"),
+            "CARTHINGE_FILE": str(options_path),
+        }
         self.process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         with self.log.open("ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "carthinge"], env=self._environment,
-                                            stderr=log)
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "carthinge"], env=self._environment, stderr=log
+            )
 
     async def up(self) -> None:
         while True:
@@ -102,8 +128,9 @@
         self._at = (host, port)
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
-    async def call(self, method: str, path: str, headers: dict[str, str] | None = None,
-                   body: bytes = b"") -> tuple[int, dict[str, str], bytes]:
+    async def call(
+        self, method: str, path: str, headers: dict[str, str] | None = None, body: bytes = b""
+    ) -> tuple[int, dict[str, str], bytes]:
         """Raises OSError where the connection ends before the whole answer has come."""
         if self._streams is None:
             self._streams = await asyncio.open_connection(*self._at)
@@ -129,8 +156,9 @@
             self._streams = None
 
 
-async def call(host: str, port: int, method: str, path: str, headers: dict[str, str] | None = None,
-               body: bytes = b"") -> tuple[int, dict[str, str], bytes]:
+async def call(
+    host: str, port: int, method: str, path: str, headers: dict[str, str] | None = None, body: bytes = b""
+) -> tuple[int, dict[str, str], bytes]:
     connection = Connection(host, port)
     try:
         return await connection.call(method, path, headers, body)
@@ -205,8 +233,14 @@
                 part = f"Lease-Token: {token}\r\n" if token and self.takes_part else ""
                 writer.write(f"HTTP/1.1 202 Accepted\r\n{part}Content-Length: 0\r\n\r\n".encode())
                 self._jobs[name, req_id] = asyncio.create_task(
-                    self._run(name, req_id, headers.get("idempotency-key", ""), token,
-                              float(headers.get("lease-duration", "0m")[:-1]) / 1000))
+                    self._run(
+                        name,
+                        req_id,
+                        headers.get("idempotency-key", ""),
+                        token,
+                        float(headers.get("lease-duration", "0m")[:-1]) / 1000,
+                    )
+                )
         writer.close()
 
     async def _run(self, name: str, req_id: str, key: str, token: str, lease: float) -> None:
@@ -240,8 +274,9 @@
             await self._tell(name, req_id, token, "heartbeat", once=True)
             await asyncio.sleep(lease / 3)
 
-    async def _tell(self, name: str, req_id: str, token: str, state: str, result: str = "",
-                    once: bool = False) -> None:
+    async def _tell(
+        self, name: str, req_id: str, token: str, state: str, result: str = "", once: bool = False
+    ) -> None:
         event: dict[str, Any] = {"id": req_id, "from": name, "state": state}
         if token and self.takes_part:
             event["token"] = int(token)
@@ -270,8 +305,9 @@
     """A fleet that serves at once, in a process of its own: clients and workers must not slow each other."""
 
     def __init__(self, size: int) -> None:
-        self._process = subprocess.Popen([sys.executable, __file__, str(size)], stdin=subprocess.PIPE,
-                                         stdout=subprocess.PIPE)
+        self._process = subprocess.Popen(
+            [sys.executable, __file__, str(size)], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
         assert self._process.stdout is not None
         named = json.loads(self._process.stdout.readline())
         self.names: list[tuple[str, str]] = [(name, address) for name, address in named]
--- a/benchmarks/ledger_world.py
+++ b/benchmarks/ledger_world.py
@@ -24,7 +24,7 @@
     found: list[list[list[str]]] = []
     for sides in partitions(rest):
         found.append([[first], *sides])
-        found += [[*sides[:at], [first, *side], *sides[at + 1:]] for at, side in enumerate(sides)]
+        found += [[*sides[:at], [first, *side], *sides[at + 1 :]] for at, side in enumerate(sides)]
     return found
 
 
@@ -60,8 +60,10 @@
 
     def __init__(self, size: int, seed: int, drift: float = 0.009) -> None:
         super().__init__(size, seed)
-        self.clocks = {name: (timedelta(days=self.rng.random()), 1 + self.rng.uniform(-drift, drift))
-                       for name in self.names}
+        self.clocks = {
+            name: (timedelta(days=self.rng.random()), 1 + self.rng.uniform(-drift, drift))
+            for name in self.names
+        }
         self.worst = 0  # sum of all parts, at the most
         self.ledgers: dict[str, Ledger] = {}
         for name in self.names:
--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -32,8 +32,16 @@
         while time.monotonic() < began + seconds:
             step += 1
             status, _, _ = await connection.call(
-                "POST", "/api/x", {"Req-Id": f"{number}-{step}", "Req-Kind": "query", "Req-Owner": "acme",
-                                   "Req-Deadline": f"{deadline_ms}m"}, b"{}")
+                "POST",
+                "/api/x",
+                {
+                    "Req-Id": f"{number}-{step}",
+                    "Req-Kind": "query",
+                    "Req-Owner": "acme",
+                    "Req-Deadline": f"{deadline_ms}m",
+                },
+                b"{}",
+            )
             served += status == 200
         connection.close()
 
--- a/benchmarks/stores.py
+++ b/benchmarks/stores.py
@@ -48,8 +48,22 @@
 def records(numbers: range, end: bool) -> list[Any]:
     batch: list[Any] = []
     for number in numbers:
-        batch.append(Accepted(number, f"r{number}", "acme", "reindex", number.to_bytes(16, "big"), b"d" * 16,
-                              b"/api", BODY, (("Idempotency-Key", b"k"),), Terms(1, 2, 1.0, 0.0), 1, 1 << 60))
+        batch.append(
+            Accepted(
+                number,
+                f"r{number}",
+                "acme",
+                "reindex",
+                number.to_bytes(16, "big"),
+                b"d" * 16,
+                b"/api",
+                BODY,
+                (("Idempotency-Key", b"k"),),
+                Terms(1, 2, 1.0, 0.0),
+                1,
+                1 << 60,
+            )
+        )
         batch.append(Granted(number, number, 0, "s-1", "127.0.0.1:1", b"entry", 1, 1 << 60))
         if end:
             batch.append(Ended(number, JobState.SERVED, b"result", number, 2, 1 << 60))
@@ -85,7 +99,8 @@
     def _open(self) -> None:
         self._env = lmdb.open(self._path, map_size=4 << 30, max_dbs=3)
         self._jobs, self._attempts, self._ended = (
-            self._env.open_db(name) for name in (b"jobs", b"attempts", b"ended"))
+            self._env.open_db(name) for name in (b"jobs", b"attempts", b"ended")
+        )
 
     def apply(self, numbers: range, end: bool) -> None:
         with self._env.begin(write=True) as transaction:
@@ -116,7 +131,8 @@
 
     def apply(self, numbers: range, end: bool) -> None:
         body = msgspec.msgpack.encode(
-            [(type(record).__name__, fields(record)) for record in records(numbers, end)])
+            [(type(record).__name__, fields(record)) for record in records(numbers, end)]
+        )
         os.write(self._file, struct.pack("<II", len(body), crc32(body)) + body)
         os.fdatasync(self._file)
 
@@ -125,7 +141,7 @@
         data, at = self._path.read_bytes(), 0
         while at + 8 <= len(data):
             size, crc = struct.unpack_from("<II", data, at)
-            body = data[at + 8:at + 8 + size]
+            body = data[at + 8 : at + 8 + size]
             if len(body) < size or crc32(body) != crc:
                 break
             for name, packed in msgspec.msgpack.decode(body):
--- a/benchmarks/talking_play.py
+++ b/benchmarks/talking_play.py
@@ -27,8 +27,15 @@
         self.insight = Insight(self.module, {}, len(play.world.sorts))
         self.name, self._shown, self._due = f"s{position}", 0, 0
         rng, now = Random(f"{play.seed}/talk/{position}/{life}"), play.agenda.now * MICROSECOND
-        member = Membership(self.name, self.name, ["s0", "s1"], play.period, 1000 + life,
-                            rng.getrandbits(60), now + rng.random() * play.period)
+        member = Membership(
+            self.name,
+            self.name,
+            ["s0", "s1"],
+            play.period,
+            1000 + life,
+            rng.getrandbits(60),
+            now + rng.random() * play.period,
+        )
         if not life:  # they know each other from the start: how they join is another matter
             other = f"s{(position + 1) % len(play.schedulers)}"
             member.hear(now, Packet(Kind.BEAT, other, other, 1000, rumors=play.known))
--- a/carthinge/benchlink.py
+++ b/carthinge/benchlink.py
@@ -41,8 +41,16 @@
 from carthinge.settings import Facts, read_settings
 from carthinge.wire import ACTIONS, Act, Ev, Fields, WireError
 
-RESULTS: Final = {200: Result.OK, 502: Result.ERROR, 429: Result.FULL, 408: Result.TIMEOUT,
-                  521: Result.CONNECT_FAILED, 520: Result.RESET, 444: Result.CANCELLED, 409: Result.MOOT}
+RESULTS: Final = {
+    200: Result.OK,
+    502: Result.ERROR,
+    429: Result.FULL,
+    408: Result.TIMEOUT,
+    521: Result.CONNECT_FAILED,
+    520: Result.RESET,
+    444: Result.CANCELLED,
+    409: Result.MOOT,
+}
 
 
 def worker_id(raw: bytes) -> int:
@@ -56,8 +64,9 @@
 
 def _arrival(f: Fields) -> Arrival:
     _, request, job_class, tenant, key, give_up, hint, slots, memory, marks = f
-    return Arrival(request, job_class, give_up, tenant, key, hint if marks & 1 else None, slots, memory,
-                   bool(marks & 2))
+    return Arrival(
+        request, job_class, give_up, tenant, key, hint if marks & 1 else None, slots, memory, bool(marks & 2)
+    )
 
 
 def _outcome(f: Fields) -> Outcome:
--- a/carthinge/cli.py
+++ b/carthinge/cli.py
@@ -12,8 +12,9 @@
 
 File = Annotated[str | None, typer.Option("--file", help="the operator's own file; else CARTHINGE_FILE")]
 
-app = typer.Typer(add_completion=False, pretty_exceptions_enable=False,
-                  help="A push scheduler for job workers.")
+app = typer.Typer(
+    add_completion=False, pretty_exceptions_enable=False, help="A push scheduler for job workers."
+)
 app.add_typer(store_app, name="store")
 
 
@@ -25,8 +26,9 @@
 
 
 @app.command()
-def serve(log_level: Annotated[str, typer.Option(help="debug, info, warning or error")] = "info",
-          file: File = None) -> None:
+def serve(
+    log_level: Annotated[str, typer.Option(help="debug, info, warning or error")] = "info", file: File = None
+) -> None:
     """Run one scheduler in the foreground, configured by the RELAY_ variables."""
     if log_level not in log.LEVELS:
         raise typer.BadParameter(f"one of {', '.join(log.LEVELS)}", param_hint="--log-level")
@@ -46,8 +48,10 @@
     if config is None:
         raise typer.Exit(serving.BAD_CONFIG)
     site, durable = config.site, config.options.durable
-    typer.echo(f"{config.name}: listens on {config.listen}, "
-               f"{len(config.known.members)} workers known, classes {', '.join(site.classes)}, "
-               f"{len(site.tenants)} tenants, {config.limits.sockets} sockets")
+    typer.echo(
+        f"{config.name}: listens on {config.listen}, "
+        f"{len(config.known.members)} workers known, classes {', '.join(site.classes)}, "
+        f"{len(site.tenants)} tenants, {config.limits.sockets} sockets"
+    )
     if durable.folder:
         typer.echo(f"durable: {', '.join(durable.classes) or 'no class'} in {durable.folder}")
--- a/carthinge/desk.py
+++ b/carthinge/desk.py
@@ -24,19 +24,41 @@
 class Desk:
     """Each part is handed the desk of its dispatcher, and the parts that it asks.  No decisions."""
 
-    __slots__ = ("settings", "rng", "now", "actions", "jobs", "fleet", "freed", "timers", "after",
-                 "mean_work", "served", "level", "shared", "budget", "arrivals", "heat", "queue",
-                 "carried", "_warm_part", "_warm", "_warm_until")
-
-    def __init__(self, settings: io.Settings, seed: int,
-                 part: Callable[[Desk, list[Worker]], list[Worker]]) -> None:
+    __slots__ = (
+        "settings",
+        "rng",
+        "now",
+        "actions",
+        "jobs",
+        "fleet",
+        "freed",
+        "timers",
+        "after",
+        "mean_work",
+        "served",
+        "level",
+        "shared",
+        "budget",
+        "arrivals",
+        "heat",
+        "queue",
+        "carried",
+        "_warm_part",
+        "_warm",
+        "_warm_until",
+    )
+
+    def __init__(
+        self, settings: io.Settings, seed: int, part: Callable[[Desk, list[Worker]], list[Worker]]
+    ) -> None:
         self.settings = settings
         self.rng = Random(seed)
         self.now = 0
         self.actions: list[io.Action] = []
         self.jobs: dict[int, Job] = {}
-        self.fleet = Fleet(settings.price_connection > 0 and settings.price_fetch <= 0,
-                           lambda pool: part(self, pool))
+        self.fleet = Fleet(
+            settings.price_connection > 0 and settings.price_fetch <= 0, lambda pool: part(self, pool)
+        )
         self.freed: list[Worker] = []  # where a slot may have come free in this call
         self.timers = Timers()
         self.after = self.timers.add
--- a/carthinge/durable/admission.py
+++ b/carthinge/durable/admission.py
@@ -41,8 +41,15 @@
 class Admission:
     """Takes durable jobs on."""
 
-    def __init__(self, jobs: Jobs, loop: Loop, book: Book, limits: Limits, register: Register,
-                 terms_of: Callable[[Accepted, timedelta], Terms | None]) -> None:
+    def __init__(
+        self,
+        jobs: Jobs,
+        loop: Loop,
+        book: Book,
+        limits: Limits,
+        register: Register,
+        terms_of: Callable[[Accepted, timedelta], Terms | None],
+    ) -> None:
         self.shed_for: dict[str, int] = dict.fromkeys((why.name.lower() for why in Shed), 0)
         self._jobs = jobs
         self._loop = loop
@@ -62,16 +69,35 @@
             self._join(other, digest, waiter)
             return
         writer = self._jobs.writer
-        why = Shed.FAILING if writer is None or self._jobs.leaving else self._limits.refusal(
-            terms.tenant_name, len(job.body), writer.backlog, writer.usage.bytes_used, bool(writer.failing))
+        why = (
+            Shed.FAILING
+            if writer is None or self._jobs.leaving
+            else self._limits.refusal(
+                terms.tenant_name,
+                len(job.body),
+                writer.backlog,
+                writer.usage.bytes_used,
+                bool(writer.failing),
+            )
+        )
         if why is not None or writer is None:
             self._shed(waiter, why or Shed.FAILING)
             return
         hint = None if terms.hint is None else min(terms.hint, LONGEST_HINT) // MICROSECOND
         accepted = Accepted(
-            self._jobs.next(), job.id, terms.tenant_name, terms.class_name, named, digest, job.subject,
-            job.body, job.headers, records.Terms(terms.key, hint, terms.slots, terms.memory),
-            arrived // MICROSECOND, (arrived + terms.patience) // MICROSECOND)
+            self._jobs.next(),
+            job.id,
+            terms.tenant_name,
+            terms.class_name,
+            named,
+            digest,
+            job.subject,
+            job.body,
+            job.headers,
+            records.Terms(terms.key, hint, terms.slots, terms.memory),
+            arrived // MICROSECOND,
+            (arrived + terms.patience) // MICROSECOND,
+        )
         held = Held(self._jobs, accepted)
         held.add(waiter)
         self._register.enter(held)
--- a/carthinge/durable/check.py
+++ b/carthinge/durable/check.py
@@ -44,12 +44,16 @@
     while part := rows.fetchmany(AT_ONCE):
         for number, subject, body, state, result, crc in part:
             step()
-            what, right = ("body", body_crc(number, subject, body)) if state == JobState.OPEN \
+            what, right = (
+                ("body", body_crc(number, subject, body))
+                if state == JobState.OPEN
                 else ("result", result_crc(number, state, result or b""))
+            )
             if crc != right:
                 yield f"job {number:x}: its {what} is damaged"
-    for token, job in database.execute("SELECT token, job FROM attempts WHERE job NOT IN "
-                                       "(SELECT number FROM jobs)"):
+    for token, job in database.execute(
+        "SELECT token, job FROM attempts WHERE job NOT IN " "(SELECT number FROM jobs)"
+    ):
         yield f"attempt {token:x}: its job {job:x} is not there"
     log = folder / f"{DATABASE}-wal"
     if log.is_file() and wal.examine(log.read_bytes()).damaged and not _in_use(folder):
@@ -58,6 +62,7 @@
 
 def overview(database: sqlite3.Connection, most: int) -> dict[str, Any]:
     """What a store holds, for people."""
+
     def one(text: str) -> Any:
         return database.execute(text).fetchone()[0]
 
@@ -67,15 +72,28 @@
         "epoch": one("SELECT value FROM meta WHERE name = 'epoch'"),
         "bytes_used": one("PRAGMA page_count") * PAGE - free,
         "bytes_free": free,
-        "jobs": [{"class": name, "tenant": tenant, "state": JobState(state).name.lower(), "jobs": count}
-                 for name, tenant, state, count in database.execute(
-                     "SELECT class, tenant, state, count(*) FROM jobs GROUP BY 1, 2, 3 ORDER BY 1, 2, 3")],
-        "open": [{"number": number, "req_id": req_id, "class": name, "tenant": tenant, "attempts": attempts,
-                  "out_at": out_at}
-                 for number, req_id, name, tenant, attempts, out_at in database.execute(
-                     "SELECT number, req_id, class, tenant, (SELECT count(*) FROM attempts WHERE job = "
-                     "jobs.number), (SELECT worker FROM attempts WHERE job = jobs.number AND state = 0) "
-                     "FROM jobs WHERE state = 0 ORDER BY number LIMIT ?", (most,))],
+        "jobs": [
+            {"class": name, "tenant": tenant, "state": JobState(state).name.lower(), "jobs": count}
+            for name, tenant, state, count in database.execute(
+                "SELECT class, tenant, state, count(*) FROM jobs GROUP BY 1, 2, 3 ORDER BY 1, 2, 3"
+            )
+        ],
+        "open": [
+            {
+                "number": number,
+                "req_id": req_id,
+                "class": name,
+                "tenant": tenant,
+                "attempts": attempts,
+                "out_at": out_at,
+            }
+            for number, req_id, name, tenant, attempts, out_at in database.execute(
+                "SELECT number, req_id, class, tenant, (SELECT count(*) FROM attempts WHERE job = "
+                "jobs.number), (SELECT worker FROM attempts WHERE job = jobs.number AND state = 0) "
+                "FROM jobs WHERE state = 0 ORDER BY number LIMIT ?",
+                (most,),
+            )
+        ],
     }
 
 
--- a/carthinge/durable/cli.py
+++ b/carthinge/durable/cli.py
@@ -47,8 +47,11 @@
 
 
 @app.command()
-def show(folder: Folder, as_json: Json = False,
-         most: Annotated[int, typer.Option(min=0, help="open jobs to list")] = 20) -> None:
+def show(
+    folder: Folder,
+    as_json: Json = False,
+    most: Annotated[int, typer.Option(min=0, help="open jobs to list")] = 20,
+) -> None:
     """Say what a store holds, also while a scheduler has it."""
     from carthinge.durable.check import overview
 
@@ -61,17 +64,26 @@
     from rich.table import Table
 
     console = Console()
-    console.print(f"{folder}: format {seen['format']}, opened {seen['epoch']} times, "
-                  f"{seen['bytes_used']:,} bytes in use, {seen['bytes_free']:,} free")
+    console.print(
+        f"{folder}: format {seen['format']}, opened {seen['epoch']} times, "
+        f"{seen['bytes_used']:,} bytes in use, {seen['bytes_free']:,} free"
+    )
     counts = Table("class", "tenant", "state", "jobs", title="jobs")
     for row in seen["jobs"]:
         counts.add_row(row["class"], row["tenant"], row["state"], f"{row['jobs']:,}")
     console.print(counts)
-    listed = Table("number", "request", "class", "tenant", "attempts", "out at",
-                   title="open, the oldest first")
+    listed = Table(
+        "number", "request", "class", "tenant", "attempts", "out at", title="open, the oldest first"
+    )
     for row in seen["open"]:
-        listed.add_row(f"{row['number']:x}", row["req_id"], row["class"], row["tenant"], str(row["attempts"]),
-                       row["out_at"] or "-")
+        listed.add_row(
+            f"{row['number']:x}",
+            row["req_id"],
+            row["class"],
+            row["tenant"],
+            str(row["attempts"]),
+            row["out_at"] or "-",
+        )
     console.print(listed)
 
 
--- a/carthinge/durable/handover.py
+++ b/carthinge/durable/handover.py
@@ -24,8 +24,9 @@
 class HandOver:
     """Lets go of the store, a little at a time: the loop is never held, however sick the disk is."""
 
-    def __init__(self, jobs: DurableJobs, busy: Callable[[Attempt], bool],
-                 done: Callable[[bool], None]) -> None:
+    def __init__(
+        self, jobs: DurableJobs, busy: Callable[[Attempt], bool], done: Callable[[bool], None]
+    ) -> None:
         """``done`` hears whether another process may have the store now.
 
         ``busy``: an attempt is on its way to its worker, and gets a moment to arrive there.
--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -51,16 +51,27 @@
 class DurableJobs:
     """All durable jobs of this scheduler, and the store they are in."""
 
-    def __init__(self, loop: Loop, book: Book, options: Options, boot: str,
-                 terms_of: Callable[[Accepted, timedelta], Terms | None],
-                 entry_of: Callable[[int], io.WorkerEntry],
-                 target_of: Callable[[str, Address], EgressTarget]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        book: Book,
+        options: Options,
+        boot: str,
+        terms_of: Callable[[Accepted, timedelta], Terms | None],
+        entry_of: Callable[[int], io.WorkerEntry],
+        target_of: Callable[[str, Address], EgressTarget],
+    ) -> None:
         """``terms_of``: a stored job's class and tenant by the settings of now, None where they are gone."""
         durable = options.durable
         self.loop = loop
         self.classes = frozenset(durable.classes)
-        self.limits = Limits(durable.max_open, durable.max_open_per_tenant, durable.max_open_bytes,
-                             durable.max_store_bytes, durable.max_backlog)
+        self.limits = Limits(
+            durable.max_open,
+            durable.max_open_per_tenant,
+            durable.max_open_bytes,
+            durable.max_store_bytes,
+            durable.max_backlog,
+        )
         self.register = Register(self.limits)
         self.tenure = Tenure(loop, options.leases.duration, entry_of, target_of, book.expire)
         self.entrance: Entrance[Held] = Entrance(durable.recover_per_s)
@@ -121,9 +132,12 @@
 
     def under_way(self, busy: Callable[[Attempt], bool]) -> bool:
         """Something is on its way to a worker, or is about to be."""
-        return any(attempt.held_back and attempt.token or busy(attempt)
-                   for held in self.register.by_number.values() if held.exchange is not None
-                   for attempt in held.exchange.out())
+        return any(
+            attempt.held_back and attempt.token or busy(attempt)
+            for held in self.register.by_number.values()
+            if held.exchange is not None
+            for attempt in held.exchange.out()
+        )
 
     def known(self, req_id: str) -> bool:
         """A durable job of that request is open here."""
@@ -132,16 +146,25 @@
     def figures(self) -> dict[str, object]:
         """For the operators, as of now."""
         writer = self.writer
-        return {"open": self.limits.open, "open_bytes": self.limits.bytes,
-                "waiting_to_enter": len(self.entrance), "leases": len(self.tenure.leases),
-                "leases_expired": self.tenure.expired, "late_results": self.late_results,
-                "stale_calls": self.stale_calls, "recovered": self.recovered, "loaded": self.loaded,
-                "damaged": len(self.damaged),
-                "shed": self._admission.shed_for, "failing": bool(writer and writer.failing),
-                "failures": writer.failures if writer else 0, "backlog": writer.backlog if writer else 0,
-                "commits": writer.commits if writer else 0,
-                "store_bytes": writer.usage.bytes_used if writer else 0,
-                "store_bytes_free": writer.usage.bytes_free if writer else 0}
+        return {
+            "open": self.limits.open,
+            "open_bytes": self.limits.bytes,
+            "waiting_to_enter": len(self.entrance),
+            "leases": len(self.tenure.leases),
+            "leases_expired": self.tenure.expired,
+            "late_results": self.late_results,
+            "stale_calls": self.stale_calls,
+            "recovered": self.recovered,
+            "loaded": self.loaded,
+            "damaged": len(self.damaged),
+            "shed": self._admission.shed_for,
+            "failing": bool(writer and writer.failing),
+            "failures": writer.failures if writer else 0,
+            "backlog": writer.backlog if writer else 0,
+            "commits": writer.commits if writer else 0,
+            "store_bytes": writer.usage.bytes_used if writer else 0,
+            "store_bytes_free": writer.usage.bytes_free if writer else 0,
+        }
 
     def time(self) -> Time:
         """For the store; also called from its thread."""
@@ -216,8 +239,9 @@
             self.end(held, Ending(JobState.FAILED, b"its class or tenant is no longer served\n"))
             return
         stored, held.restored = held.restored, []
-        held.exchange = self._book.restore(held.job(), terms, held, held,
-                                           [self.tenure.read_back(attempt) for attempt in stored])
+        held.exchange = self._book.restore(
+            held.job(), terms, held, held, [self.tenure.read_back(attempt) for attempt in stored]
+        )
         for attempt, known in zip(held.exchange.attempts, stored, strict=True):
             if attempt.open and known.until:
                 self.tenure.resume(attempt)
@@ -289,8 +313,9 @@
             self.postpone(lambda: self.grant(held, attempt, go) if attempt.open else None)
         elif self.writer is not None:
             attempt.token = held.last_token = self.next()
-            self.tenure.grant(self.writer, held.accepted.number, attempt,
-                              lambda _: None if self._stopped else go())
+            self.tenure.grant(
+                self.writer, held.accepted.number, attempt, lambda _: None if self._stopped else go()
+            )
 
     def postpone(self, call: Callable[[], None]) -> None:
         """While the store is to leave: another process goes on with its jobs, or this one if that fails."""
@@ -374,9 +399,17 @@
         keep = self._options.keep_collected if waited_for else self._options.keep_results
         if self.writer is not None:
             self.writer.write(
-                Ended(held.accepted.number, ending.state, ending.result, held.winner, now // MICROSECOND,
-                      (now + keep) // MICROSECOND, ending.timed_out),
-                partial(self._ended, held))
+                Ended(
+                    held.accepted.number,
+                    ending.state,
+                    ending.result,
+                    held.winner,
+                    now // MICROSECOND,
+                    (now + keep) // MICROSECOND,
+                    ending.timed_out,
+                ),
+                partial(self._ended, held),
+            )
 
     def _ended(self, held: Held, _: Found | None) -> None:
         self._tell(held)
--- a/carthinge/durable/store.py
+++ b/carthinge/durable/store.py
@@ -75,8 +75,9 @@
 
 def connect(path: str) -> sqlite3.Connection:
     """An ordinary connection; transactions are begun and ended by hand."""
-    return sqlite3.connect(path, timeout=LOCKED_FOR, isolation_level=None, check_same_thread=False,
-                           cached_statements=128)
+    return sqlite3.connect(
+        path, timeout=LOCKED_FOR, isolation_level=None, check_same_thread=False, cached_statements=128
+    )
 
 
 class Store:
@@ -136,9 +137,11 @@
         """Guards against damage further up in the log, after which SQLite silently takes no more."""
         log = self.path.with_name(f"{DATABASE}-wal")
         if log.is_file() and (found := examine(log.read_bytes())).damaged:
-            raise StoreError(f"{log}: damaged after {found.commits} commits, with {found.beyond} more behind "
-                             "that: what was taken on then would be lost. Restore it, or move it away to go "
-                             "on without them")
+            raise StoreError(
+                f"{log}: damaged after {found.commits} commits, with {found.beyond} more behind "
+                "that: what was taken on then would be lost. Restore it, or move it away to go "
+                "on without them"
+            )
 
     def _prepare(self, time: Time) -> None:
         run = self._run
@@ -152,9 +155,14 @@
             raise StoreError(f"{self.path}: of format {found}; this program reads format {FORMAT}")
         if self._one("PRAGMA journal_mode=WAL") != "wal":
             raise StoreError(f"{self.path}: its folder cannot hold a write-ahead log")
-        for pragma in ("synchronous=FULL", f"wal_autocheckpoint={WAL_PAGES}", "cell_size_check=ON",
-                       f"journal_size_limit={2 * WAL_PAGES * PAGE}", "cache_size=-2000",
-                       f"max_page_count={self._max_pages}"):
+        for pragma in (
+            "synchronous=FULL",
+            f"wal_autocheckpoint={WAL_PAGES}",
+            "cell_size_check=ON",
+            f"journal_size_limit={2 * WAL_PAGES * PAGE}",
+            "cache_size=-2000",
+            f"max_page_count={self._max_pages}",
+        ):
             run(f"PRAGMA {pragma}")
         run("BEGIN IMMEDIATE")
         if new:
@@ -184,8 +192,11 @@
         then = dict(self._all("SELECT name, value FROM meta"))
         if then["boot"] != time.boot:
             by = time.now - int(then["now"]) - max(0, time.wall - int(then["wall"]))
-            self._run("UPDATE jobs SET came = came + ?1, give_up = give_up + ?1, ended = ended + ?1, "
-                      "forget_at = forget_at + ?1", (by,))
+            self._run(
+                "UPDATE jobs SET came = came + ?1, give_up = give_up + ?1, ended = ended + ?1, "
+                "forget_at = forget_at + ?1",
+                (by,),
+            )
             self._run("UPDATE attempts SET sent = ?2, due = due + ?1, until = 0, begun = 0", (by, LONG_AGO))
         self._set(boot=time.boot, now=time.now, wall=time.wall)
 
@@ -200,28 +211,59 @@
         try:
             run("BEGIN IMMEDIATE")
             others = self._accept([r for r in batch if isinstance(r, Accepted) and not r.cancelled])
-            self._rows("INSERT OR REPLACE INTO attempts VALUES ", "(?,?,?,?,?,?,?,?,0,0,0)", "", [
-                (r.token, r.job, r.number, r.worker, r.address, r.entry, r.sent, r.due)
-                for r in batch if isinstance(r, Granted)])
+            self._rows(
+                "INSERT OR REPLACE INTO attempts VALUES ",
+                "(?,?,?,?,?,?,?,?,0,0,0)",
+                "",
+                [
+                    (r.token, r.job, r.number, r.worker, r.address, r.entry, r.sent, r.due)
+                    for r in batch
+                    if isinstance(r, Granted)
+                ],
+            )
             last = {r.token: r for r in batch if isinstance(r, Renewed)}
-            self._rows("WITH v(token, until, begun) AS (VALUES ", "(?,?,?)",
-                       ") UPDATE attempts SET until = v.until, begun = max(attempts.begun, v.begun) "
-                       "FROM v WHERE attempts.token = v.token", [
-                           (r.token, r.until, r.begun) for r in last.values()])
-            self._rows("WITH v(token, state) AS (VALUES ", "(?,?)", ") UPDATE attempts SET state = v.state "
-                       "FROM v WHERE attempts.token = v.token", [
-                           (r.token, int(r.state)) for r in batch if isinstance(r, HandedBack)])
-            self._rows("WITH v(number, state, result, token, ended, forget_at, timed_out, crc) AS (VALUES ",
-                       "(?,?,?,?,?,?,?,?)", ") UPDATE jobs SET state = v.state, result = v.result, token = "
-                       "v.token, ended = v.ended, forget_at = v.forget_at, timed_out = v.timed_out, crc = "
-                       f"v.crc, body = x'', key = iif(v.state = {int(JobState.REFUSED)}, NULL, jobs.key) "
-                       "FROM v WHERE jobs.number = v.number AND jobs.state = 0", [
-                           (r.number, int(r.state), r.result, r.token, r.at, r.forget_at, int(r.timed_out),
-                            result_crc(r.number, r.state, r.result))
-                           for r in batch if isinstance(r, Ended)])
-            self._rows("WITH v(number, forget_at) AS (VALUES ", "(?,?)", ") UPDATE jobs SET forget_at = "
-                       "min(jobs.forget_at, v.forget_at) FROM v WHERE jobs.number = v.number", [
-                           (r.number, r.forget_at) for r in batch if isinstance(r, Collected)])
+            self._rows(
+                "WITH v(token, until, begun) AS (VALUES ",
+                "(?,?,?)",
+                ") UPDATE attempts SET until = v.until, begun = max(attempts.begun, v.begun) "
+                "FROM v WHERE attempts.token = v.token",
+                [(r.token, r.until, r.begun) for r in last.values()],
+            )
+            self._rows(
+                "WITH v(token, state) AS (VALUES ",
+                "(?,?)",
+                ") UPDATE attempts SET state = v.state " "FROM v WHERE attempts.token = v.token",
+                [(r.token, int(r.state)) for r in batch if isinstance(r, HandedBack)],
+            )
+            self._rows(
+                "WITH v(number, state, result, token, ended, forget_at, timed_out, crc) AS (VALUES ",
+                "(?,?,?,?,?,?,?,?)",
+                ") UPDATE jobs SET state = v.state, result = v.result, token = "
+                "v.token, ended = v.ended, forget_at = v.forget_at, timed_out = v.timed_out, crc = "
+                f"v.crc, body = x'', key = iif(v.state = {int(JobState.REFUSED)}, NULL, jobs.key) "
+                "FROM v WHERE jobs.number = v.number AND jobs.state = 0",
+                [
+                    (
+                        r.number,
+                        int(r.state),
+                        r.result,
+                        r.token,
+                        r.at,
+                        r.forget_at,
+                        int(r.timed_out),
+                        result_crc(r.number, r.state, r.result),
+                    )
+                    for r in batch
+                    if isinstance(r, Ended)
+                ],
+            )
+            self._rows(
+                "WITH v(number, forget_at) AS (VALUES ",
+                "(?,?)",
+                ") UPDATE jobs SET forget_at = "
+                "min(jobs.forget_at, v.forget_at) FROM v WHERE jobs.number = v.number",
+                [(r.number, r.forget_at) for r in batch if isinstance(r, Collected)],
+            )
             if self._told is None or time.now - self._told.now > 1_000_000:
                 self._set(now=time.now, wall=time.wall)
                 self._told = time
@@ -236,17 +278,36 @@
         others: dict[int, Found] = {}
         keys = list(keyed)
         for start in range(0, len(keys), 500):
-            part = keys[start:start + 500]
+            part = keys[start : start + 500]
             marks = ",".join("?" * len(part))
             for key, *rest in self._all(f"SELECT key, {_FOUND} FROM jobs WHERE key IN ({marks})", part):
                 found = _found(rest)
                 if keyed[key].number != found.number:  # else this batch is applied for the second time
                     others[keyed[key].number] = found
-        self._rows("INSERT OR IGNORE INTO jobs VALUES ",
-                   "(?,?,?,?,?,?,?,?,?,?,?,?,0,NULL,0,0,NULL,NULL,?)", "", [
-            (job.number, job.req_id, job.tenant, job.class_name, job.key, job.digest, job.subject, job.body,
-             msgspec.msgpack.encode(job.headers), msgspec.msgpack.encode(job.terms), job.came, job.give_up,
-             body_crc(job.number, job.subject, job.body)) for job in jobs if job.number not in others])
+        self._rows(
+            "INSERT OR IGNORE INTO jobs VALUES ",
+            "(?,?,?,?,?,?,?,?,?,?,?,?,0,NULL,0,0,NULL,NULL,?)",
+            "",
+            [
+                (
+                    job.number,
+                    job.req_id,
+                    job.tenant,
+                    job.class_name,
+                    job.key,
+                    job.digest,
+                    job.subject,
+                    job.body,
+                    msgspec.msgpack.encode(job.headers),
+                    msgspec.msgpack.encode(job.terms),
+                    job.came,
+                    job.give_up,
+                    body_crc(job.number, job.subject, job.body),
+                )
+                for job in jobs
+                if job.number not in others
+            ],
+        )
         return others
 
     def forget(self, now: int) -> int:
@@ -254,9 +315,13 @@
         run = self._run
         try:
             run("BEGIN IMMEDIATE")
-            numbers = [row[0] for row in self._all(
-                "SELECT number FROM jobs WHERE forget_at <= ? ORDER BY forget_at LIMIT ?",
-                (now, FORGET_AT_ONCE))]
+            numbers = [
+                row[0]
+                for row in self._all(
+                    "SELECT number FROM jobs WHERE forget_at <= ? ORDER BY forget_at LIMIT ?",
+                    (now, FORGET_AT_ONCE),
+                )
+            ]
             marks = ",".join("?" * len(numbers))
             if numbers:
                 run(f"DELETE FROM attempts WHERE job IN ({marks})", numbers)
@@ -276,9 +341,12 @@
         jobs: dict[int, StoredJob] = {}
         damaged: list[int] = []
         last = 0
-        for row in self._all("SELECT number, req_id, tenant, class, key, digest, subject, body, headers, "
-                             "terms, came, give_up, crc FROM jobs WHERE state = 0 AND number > ? "
-                             "ORDER BY number LIMIT ?", (after, count)):
+        for row in self._all(
+            "SELECT number, req_id, tenant, class, key, digest, subject, body, headers, "
+            "terms, came, give_up, crc FROM jobs WHERE state = 0 AND number > ? "
+            "ORDER BY number LIMIT ?",
+            (after, count),
+        ):
             last = row[0]
             try:
                 jobs[last] = _stored(row)
@@ -286,8 +354,10 @@
                 damaged.append(last)
         if jobs:
             for job, *rest in self._all(
-                    "SELECT job, token, number, worker, address, entry, sent, due, until, begun, state FROM "
-                    "attempts WHERE job BETWEEN ? AND ? ORDER BY job, number", (min(jobs), max(jobs))):
+                "SELECT job, token, number, worker, address, entry, sent, due, until, begun, state FROM "
+                "attempts WHERE job BETWEEN ? AND ? ORDER BY job, number",
+                (min(jobs), max(jobs)),
+            ):
                 if job in jobs:  # others in that span have ended
                     rest[-1] = AttemptState(rest[-1])
                     jobs[job].attempts.append(StoredAttempt(*rest))
@@ -329,7 +399,7 @@
     def _rows(self, before: str, row: str, after: str, rows: list[tuple[Any, ...]]) -> None:
         """One statement for up to 256 rows, filled up by the last one: what it does may be done again."""
         for start in range(0, len(rows), CHUNKS[-1]):
-            part = rows[start:start + CHUNKS[-1]]
+            part = rows[start : start + CHUNKS[-1]]
             size = next(size for size in CHUNKS if size >= len(part))
             part += part[-1:] * (size - len(part))
             self._run(_text(before, row, size, after), [value for values in part for value in values])
@@ -354,8 +424,9 @@
 
 
 _FOUND: Final = "number, state, digest, result, token, timed_out, req_id"
-_HEADERS: Final[msgspec.msgpack.Decoder[tuple[tuple[str, bytes], ...]]] = \
-    msgspec.msgpack.Decoder(tuple[tuple[str, bytes], ...])
+_HEADERS: Final[msgspec.msgpack.Decoder[tuple[tuple[str, bytes], ...]]] = msgspec.msgpack.Decoder(
+    tuple[tuple[str, bytes], ...]
+)
 _TERMS: Final[msgspec.msgpack.Decoder[Terms]] = msgspec.msgpack.Decoder(Terms)
 
 
@@ -364,8 +435,22 @@
     number, req_id, tenant, name, key, digest, subject, body, headers, terms, came, give_up, crc = row
     if crc != body_crc(number, subject, body):
         raise ValueError(f"job {number:x} is damaged")
-    return StoredJob(Accepted(number, req_id, tenant, name, key, digest, subject, body,
-                              _HEADERS.decode(headers), _TERMS.decode(terms), came, give_up))
+    return StoredJob(
+        Accepted(
+            number,
+            req_id,
+            tenant,
+            name,
+            key,
+            digest,
+            subject,
+            body,
+            _HEADERS.decode(headers),
+            _TERMS.decode(terms),
+            came,
+            give_up,
+        )
+    )
 
 
 def _found(row: Sequence[Any]) -> Found:
--- a/carthinge/durable/tenure.py
+++ b/carthinge/durable/tenure.py
@@ -24,9 +24,14 @@
 class Tenure:
     """Who has which job, and until when."""
 
-    def __init__(self, loop: Loop, duration: timedelta, entry_of: Callable[[int], io.WorkerEntry],
-                 target_of: Callable[[str, Address], EgressTarget],
-                 expired: Callable[[Attempt], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        duration: timedelta,
+        entry_of: Callable[[int], io.WorkerEntry],
+        target_of: Callable[[str, Address], EgressTarget],
+        expired: Callable[[Attempt], None],
+    ) -> None:
         """``entry_of``: a worker as it is listed; ``target_of``: the same by its name, listed or not;
         ``expired`` hears of an attempt whose lease is over."""
         self.leases: Leases[Attempt] = Leases(duration)
@@ -38,8 +43,7 @@
         self._timer: Timer | None = None
         self._encoded: dict[int, tuple[io.WorkerEntry, bytes]] = {}
 
-    def grant(self, writer: Writer, job: int, attempt: Attempt,
-              go: Callable[[object], None]) -> None:
+    def grant(self, writer: Writer, job: int, attempt: Attempt, go: Callable[[object], None]) -> None:
         """Writes down that it is about to be sent; ``go`` once it may be."""
         target = attempt.target
         entry = self._entry_of(target.number)
@@ -48,8 +52,19 @@
             encoded = msgspec.msgpack.encode(entry)
             self._encoded[target.number] = (entry, encoded)
 
-        writer.write(Granted(attempt.token, job, attempt.number, target.id, str(target.address), encoded,
-                             attempt.sent // MICROSECOND, attempt.due // MICROSECOND), go)
+        writer.write(
+            Granted(
+                attempt.token,
+                job,
+                attempt.number,
+                target.id,
+                str(target.address),
+                encoded,
+                attempt.sent // MICROSECOND,
+                attempt.due // MICROSECOND,
+            ),
+            go,
+        )
 
     def renew(self, writer: Writer | None, attempt: Attempt, begun: bool) -> None:
         """Its worker has given a sign.  The first one is written down at once, since it says that the worker
@@ -73,11 +88,22 @@
         Granted and perhaps never sent: that cannot be told apart from running, and counts as that.
         """
         target = self._target_of(stored.worker, Address.parse(stored.address))
-        return Sent(target, stored.sent * MICROSECOND, stored.due * MICROSECOND, stored.token,
-                    io.AttemptMemory(worker=target.number, entry=_ENTRIES.decode(stored.entry),
-                                     sent=stored.sent, expected=0.0, begun=stored.begun,
-                                     open=stored.state is AttemptState.OUT, alone=False,
-                                     may_have_run=stored.state is not AttemptState.NEVER_RAN))
+        return Sent(
+            target,
+            stored.sent * MICROSECOND,
+            stored.due * MICROSECOND,
+            stored.token,
+            io.AttemptMemory(
+                worker=target.number,
+                entry=_ENTRIES.decode(stored.entry),
+                sent=stored.sent,
+                expected=0.0,
+                begun=stored.begun,
+                open=stored.state is AttemptState.OUT,
+                alone=False,
+                may_have_run=stored.state is not AttemptState.NEVER_RAN,
+            ),
+        )
 
     def resume(self, attempt: Attempt) -> None:
         """An attempt from before a crash is out still, and its worker held a lease.  It does for one duration
--- a/carthinge/durable/wal.py
+++ b/carthinge/durable/wal.py
@@ -53,7 +53,7 @@
         _, ends, its_a, its_b, sum_a, sum_b = FRAME.unpack_from(log, start)
         ours = (its_a, its_b) == (salt_a, salt_b)  # else it is from before the log was begun anew
         if fits and ours:
-            frame = log[start:start + 8] + log[start + FRAME.size:start + size]
+            frame = log[start : start + 8] + log[start + FRAME.size : start + size]
             sums = _sums(frame, sums, big)
             fits = sums == (sum_a, sum_b)
         elif not ours:
--- a/carthinge/durable/writer.py
+++ b/carthinge/durable/writer.py
@@ -34,8 +34,12 @@
     through: the records in it are owed, and nothing after it may be on disk before it.
     """
 
-    def __init__(self, store: Store, clock: Callable[[], Time],
-                 register: Callable[[socket.socket, Callable[[int], None]], None]) -> None:
+    def __init__(
+        self,
+        store: Store,
+        clock: Callable[[], Time],
+        register: Callable[[socket.socket, Callable[[int], None]], None],
+    ) -> None:
         self.failing = ""  #: the fault while the disk cannot be written, empty while it can
         self.failures = 0
         self.commits = 0
@@ -205,8 +209,11 @@
         self._stuck = 0
         self._measure()  # each time: the limit is held against it, and a second can fill a small store
         if others:
-            self._done.extend((done, others.get(record.number) if isinstance(record, Accepted) else None)
-                              for record, done in batch if done is not None)
+            self._done.extend(
+                (done, others.get(record.number) if isinstance(record, Accepted) else None)
+                for record, done in batch
+                if done is not None
+            )
         else:
             self._done.extend((done, None) for _, done in batch if done is not None)
         self._wake()
--- a/carthinge/fleet/doubts_shared.py
+++ b/carthinge/fleet/doubts_shared.py
@@ -49,8 +49,15 @@
         self._members: frozenset[str] = frozenset()
         self._ranks: dict[int, dict[str, int]] = {}
 
-    def decide(self, now: timedelta, own: Mapping[int, timedelta], well: Mapping[int, timedelta],
-               heard: Mapping[str, Heard], here: Collection[str], workers: int) -> Ruling:
+    def decide(
+        self,
+        now: timedelta,
+        own: Mapping[int, timedelta],
+        well: Mapping[int, timedelta],
+        heard: Mapping[str, Heard],
+        here: Collection[str],
+        workers: int,
+    ) -> Ruling:
         """``own``: doubts at first hand, since when; ``well``: when workers last showed here that they are;
         ``workers``: how many there are.
 
@@ -93,8 +100,9 @@
             del self.well[worker]
         return ruling
 
-    def _cleared(self, worker: int, heard: Mapping[str, Heard], ranks: Mapping[str, int],
-                 may_try: int) -> timedelta:
+    def _cleared(
+        self, worker: int, heard: Mapping[str, Heard], ranks: Mapping[str, int], may_try: int
+    ) -> timedelta:
         """When it was last found well, by one that may try it or by two others."""
         words = {name: heard[name].well[worker] for name in heard if worker in heard[name].well}
         if worker in self.well:
--- a/carthinge/fleet/levels.py
+++ b/carthinge/fleet/levels.py
@@ -125,13 +125,19 @@
         if self.rises == self._told_rises or 0 <= self._told_at > now - TOLD * 1e6:
             return ""
         self._told_at, self._told_rises = now, self.rises
-        return (f"shed level up: starts are waited for {self._wait / 1e3:.0f} ms and expected after"
-                f" {self._expected / 1e3:.0f} ms, {self.bearable / 1e3:.0f} ms can be borne")
+        return (
+            f"shed level up: starts are waited for {self._wait / 1e3:.0f} ms and expected after"
+            f" {self._expected / 1e3:.0f} ms, {self.bearable / 1e3:.0f} ms can be borne"
+        )
 
     def figures(self) -> dict[str, float]:
         """For operators."""
-        return {"level_up": int(self.up), "level_rises": self.rises, "shed_by_level": self.shed,
-                "attempts_waiting": max(0, self.waiting)}
+        return {
+            "level_up": int(self.up),
+            "level_rises": self.rises,
+            "shed_by_level": self.shed,
+            "attempts_waiting": max(0, self.waiting),
+        }
 
     def sheds(self, rank: int, work: float, bearable: float, point: int, run: float, now: int) -> bool:
         """Whether a job that has just come is shed: by its standing, and by its point within that."""
--- a/carthinge/fleet/levels_shared.py
+++ b/carthinge/fleet/levels_shared.py
@@ -48,10 +48,14 @@
         for rank, work in sorted(ranks.items()):
             parts[rank] = min(1.0, left / work) if work else 0.0
             left = max(0.0, left - work)
-        shed = {cell: sum(parts[rank] * work for rank, work in works.items())
-                for cell, works in cells.items()}
-        return {cell: round(FULL * shed[cell] / sizes[cell])
-                for cell in sorted(sizes, key=sizes.__getitem__, reverse=True) if sizes[cell]}
+        shed = {
+            cell: sum(parts[rank] * work for rank, work in works.items()) for cell, works in cells.items()
+        }
+        return {
+            cell: round(FULL * shed[cell] / sizes[cell])
+            for cell in sorted(sizes, key=sizes.__getitem__, reverse=True)
+            if sizes[cell]
+        }
 
     def sheds(self, cell: Cell, rank: int, work: float, point: int, now: int) -> bool:
         """Whether a job that has just come is shed by the agreed level."""
--- a/carthinge/fleet/membership.py
+++ b/carthinge/fleet/membership.py
@@ -38,8 +38,16 @@
 class Membership:
     """One scheduler's view of all.  Every span follows from ``period``; only what is returned is sent."""
 
-    def __init__(self, name: str, address: str, seeds: Sequence[str], period: timedelta, incarnation: int,
-                 seed: int, now: timedelta) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        seeds: Sequence[str],
+        period: timedelta,
+        incarnation: int,
+        seed: int,
+        now: timedelta,
+    ) -> None:
         """``seeds``: addresses to begin with, the own one among them or not.  ``incarnation``: higher than
         that of this scheduler's life before, where that can be had (milliseconds since 1970, say)."""
         self.name, self.period = name, period
@@ -312,8 +320,11 @@
         if rumor.incarnation > member.incarnation:
             self._move(member, rumor.address or member.address)
             self._back(now, member, rumor.incarnation)
-        if rumor.standing is Standing.SUSPECT and member.standing is Standing.ALIVE \
-                and rumor.incarnation == member.incarnation:
+        if (
+            rumor.standing is Standing.SUSPECT
+            and member.standing is Standing.ALIVE
+            and rumor.incarnation == member.incarnation
+        ):
             member.failed = 0  # nobody is dead but by checks from here
             self._suspect(now, member)
 
@@ -326,8 +337,9 @@
                 self.voice.say(Kind.PING, member, number=number, back=sender.address)
         elif kind is Kind.ACK and packet.back:
             if (member := self._home(packet.back)) is not None:
-                self.voice.say(Kind.ACK, member, number=number, about=sender.name,
-                               about_at=sender.incarnation)
+                self.voice.say(
+                    Kind.ACK, member, number=number, about=sender.name, about_at=sender.incarnation
+                )
         elif kind is Kind.ACK:
             self._passed(now, packet, sender)
             if self._joining and not self._page_asked:  # it has just begun: here is the first who answers
--- a/carthinge/fleet/packets.py
+++ b/carthinge/fleet/packets.py
@@ -68,8 +68,10 @@
     sequence: Life
     shape: Life  #: a digest of its tenants and classes, which the cells are numbered by
     pressure: float  #: work that waits over work that ends in a second, as it sees it; 0 and up
-    levels: Annotated[list[tuple[Units, Annotated[int, msgspec.Meta(ge=0, le=LEVEL_MOST)]]],
-                      msgspec.Meta(max_length=CELLS_MOST)] = []  #: what it sheds by cell, per cent
+    levels: Annotated[
+        list[tuple[Units, Annotated[int, msgspec.Meta(ge=0, le=LEVEL_MOST)]]],
+        msgspec.Meta(max_length=CELLS_MOST),
+    ] = []  #: what it sheds by cell, per cent
     spent: Annotated[float, msgspec.Meta(ge=0)] = 0.0  #: of its budget for repeats, since the last summary
     left: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     doubts: Annotated[list[tuple[Worker, Age]], msgspec.Meta(max_length=DOUBTS_MOST)] = []  #: since when
--- a/carthinge/fleet/passing.py
+++ b/carthinge/fleet/passing.py
@@ -76,8 +76,9 @@
 class Ledger:
     """One member's parts of all purses.  All spans follow from the period."""
 
-    def __init__(self, name: str, purses: Collection[int], period: timedelta, now: timedelta,
-                 number: int) -> None:
+    def __init__(
+        self, name: str, purses: Collection[int], period: timedelta, now: timedelta, number: int
+    ) -> None:
         """``purses``: the names of the budgets that pass; one that only some members have stays with them.
         ``number``: asks are counted on from it; above those of the life before, where that can be had."""
         self.name, self.purses = name, purses
@@ -106,16 +107,21 @@
         From ``BASE - LENDABLE`` to ``BASE + LENDABLE``."""
         self._expire(now)
         own = BASE - (LENDABLE if now < self._whole_at else self._lent_of(purse))
-        return own + sum(loan.units for loans in self.borrowed.values() for loan in loans
-                         if loan.purse == purse and loan.until > now + ahead)
+        return own + sum(
+            loan.units
+            for loans in self.borrowed.values()
+            for loan in loans
+            if loan.purse == purse and loan.until > now + ahead
+        )
 
     def ask(self, now: timedelta, left: Mapping[int, float]) -> list[Asking]:
         """What to ask for, by what is left in the store of each purse: the emptiest, one neighbour each."""
         self._expire(now)
         asks: list[Asking] = []
         lenders = self.lenders()
-        empty = sorted((left.get(purse, UNKNOWN), purse) for purse in self.purses
-                       if left.get(purse, UNKNOWN) < BUSY)
+        empty = sorted(
+            (left.get(purse, UNKNOWN), purse) for purse in self.purses if left.get(purse, UNKNOWN) < BUSY
+        )
         for _, purse in empty[:ASKS_MOST] if lenders else ():
             units = lane(len(self._order)) // 2  # two loans at a time, so that one goes on as the other ends
             lender = lenders[(self._number + 1) % len(lenders)]
@@ -126,8 +132,9 @@
                 self.asked_for += units
         return asks
 
-    def grant(self, now: timedelta, borrower: str, purse: int, number: int, units: int,
-              left: Mapping[int, float]) -> int:
+    def grant(
+        self, now: timedelta, borrower: str, purse: int, number: int, units: int, left: Mapping[int, float]
+    ) -> int:
         """Units that this one hands out from now on; 0 for none, and then there is nothing to answer."""
         self._expire(now)
         known = self._answered.get(borrower)
@@ -173,8 +180,9 @@
 
     def _borrowed_of(self, lender: str, purse: int) -> int:
         """Units from one lender, those that are asked for included."""
-        return sum(loan.units for loan in self.borrowed.get(lender, ()) if loan.purse == purse) \
-            + sum(ask.units for ask in self._asks.values() if (ask.lender, ask.purse) == (lender, purse))
+        return sum(loan.units for loan in self.borrowed.get(lender, ()) if loan.purse == purse) + sum(
+            ask.units for ask in self._asks.values() if (ask.lender, ask.purse) == (lender, purse)
+        )
 
     def lenders(self) -> list[str]:
         """Those before this one in the order of all."""
--- a/carthinge/fleet/summary.py
+++ b/carthinge/fleet/summary.py
@@ -50,12 +50,19 @@
 
 def fault_of(summary: Summary) -> str | None:
     """Why it cannot be taken; None where it can.  Ranges of whole numbers were checked as it was read."""
-    for value, most in ((summary.pressure, PRESSURE_MOST), (summary.spent, BUDGET_MOST),
-                        (summary.left, BUDGET_MOST)):
+    for value, most in (
+        (summary.pressure, PRESSURE_MOST),
+        (summary.spent, BUDGET_MOST),
+        (summary.left, BUDGET_MOST),
+    ):
         if not isfinite(value) or not 0 <= value <= most:
             return "out of range"
-    whole = [summary.life, summary.sequence, *(cell for cell, _ in summary.levels),
-             *(age for _, age in [*summary.doubts, *summary.well])]
+    whole = [
+        summary.life,
+        summary.sequence,
+        *(cell for cell, _ in summary.levels),
+        *(age for _, age in [*summary.doubts, *summary.well]),
+    ]
     if any(not 0 <= value < LIFE_MOST for value in whole):
         return "out of range"
     return None
@@ -81,8 +88,14 @@
             return False
         same = summary.shape == self.shape
         self._heard[name] = Heard(
-            now, summary.pressure, dict(summary.levels) if same else {},
-            summary.spent, summary.left, _since(now, summary.doubts), _since(now, summary.well))
+            now,
+            summary.pressure,
+            dict(summary.levels) if same else {},
+            summary.spent,
+            summary.left,
+            _since(now, summary.doubts),
+            _since(now, summary.well),
+        )
         return True
 
     def fresh(self, now: timedelta, here: Collection[str]) -> dict[str, Heard]:
--- a/carthinge/fleet/talk.py
+++ b/carthinge/fleet/talk.py
@@ -63,8 +63,15 @@
 class Talk:
     """Everything of one scheduler that has to do with the others."""
 
-    def __init__(self, membership: Membership, shape: int, purses: Collection[int], life: int,
-                 scheduler: Scheduler, now: timedelta) -> None:
+    def __init__(
+        self,
+        membership: Membership,
+        shape: int,
+        purses: Collection[int],
+        life: int,
+        scheduler: Scheduler,
+        now: timedelta,
+    ) -> None:
         """``life``: drawn at random at the start.  ``purses``: budgets that pass, the same at all members."""
         self.membership, self.scheduler, self.period = membership, scheduler, membership.period
         self.summaries = Summaries(shape, self.period)
@@ -149,27 +156,33 @@
         heard = self.summaries.fresh(now, members.keys())
         late = now - self.period * LEVELS_FRESH
         levels = [other.levels for other in heard.values() if other.at >= late]
-        told = {worker: since for worker, (_, since) in self._own.items()
-                if self._answered.get(worker) != since}
+        told = {
+            worker: since for worker, (_, since) in self._own.items() if self._answered.get(worker) != since
+        }
         ruling = self.doubts.decide(now, told, facts.well, heard, members.keys(), facts.workers)
         self._answered |= {worker: told[worker] for worker in ruling.answered}
         self._asked_of = self.doubts.asked_of()
         self.view = View(
-            ruling, agreed_levels(facts.levels, levels),
+            ruling,
+            agreed_levels(facts.levels, levels),
             agreed(facts.pressure, [other.pressure for other in heard.values()]),
-            self._parts(now), 1 + len(heard))
+            self._parts(now),
+            1 + len(heard),
+        )
         self.changes += 1
         self.membership.voice.summary = self._summary(now, facts, told)
         if new:  # at first hand, and at most once a period: all hear of it at once
             for member in members.values():
                 self.membership.voice.say(Kind.BEAT, member)
         for asking in self.ledger.ask(now, facts.left):
-            self.membership.voice.say(Kind.ASK, members[asking.lender], asking.number, purse=asking.purse,
-                                      units=asking.units)
+            self.membership.voice.say(
+                Kind.ASK, members[asking.lender], asking.number, purse=asking.purse, units=asking.units
+            )
         self.gifts.retune(facts.repeats_most)
         if gift := self.gifts.ask(facts.repeats_left, self.ledger.lenders()):
-            self.membership.voice.say(Kind.ASK, members[gift.lender], gift.number, purse=gift.purse,
-                                      units=gift.units)
+            self.membership.voice.say(
+                Kind.ASK, members[gift.lender], gift.number, purse=gift.purse, units=gift.units
+            )
         if self.rounds % FORGET_EVERY == 0:
             self.summaries.forget(self.membership.members.keys())
 
@@ -178,8 +191,9 @@
         gifts, units = self.gifts, packet.units
         if packet.kind is Kind.GRANT:
             self._passed += gifts.receive(packet.name, packet.number, units)
-        elif units := gifts.grant(packet.name, packet.number, units, self.scheduler.repeats(),
-                                  self.ledger.borrowers()):
+        elif units := gifts.grant(
+            packet.name, packet.number, units, self.scheduler.repeats(), self.ledger.borrowers()
+        ):
             self._passed -= units
             self.membership.voice.say(Kind.GRANT, sender, packet.number, purse=packet.purse, units=units)
         self.changes += 1
@@ -208,22 +222,35 @@
         """As much as fits of each: the newest doubts, the largest cells."""
         levels = [(cell, min(level, LEVEL_MOST)) for cell, level in list(facts.levels.items())[:CELLS_MOST]]
         return Summary(
-            self._life, self.rounds, self._shape, _within(facts.pressure, PRESSURE_MOST), levels,
-            _within(facts.spent, BUDGET_MOST), _within(facts.repeats_left, BUDGET_MOST),
-            _aged(now, doubts), _aged(now, self.doubts.well))
+            self._life,
+            self.rounds,
+            self._shape,
+            _within(facts.pressure, PRESSURE_MOST),
+            levels,
+            _within(facts.spent, BUDGET_MOST),
+            _within(facts.repeats_left, BUDGET_MOST),
+            _aged(now, doubts),
+            _aged(now, self.doubts.well),
+        )
 
     def figures(self) -> dict[str, object]:
         """What operators see of it."""
         counts, ruling, parts = self.membership.counts(), self.view.ruling, self.view.parts.values()
         return {
             **{f"members_{name}": counts[name] for name in ("alive", "suspect", "dead", "left")},
-            "voices": self.view.voices, "pressure": round(self.view.pressure, 3),
+            "voices": self.view.voices,
+            "pressure": round(self.view.pressure, 3),
             "level_most": max(self.view.levels.values(), default=0),
-            "part_least": round(min(parts, default=1.0), 3), "part_most": round(max(parts, default=1.0), 3),
-            "lent": self.ledger.granted, "asked_for": self.ledger.asked_for,
-            "repeats_given": self.gifts.given / UNITS, "repeats_taken": self.gifts.taken / UNITS,
-            "workers_doubted": ruling.doubted, "workers_to_try": len(ruling.mine),
-            "summaries_refused": sum(self.summaries.refused.values())}
+            "part_least": round(min(parts, default=1.0), 3),
+            "part_most": round(max(parts, default=1.0), 3),
+            "lent": self.ledger.granted,
+            "asked_for": self.ledger.asked_for,
+            "repeats_given": self.gifts.given / UNITS,
+            "repeats_taken": self.gifts.taken / UNITS,
+            "workers_doubted": ruling.doubted,
+            "workers_to_try": len(ruling.mine),
+            "summaries_refused": sum(self.summaries.refused.values()),
+        }
 
     def news(self) -> list[tuple[str, Standing]]:
         """Members whose standing has changed since this was last asked."""
--- a/carthinge/fleet/voice.py
+++ b/carthinge/fleet/voice.py
@@ -97,18 +97,56 @@
         self.incarnation = incarnation + 1
         self.rumors.add(Rumor(self.name, Standing.ALIVE, self.incarnation, self.address))
 
-    def say(self, kind: Kind, to: Member, number: int = 0, about: str = "", about_at: int = 0, back: str = "",
-            rumors: list[Rumor] | None = None, purse: int = 0, units: int = 0) -> None:
+    def say(
+        self,
+        kind: Kind,
+        to: Member,
+        number: int = 0,
+        about: str = "",
+        about_at: int = 0,
+        back: str = "",
+        rumors: list[Rumor] | None = None,
+        purse: int = 0,
+        units: int = 0,
+    ) -> None:
         """A message to a member; how it stands here is in each."""
-        self._out.append((to.address, Packet(
-            kind, self.name, self.address, self.incarnation, to.standing, to.incarnation, number, about,
-            about_at, back, self.rumors.ride(self.known) if rumors is None else rumors,
-            self.summary if kind in WITH_SUMMARY else None, purse, units)))
+        self._out.append(
+            (
+                to.address,
+                Packet(
+                    kind,
+                    self.name,
+                    self.address,
+                    self.incarnation,
+                    to.standing,
+                    to.incarnation,
+                    number,
+                    about,
+                    about_at,
+                    back,
+                    self.rumors.ride(self.known) if rumors is None else rumors,
+                    self.summary if kind in WITH_SUMMARY else None,
+                    purse,
+                    units,
+                ),
+            )
+        )
 
     def knock(self, address: str) -> None:
         """A ping to an address where nobody is known."""
-        self._out.append((address, Packet(Kind.PING, self.name, self.address, self.incarnation,
-                                          rumors=self.rumors.ride(self.known), summary=self.summary)))
+        self._out.append(
+            (
+                address,
+                Packet(
+                    Kind.PING,
+                    self.name,
+                    self.address,
+                    self.incarnation,
+                    rumors=self.rumors.ride(self.known),
+                    summary=self.summary,
+                ),
+            )
+        )
 
     def page(self, ordered: Sequence[Member], start: int, to: Member) -> None:
         """Some of those that are here, in the order of their names, and where to go on (0: that was all)."""
--- a/carthinge/front/call_backs.py
+++ b/carthinge/front/call_backs.py
@@ -122,8 +122,9 @@
     def _tell(self, attempt: Attempt, event: JobEvent) -> None:
         result = ENDINGS.get(event.state)
         if result is None:
-            self._book.note(attempt, event.share if event.state == "running" else None,
-                            begun=event.state != "heartbeat")
+            self._book.note(
+                attempt, event.share if event.state == "running" else None, begun=event.state != "heartbeat"
+            )
             return
         self._egress.forsake(attempt)
         self._book.end(attempt, result, self._egress.report(_known(event.load)), event.result.encode())
--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -75,8 +75,9 @@
         self._stream = Stream(ingress.loop, sock, self)
 
     def idle(self) -> bool:
-        return not (self._current or self._waiting or self._reader.under_way or self._finished
-                    or self._stream.unsent)
+        return not (
+            self._current or self._waiting or self._reader.under_way or self._finished or self._stream.unsent
+        )
 
     def silent(self) -> bool:
         return not self._stream.unsent and self._stream.silent()
@@ -89,8 +90,13 @@
 
     def at_rest(self) -> bool:
         """Its client waits for an answer, and has sent nothing more."""
-        return not (self._current is None or self._waiting or self._reader.under_way or self._finished
-                    or self._stream.unsent)
+        return not (
+            self._current is None
+            or self._waiting
+            or self._reader.under_way
+            or self._finished
+            or self._stream.unsent
+        )
 
     def keep_alive(self) -> bool:
         return self._current is not None and self._current.keep_alive
@@ -98,8 +104,10 @@
     def unhandled(self) -> bytes:
         """The requests that were put off, as they may have come."""
         requests = [self._current, *self._waiting] if self._current is not None else []
-        return b"".join(call_bytes(request.method.decode(), request.target, "", _as_sent(request.headers),
-                                   request.body) for request in requests)
+        return b"".join(
+            call_bytes(request.method.decode(), request.target, "", _as_sent(request.headers), request.body)
+            for request in requests
+        )
 
     def waiting_for(self) -> Waiting | None:
         """The durable job that its client waits for, where another process has it."""
@@ -227,9 +235,14 @@
                 self.put_off = True
                 return
             ingress = self._ingress
-            call = durable.begin(self, request, path, ingress.translator,
-                                 lambda asked: ingress.patience(asked, request.came),
-                                 ingress.book.by_id.__contains__)
+            call = durable.begin(
+                self,
+                request,
+                path,
+                ingress.translator,
+                lambda asked: ingress.patience(asked, request.came),
+                ingress.book.by_id.__contains__,
+            )
             if self._current is request:  # else it is answered already
                 self._call = call
         elif request.method == b"POST" and (path == JOBS or path.startswith(JOBS + b"/")):
@@ -237,13 +250,17 @@
         elif request.method == b"GET" and path == b"/up":
             self._answer(HTTPStatus.OK if self._ingress.up() else HTTPStatus.SERVICE_UNAVAILABLE)
         elif request.method == b"GET" and path == b"/counters":
-            self._answer(HTTPStatus.OK, msgspec.json.encode(self._ingress.counters),
-                         [("Content-Type", "application/json")])
+            self._answer(
+                HTTPStatus.OK,
+                msgspec.json.encode(self._ingress.counters),
+                [("Content-Type", "application/json")],
+            )
         else:
             raise BadRequestError(HTTPStatus.NOT_FOUND, "nothing here")
 
-    def reply(self, request: Request, status: int, body: bytes = b"",
-              headers: list[tuple[str, str]] | None = None) -> None:
+    def reply(
+        self, request: Request, status: int, body: bytes = b"", headers: list[tuple[str, str]] | None = None
+    ) -> None:
         """The answer to a request that had to wait for something."""
         if self._current is request and not self._stream.closed:  # else whoever asked has gone meanwhile
             self._call = None
@@ -294,8 +311,14 @@
         self._answer(HTTPStatus.BAD_REQUEST, b"no worker can use this request\n")
         self._ingress.places.misused(self)
 
-    def _answer(self, status: int, body: bytes = b"", headers: list[tuple[str, str]] | None = None,
-                keep_alive: bool = True, readable: bool = True) -> None:
+    def _answer(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: list[tuple[str, str]] | None = None,
+        keep_alive: bool = True,
+        readable: bool = True,
+    ) -> None:
         """``keep_alive``: the connection may go on; it does where more has been read of it, as that is owed
         an answer too, unless it is not ``readable`` any more."""
         request, self._current, self._exchange = self._current, None, None
@@ -303,8 +326,11 @@
         if request is not None and request.method == b"HEAD":
             body = b""
         more = bool(self._waiting) or self._reader.under_way
-        keep_alive = readable and (more or keep_alive and self._ingress.keeps_connections()) \
+        keep_alive = (
+            readable
+            and (more or keep_alive and self._ingress.keeps_connections())
             and (request is None or request.keep_alive)
+        )
         self._stream.write(answer_bytes(status, body, headers or (), keep_alive))
         if not keep_alive:
             self._finished = True
--- a/carthinge/front/durable_front.py
+++ b/carthinge/front/durable_front.py
@@ -78,11 +78,21 @@
         """It is one for this front."""
         if path.startswith(BY_NAME):
             return True
-        return request.method == b"POST" and (path == JOBS or path.startswith(JOBS + b"/")) and \
-            text(request.headers, b"req-kind") in self.jobs.classes
-
-    def begin(self, connection: Connection, request: Request, path: bytes, translator: Translator,
-              patience: Callable[[timedelta], timedelta], known: Callable[[str], bool]) -> JobCall:
+        return (
+            request.method == b"POST"
+            and (path == JOBS or path.startswith(JOBS + b"/"))
+            and text(request.headers, b"req-kind") in self.jobs.classes
+        )
+
+    def begin(
+        self,
+        connection: Connection,
+        request: Request,
+        path: bytes,
+        translator: Translator,
+        patience: Callable[[timedelta], timedelta],
+        known: Callable[[str], bool],
+    ) -> JobCall:
         """Takes a request on; BadRequestError with what is wrong with it."""
         preference = Preference.of(request)
         if not path.startswith(BY_NAME):
@@ -104,8 +114,9 @@
         self.jobs.ask(name, call.watch(name) if request.method == b"GET" else call.give_up(name))
         return call
 
-    def resume(self, connection: Connection, request: Request, name: str, in_place: bool,
-               wait: timedelta) -> JobCall:
+    def resume(
+        self, connection: Connection, request: Request, name: str, in_place: bool, wait: timedelta
+    ) -> JobCall:
         """A client that another process of this scheduler had waiting for a job."""
         call = JobCall(self, connection, request, Mode.IN_PLACE if in_place else Mode.WATCH, wait)
         self.jobs.ask(name, call.watch(name))
@@ -126,8 +137,9 @@
 class JobCall:
     """One request, from where it is read to its one answer.  A waiter of its job."""
 
-    def __init__(self, front: DurableFront, connection: Connection, request: Request, mode: Mode,
-                 wait: timedelta) -> None:
+    def __init__(
+        self, front: DurableFront, connection: Connection, request: Request, mode: Mode, wait: timedelta
+    ) -> None:
         self.held: Held | None = None
         self.number = 0  # of its job, once that is known
         self.mode = mode
@@ -188,6 +200,7 @@
 
     def watch(self, name: str) -> Callable[[Held | Found | int], None]:
         """What to do with the job of that name, once it is found."""
+
         def found(job: Held | Found | int) -> None:
             if self._over:
                 return
@@ -200,25 +213,34 @@
                 self.ended(Ending(job.state, job.result, job.timed_out))
             else:
                 self._missing(job)
+
         return found
 
     def give_up(self, name: str) -> Callable[[Held | Found | int], None]:
         """The same for a job that its client does not want any more."""
+
         def found(job: Held | Found | int) -> None:
             if isinstance(job, Held):
                 if not self._front.jobs.give_up(job, lambda: self._reply(HTTPStatus.NO_CONTENT, b"", [])):
                     self._reply(HTTPStatus.CONFLICT, b"the job has ended\n", [])
             elif isinstance(job, Found):
                 given_up = job.state is JobState.GIVEN_UP
-                self._reply(HTTPStatus.NO_CONTENT if given_up else HTTPStatus.CONFLICT,
-                            b"" if given_up else b"the job has ended\n", [])
+                self._reply(
+                    HTTPStatus.NO_CONTENT if given_up else HTTPStatus.CONFLICT,
+                    b"" if given_up else b"the job has ended\n",
+                    [],
+                )
             else:
                 self._missing(job)
+
         return found
 
     def _missing(self, status: int) -> None:
-        known = {HTTPStatus.NOT_FOUND: b"no such job\n", HTTPStatus.GONE: b"the job is forgotten\n",
-                 HTTPStatus.INTERNAL_SERVER_ERROR: b"the record of the job is damaged\n"}
+        known = {
+            HTTPStatus.NOT_FOUND: b"no such job\n",
+            HTTPStatus.GONE: b"the job is forgotten\n",
+            HTTPStatus.INTERNAL_SERVER_ERROR: b"the record of the job is damaged\n",
+        }
         headers = [] if status in known else self._stay_away(timedelta(seconds=1))
         self._reply(status, known.get(HTTPStatus(status), b"the store cannot be read\n"), headers)
 
@@ -255,8 +277,7 @@
         if self.held is not None and self.held.ending is not None:
             self.ended(self.held.ending)
             return
-        self._reply(HTTPStatus.GATEWAY_TIMEOUT, b"", [("Location", BASE + self.name)]
-                    if self.number else [])
+        self._reply(HTTPStatus.GATEWAY_TIMEOUT, b"", [("Location", BASE + self.name)] if self.number else [])
 
     def _stay_away(self, span: timedelta) -> Headers:
         away = min(span, self._front.max_retry_after())
--- a/carthinge/front/ingress.py
+++ b/carthinge/front/ingress.py
@@ -32,8 +32,17 @@
 class Ingress:
     """The listening socket and the connections that came in on it."""
 
-    def __init__(self, loop: Loop, site: Site, book: Book, egress: Egress, counters: Counters, most: int,
-                 ready: Callable[[], bool], elsewhere: Elsewhere) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        site: Site,
+        book: Book,
+        egress: Egress,
+        counters: Counters,
+        most: int,
+        ready: Callable[[], bool],
+        elsewhere: Elsewhere,
+    ) -> None:
         self.loop = loop
         self.book = book
         self.counters = counters
@@ -87,8 +96,9 @@
         if read:
             connection.received(read)
 
-    def adopt_waiting(self, sock: socket.socket, keep_alive: bool, job: str, in_place: bool,
-                      until: timedelta) -> None:
+    def adopt_waiting(
+        self, sock: socket.socket, keep_alive: bool, job: str, in_place: bool, until: timedelta
+    ) -> None:
         """The same for a connection whose client waits for a durable job."""
         connection = self.adopt_open(sock, keep_alive)
         if self.durable is not None:
--- a/carthinge/front/operator.py
+++ b/carthinge/front/operator.py
@@ -22,8 +22,12 @@
 PLACES: Final = 16  # apart from all others, so that no client can keep an operator out
 BACKLOG: Final = 64
 WHOLE_CALL: Final = timedelta(seconds=5)  # from connecting to the last byte of the call
-CALLS: Final = {b"/ready": b"GET", b"/metrics": b"GET",
-                b"/workers/disable": b"POST", b"/workers/enable": b"POST"}
+CALLS: Final = {
+    b"/ready": b"GET",
+    b"/metrics": b"GET",
+    b"/workers/disable": b"POST",
+    b"/workers/enable": b"POST",
+}
 
 
 class Operations(Protocol):
--- a/carthinge/front/translator.py
+++ b/carthinge/front/translator.py
@@ -56,9 +56,18 @@
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Cost: not a number") from None
         if cost is not None and cost < timedelta():
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Cost: negative")
-        terms = Terms(job_class, class_name, tenant, tenant_name, span(text(headers, b"req-deadline")),
-                      subject_key(request.target), cost, figures.get("slots", 1.0),
-                      figures.get("memory", 0.0), headers.get(b"req-retry") == b"1")
+        terms = Terms(
+            job_class,
+            class_name,
+            tenant,
+            tenant_name,
+            span(text(headers, b"req-deadline")),
+            subject_key(request.target),
+            cost,
+            figures.get("slots", 1.0),
+            figures.get("memory", 0.0),
+            headers.get(b"req-retry") == b"1",
+        )
         passed = tuple((name.decode().title(), headers[name]) for name in PASSED_ON if name in headers)
         return Job(job_id, request.target, request.body, passed), terms
 
--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -308,8 +308,25 @@
     token: int
 
 
-Event = (WorkerList | ByHand | Inherit | Leave | TakeOver | Restore | GiveAway | Retune | Arrival
-         | StreamStarted | Outcome | Abandoned | Note | ProbeResult | Message | FleetView | Timer)
+Event = (
+    WorkerList
+    | ByHand
+    | Inherit
+    | Leave
+    | TakeOver
+    | Restore
+    | GiveAway
+    | Retune
+    | Arrival
+    | StreamStarted
+    | Outcome
+    | Abandoned
+    | Note
+    | ProbeResult
+    | Message
+    | FleetView
+    | Timer
+)
 
 
 # ---- actions ----------------------------------------------------------------------------------
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -73,8 +73,11 @@
 
 
 def _rates(dispatcher: Decisions) -> dict[str, Rate]:
-    return {"served": dispatcher.desk.served, "arrivals": dispatcher.desk.arrivals,
-            "carried": dispatcher.desk.carried}
+    return {
+        "served": dispatcher.desk.served,
+        "arrivals": dispatcher.desk.arrivals,
+        "carried": dispatcher.desk.carried,
+    }
 
 
 def memory_of(dispatcher: Decisions) -> Memory:
@@ -93,20 +96,23 @@
 
 def handlers(dispatcher: Decisions) -> dict[type, Callable[[Any], None]]:
     """Of the events by which a dispatcher takes over from another, or hears what several know together."""
-    return {io.Inherit: lambda event: recall(dispatcher, event),
-            io.Leave: lambda event: _leave(dispatcher, event),
-            io.Restore: lambda event: dispatcher.arrive(event.arrival, event.attempts),
-            io.TakeOver: lambda event: _take_over(dispatcher, event),
-            io.GiveAway: lambda event: _give_away(dispatcher, event),
-            io.FleetView: lambda event: _share(dispatcher, event)}
+    return {
+        io.Inherit: lambda event: recall(dispatcher, event),
+        io.Leave: lambda event: _leave(dispatcher, event),
+        io.Restore: lambda event: dispatcher.arrive(event.arrival, event.attempts),
+        io.TakeOver: lambda event: _take_over(dispatcher, event),
+        io.GiveAway: lambda event: _give_away(dispatcher, event),
+        io.FleetView: lambda event: _share(dispatcher, event),
+    }
 
 
 def job_memory(dispatcher: Decisions, request: int) -> JobMemory:
     """Everything that is known of an open job."""
     job = dispatcher.desk.jobs[request]
-    attempts = [AttemptMemory(worker=attempt.worker.id,
-                              **{name: getattr(attempt, name) for name in _OF_ATTEMPT})
-                for attempt in job.attempts]
+    attempts = [
+        AttemptMemory(worker=attempt.worker.id, **{name: getattr(attempt, name) for name in _OF_ATTEMPT})
+        for attempt in job.attempts
+    ]
     return JobMemory(attempts=attempts, **{name: getattr(job, name) for name in _OF_JOB})
 
 
@@ -131,8 +137,9 @@
         worker = dispatcher.desk.fleet.workers.get(sent.worker)
         if worker is None:  # not listed here yet
             worker = dispatcher.desk.fleet.add(sent.entry, max(1.0, job.slots))
-        attempt = Attempt(job=job, number=number, worker=worker,
-                          **{name: getattr(sent, name) for name in _OF_ATTEMPT})
+        attempt = Attempt(
+            job=job, number=number, worker=worker, **{name: getattr(sent, name) for name in _OF_ATTEMPT}
+        )
         attempt.expected = attempt.expected or float(job.spec.objective)
         job.attempts.append(attempt)
         if attempt.open:
@@ -187,8 +194,10 @@
 
 
 def _of_fleet(fleet: Fleet) -> list[WorkerMemory]:
-    return [WorkerMemory(entry=worker.entry, **{name: getattr(worker, name) for name in _LEARNED})
-            for worker in fleet.workers.values()]
+    return [
+        WorkerMemory(entry=worker.entry, **{name: getattr(worker, name) for name in _LEARNED})
+        for worker in fleet.workers.values()
+    ]
 
 
 def _into_fleet(fleet: Fleet, memory: Memory, kinds: Mapping[int, int]) -> None:
--- a/carthinge/model/__init__.py
+++ b/carthinge/model/__init__.py
@@ -23,5 +23,18 @@
     World,
 )
 
-__all__ = ["Cancels", "Clients", "Herd", "Ill", "JobSort", "Keys", "Load", "Play", "Tally", "Trouble",
-           "Window", "WorkerKind", "World"]
+__all__ = [
+    "Cancels",
+    "Clients",
+    "Herd",
+    "Ill",
+    "JobSort",
+    "Keys",
+    "Load",
+    "Play",
+    "Tally",
+    "Trouble",
+    "Window",
+    "WorkerKind",
+    "World",
+]
--- a/carthinge/model/clients.py
+++ b/carthinge/model/clients.py
@@ -98,8 +98,9 @@
 class ModelClients:
     """All of them.  What comes is the same for each seed, whatever is decided."""
 
-    def __init__(self, world: World, agenda: Agenda, tally: Tally, front: Front, capacity: float,
-                 seed: object) -> None:
+    def __init__(
+        self, world: World, agenda: Agenda, tally: Tally, front: Front, capacity: float, seed: object
+    ) -> None:
         self.agenda, self.front = agenda, front
         self.jobs = 0
         self._world, self._tally, self._capacity = world, tally, capacity
@@ -112,13 +113,14 @@
         self._sorts, self._sort_at = self._cumulated([sort.share for sort in world.sorts])
         keys = world.keys
         count = round(keys.per_worker * world.workers) if keys else 0
-        parts = [n ** -keys.zipf for n in range(1, count + 1)] if keys else []
+        parts = [n**-keys.zipf for n in range(1, count + 1)] if keys else []
         self._keys, self._key_at = self._cumulated(parts)
         self._draw_key = Random(f"{seed}/keys")
         tenants = world.settings.tenants
         usage = world.usage or (1.0,) * len(tenants)
-        self._tenants, self._tenant_at = self._cumulated([t.share * u for t, u in zip(tenants, usage,
-                                                                                      strict=True)])
+        self._tenants, self._tenant_at = self._cumulated(
+            [t.share * u for t, u in zip(tenants, usage, strict=True)]
+        )
         self._quotas = [tenant.quota_per_s * QUOTA_SECONDS for tenant in tenants]
         self._quota_since = [0] * len(tenants)
 
@@ -167,8 +169,19 @@
         deadline = now + spec.deadline
         aim = min(deadline, now + spec.objective + int(spec.stretch * work))
         retries = int(world.clients.retries + rng.random())
-        return Demand(now, job_class, tenant, work, hint, worth, aim, deadline, retries,
-                      rng.random() < world.clients.honour, self._key())
+        return Demand(
+            now,
+            job_class,
+            tenant,
+            work,
+            hint,
+            worth,
+            aim,
+            deadline,
+            retries,
+            rng.random() < world.clients.honour,
+            self._key(),
+        )
 
     def _key(self) -> int:
         return 1 + bisect.bisect(self._key_at[:-1], self._draw_key.random()) if self._keys else 0
@@ -187,8 +200,9 @@
 
     def _try(self, demand: Demand) -> None:
         repeat = demand.tries > 0 and self._world.clients.marks
-        arrival = io.Arrival(0, demand.job_class, 0, demand.tenant, demand.key, hint=demand.hint,
-                             repeat=repeat)
+        arrival = io.Arrival(
+            0, demand.job_class, 0, demand.tenant, demand.key, hint=demand.hint, repeat=repeat
+        )
         demand.tries += 1
         request = Try(self, demand, self.front.choose())
         self.agenda.at(self.agenda.now + self.front.client_delay(), request.arrive, arrival)
--- a/carthinge/model/play.py
+++ b/carthinge/model/play.py
@@ -32,8 +32,9 @@
         self.worker_delay = self._delays(micros(world.worker_delay), world.jitter)
         self.client_delay = self._delays(micros(world.client_delay), world.jitter)
         own, self.store = Random(f"{seed}/workers"), self._store(drawn)
-        self.workers = {number: self._worker(number, world.kinds.index(kind), own)
-                        for number, kind in enumerate(drawn, 1)}
+        self.workers = {
+            number: self._worker(number, world.kinds.index(kind), own) for number, kind in enumerate(drawn, 1)
+        }
         self.capacity = sum(worker.speed * worker.kind.cores for worker in self.workers.values())
         self.entries = {number: worker.entry for number, worker in self.workers.items()}
         self.schedulers = [Scheduler(self, position) for position in range(world.schedulers)]
@@ -43,10 +44,18 @@
     def _worker(self, number: int, kind: int, rng: Random) -> ModelWorker:
         make, keys = self.world.kinds[kind], self.world.keys
         rating = float(make.cores) if self.world.settings.weights is not io.Weights.OFF else 1.0
-        return ModelWorker(self.agenda, self.tally, make, io.WorkerEntry(number, kind=kind, rating=rating),
-                           Random(rng.getrandbits(64)), self.world.settings, self.worker_delay,
-                           micros(self.world.connect_timeout), self.store,
-                           max(1, round(keys.kept_per_slot * make.cores)) if keys else 0)
+        return ModelWorker(
+            self.agenda,
+            self.tally,
+            make,
+            io.WorkerEntry(number, kind=kind, rating=rating),
+            Random(rng.getrandbits(64)),
+            self.world.settings,
+            self.worker_delay,
+            micros(self.world.connect_timeout),
+            self.store,
+            max(1, round(keys.kept_per_slot * make.cores)) if keys else 0,
+        )
 
     def _store(self, drawn: list[WorkerKind]) -> Store | None:
         keys, work = self.world.keys, micros(self.world.mean_work())
@@ -112,8 +121,9 @@
         """To one scheduler, or to all others."""
         for scheduler in self.schedulers if to is None else (self.schedulers[to],):
             if scheduler is not sender:
-                self.agenda.at(self.agenda.now + self.worker_delay(), scheduler.hear,
-                               io.Message(sender.position, body))
+                self.agenda.at(
+                    self.agenda.now + self.worker_delay(), scheduler.hear, io.Message(sender.position, body)
+                )
 
     # ---- troubles -------------------------------------------------------------------------
 
--- a/carthinge/model/scheduler.py
+++ b/carthinge/model/scheduler.py
@@ -15,8 +15,9 @@
 #: As in the real program: the answer has to arrive before the client leaves.
 ANSWER_MARGIN: Final = micros(timedelta(milliseconds=10))
 ANSWER_SHARE: Final = 0.05  # of a patience, at the most, as in the real program's book
-NO_ANSWER: Final = frozenset({io.Result.CONNECT_FAILED, io.Result.RESET, io.Result.TIMEOUT,
-                              io.Result.CANCELLED})
+NO_ANSWER: Final = frozenset(
+    {io.Result.CONNECT_FAILED, io.Result.RESET, io.Result.TIMEOUT, io.Result.CANCELLED}
+)
 
 
 class Module(Protocol):
@@ -101,9 +102,16 @@
         self._events: list[io.Event] = []
         self._count = self._wake = 0
         self._carriers: dict[type, Callable[[Any], None]] = {
-            io.Send: self._send, io.Refuse: self._refuse, io.Fail: self._fail, io.Cancel: self._cancel,
-            io.SetTimer: self._set_timer, io.Probe: self._probe, io.Watch: self._watch, io.Tell: self._tell,
-            io.LogLine: lambda _: None}
+            io.Send: self._send,
+            io.Refuse: self._refuse,
+            io.Fail: self._fail,
+            io.Cancel: self._cancel,
+            io.SetTimer: self._set_timer,
+            io.Probe: self._probe,
+            io.Watch: self._watch,
+            io.Tell: self._tell,
+            io.LogLine: lambda _: None,
+        }
 
     def start(self, module: Module, listed: Sequence[io.WorkerEntry]) -> None:
         """With nothing but the last list."""
@@ -164,8 +172,17 @@
         if result is io.Result.OK and exchange.owed:
             exchange.owed = False
             exchange.client.served()
-        self._events.append(io.Outcome(exchange.number, attempt.number, worker.entry.worker, result,
-                                       self._agenda.now - attempt.sent, not exchange.owed, report))
+        self._events.append(
+            io.Outcome(
+                exchange.number,
+                attempt.number,
+                worker.entry.worker,
+                result,
+                self._agenda.now - attempt.sent,
+                not exchange.owed,
+                report,
+            )
+        )
         self._forget_if_over(exchange)
 
     def _time_out(self, attempt: Attempt) -> None:
@@ -219,8 +236,9 @@
         """The end is told once the worker knows: the module may send the next attempt at once."""
         if attempt.leaves_as is None:
             attempt.leaves_as = result
-            self._agenda.at(self._agenda.now + self._world.worker_delay(), attempt.worker.withdraw, attempt,
-                            self)
+            self._agenda.at(
+                self._agenda.now + self._world.worker_delay(), attempt.worker.withdraw, attempt, self
+            )
 
     def _refuse(self, action: io.Refuse) -> None:
         exchange = self.exchanges.get(action.request)
--- a/carthinge/model/tally.py
+++ b/carthinge/model/tally.py
@@ -57,10 +57,12 @@
 
     def line(self) -> str:
         """For a table."""
-        return (f"{self.start:4d}-{self.end:<3d} jobs {self.arrivals:6d}  in time {self.in_time:5.3f}  "
-                f"late {self.late:5.3f}  refused {self.refused:5.3f}  failed {self.failed:5.3f}  "
-                f"attempts {self.attempts:5.2f}  again {self.tries:4.2f}  held/slot {self.held:5.2f}  "
-                f"waste {self.waste:5.3f}")
+        return (
+            f"{self.start:4d}-{self.end:<3d} jobs {self.arrivals:6d}  in time {self.in_time:5.3f}  "
+            f"late {self.late:5.3f}  refused {self.refused:5.3f}  failed {self.failed:5.3f}  "
+            f"attempts {self.attempts:5.2f}  again {self.tries:4.2f}  held/slot {self.held:5.2f}  "
+            f"waste {self.waste:5.3f}"
+        )
 
     def figures(self) -> dict[str, float]:
         """For JSON."""
@@ -89,12 +91,18 @@
         samples = sum(second.samples for second in part) or 1
         lost = sum(second.worth[End.FAILED] + second.worth[End.LEFT] for second in part)
         return Window(
-            start=start, end=end, arrivals=arrivals, in_time=self._share(part, End.IN_TIME, asked),
-            late=self._share(part, End.LATE, asked), refused=self._share(part, End.REFUSED, asked),
-            failed=lost / asked, attempts=sum(second.attempts for second in part) / max(1, arrivals),
+            start=start,
+            end=end,
+            arrivals=arrivals,
+            in_time=self._share(part, End.IN_TIME, asked),
+            late=self._share(part, End.LATE, asked),
+            refused=self._share(part, End.REFUSED, asked),
+            failed=lost / asked,
+            attempts=sum(second.attempts for second in part) / max(1, arrivals),
             tries=sum(second.tries for second in part) / max(1, arrivals),
             held=sum(second.held for second in part) / samples / self.slots,
-            waste=sum(second.wasted for second in part) / max(1, sum(second.busy for second in part)))
+            waste=sum(second.wasted for second in part) / max(1, sum(second.busy for second in part)),
+        )
 
     def windows(self, length: int, until: int) -> list[Window]:
         """The whole play up to a second, in windows of so many."""
--- a/carthinge/model/workers.py
+++ b/carthinge/model/workers.py
@@ -68,9 +68,19 @@
 class ModelWorker:
     """One worker.  ``delay`` draws the time that news needs, one way; ``keeps`` programs stay there."""
 
-    def __init__(self, agenda: Agenda, tally: Tally, kind: WorkerKind, entry: io.WorkerEntry, rng: Random,
-                 settings: io.Settings, delay: Callable[[], int], connect_timeout: int = 250_000,
-                 store: Store | None = None, keeps: int = 0) -> None:
+    def __init__(
+        self,
+        agenda: Agenda,
+        tally: Tally,
+        kind: WorkerKind,
+        entry: io.WorkerEntry,
+        rng: Random,
+        settings: io.Settings,
+        delay: Callable[[], int],
+        connect_timeout: int = 250_000,
+        store: Store | None = None,
+        keeps: int = 0,
+    ) -> None:
         self.kind, self.entry, self.settings = kind, entry, settings
         self.speed = max(0.1 * kind.speed, rng.gauss(kind.speed, kind.speed * kind.speed_spread))
         self.ill: Ill | None = None
@@ -93,8 +103,9 @@
         """An attempt has arrived, or would have."""
         piece = Piece(attempt, home)
         if self.ill is Ill.SILENT:
-            self._agenda.at(self._agenda.now + self._connect_timeout, home.end, attempt,
-                            io.Result.CONNECT_FAILED, ())
+            self._agenda.at(
+                self._agenda.now + self._connect_timeout, home.end, attempt, io.Result.CONNECT_FAILED, ()
+            )
         elif self.ill is Ill.REFUSES:
             self._tell_end(piece, io.Result.CONNECT_FAILED)
         elif self.ill is Ill.ERRORS and self._rng.random() < self.size:
@@ -228,8 +239,9 @@
             for piece in list(self._pieces.values()):
                 self._drop(piece)
                 if ill is Ill.REFUSES:
-                    self._agenda.at(self._agenda.now + self._delay(), piece.home.end, piece.attempt,
-                                    io.Result.RESET, ())
+                    self._agenda.at(
+                        self._agenda.now + self._delay(), piece.home.end, piece.attempt, io.Result.RESET, ()
+                    )
             self.queue.clear()
             self._kept.clear()
 
--- a/carthinge/net/book.py
+++ b/carthinge/net/book.py
@@ -19,8 +19,9 @@
 class Book:
     """All exchanges.  Collects what happened, has the module decide on it, carries out what it says."""
 
-    def __init__(self, loop: Loop, dispatcher: Dispatcher, targets: dict[int, EgressTarget],
-                 counters: Counters) -> None:
+    def __init__(
+        self, loop: Loop, dispatcher: Dispatcher, targets: dict[int, EgressTarget], counters: Counters
+    ) -> None:
         self.target: Target
         self.watch: Callable[[], None]
         self.probe: Callable[[EgressTarget], None]
@@ -35,9 +36,15 @@
         self._count = 0
         self._wake: Timer | None = None
         self._carriers: dict[type, Callable[..., None]] = {
-            io.Send: self._send, io.Refuse: self._shed, io.Fail: self._fail, io.Cancel: self._cancel,
-            io.SetTimer: self._set_timer, io.Watch: self._watch, io.LogLine: self._log,
-            io.Probe: lambda action: self.probe(targets[action.worker])}
+            io.Send: self._send,
+            io.Refuse: self._shed,
+            io.Fail: self._fail,
+            io.Cancel: self._cancel,
+            io.SetTimer: self._set_timer,
+            io.Watch: self._watch,
+            io.LogLine: self._log,
+            io.Probe: lambda action: self.probe(targets[action.worker]),
+        }
 
     # ---- what happens ---------------------------------------------------------------------
 
@@ -52,15 +59,24 @@
         self.events.append(self._arrival(exchange, terms))
         return exchange
 
-    def restore(self, job: Job, terms: Terms, client: Client, keeper: Keeper,
-                attempts: Sequence[Sent]) -> Exchange:
+    def restore(
+        self, job: Job, terms: Terms, client: Client, keeper: Keeper, attempts: Sequence[Sent]
+    ) -> Exchange:
         """A job that was taken before a crash, with the attempts that it has had."""
         exchange = self._enter(job, terms, client, keeper)
         self._counters.exchanges_recovered += 1
         self.events.append(io.Restore(self._arrival(exchange, terms), [sent.memory for sent in attempts]))
         for number, sent in enumerate(attempts):
-            attempt = Attempt(exchange, number, sent.target, sent.sent, sent.due, open=sent.memory.open,
-                              arrived=True, token=sent.token)
+            attempt = Attempt(
+                exchange,
+                number,
+                sent.target,
+                sent.sent,
+                sent.due,
+                open=sent.memory.open,
+                arrived=True,
+                token=sent.token,
+            )
             exchange.attempts.append(attempt)
             if attempt.open:
                 attempt.timer = self._loop.call_at(attempt.due, partial(self._time_out, attempt))
@@ -70,15 +86,25 @@
     def _enter(self, job: Job, terms: Terms, client: Client, keeper: Keeper | None) -> Exchange:
         self._count += 1
         give_up = give_up_at(self._loop.now, terms.patience)
-        exchange = Exchange(self._count, job, terms.class_name, terms.tenant_name, client, give_up,
-                            keeper=keeper)
+        exchange = Exchange(
+            self._count, job, terms.class_name, terms.tenant_name, client, give_up, keeper=keeper
+        )
         self.exchanges[exchange.number] = self.by_id[job.id] = exchange
         return exchange
 
     def _arrival(self, exchange: Exchange, terms: Terms) -> io.Arrival:
         hint = None if terms.hint is None else terms.hint // MICROSECOND
-        return io.Arrival(exchange.number, terms.job_class, exchange.give_up // MICROSECOND, terms.tenant,
-                          terms.key, hint, terms.slots, terms.memory, terms.repeat)
+        return io.Arrival(
+            exchange.number,
+            terms.job_class,
+            exchange.give_up // MICROSECOND,
+            terms.tenant,
+            terms.key,
+            hint,
+            terms.slots,
+            terms.memory,
+            terms.repeat,
+        )
 
     def give_away(self, exchange: Exchange) -> None:
         """Another process has taken it over, with its client and with the attempt that is out."""
@@ -139,11 +165,18 @@
     def note(self, attempt: Attempt, done: float | None, begun: bool = True) -> None:
         """News of an attempt that is out: at the least that its worker has it."""
         if attempt.open:
-            self.events.append(io.Note(attempt.exchange.number, attempt.number, attempt.target.number, done,
-                                       begun))
-
-    def end(self, attempt: Attempt, result: io.Result, report: tuple[float, ...] = (),
-            answer: bytes = b"", why: str = "") -> None:
+            self.events.append(
+                io.Note(attempt.exchange.number, attempt.number, attempt.target.number, done, begun)
+            )
+
+    def end(
+        self,
+        attempt: Attempt,
+        result: io.Result,
+        report: tuple[float, ...] = (),
+        answer: bytes = b"",
+        why: str = "",
+    ) -> None:
         """An attempt has ended; only its first end counts."""
         if not attempt.open:
             return
@@ -157,13 +190,23 @@
         name = f"attempt_{result.name.lower()}"
         setattr(self._counters, name, getattr(self._counters, name) + 1)
         if result is not io.Result.OK:
-            log.logger().debug("attempt_ended", id=exchange.job.id, worker=attempt.target.id,
-                               result=result.name, why=why)
+            log.logger().debug(
+                "attempt_ended", id=exchange.job.id, worker=attempt.target.id, result=result.name, why=why
+            )
         elif exchange.owed:
             self._serve(exchange, answer)
         latency = max(timedelta(), self._loop.now - attempt.sent)
-        self.events.append(io.Outcome(exchange.number, attempt.number, attempt.target.number, result,
-                                      latency // MICROSECOND, not exchange.owed, report))
+        self.events.append(
+            io.Outcome(
+                exchange.number,
+                attempt.number,
+                attempt.target.number,
+                result,
+                latency // MICROSECOND,
+                not exchange.owed,
+                report,
+            )
+        )
         self._forget_if_over(exchange)
 
     def _serve(self, exchange: Exchange, result: bytes) -> None:
@@ -242,8 +285,9 @@
             self.end(attempt, io.Result.MOOT, why=why_not)
             return
         self._counters.attempts += 1
-        log.logger().debug("attempt_sent", id=attempt.exchange.job.id, worker=attempt.target.id,
-                           attempt=attempt.number)
+        log.logger().debug(
+            "attempt_sent", id=attempt.exchange.job.id, worker=attempt.target.id, attempt=attempt.number
+        )
         self.target.send(attempt)
 
     def _time_out(self, attempt: Attempt) -> None:
--- a/carthinge/net/caller.py
+++ b/carthinge/net/caller.py
@@ -120,8 +120,12 @@
 
     def usable(self) -> bool:
         """Free for a call, and the other side has not ended it."""
-        return self.state is CallerState.UP and self.call is None \
-            and self._stream is not None and self._stream.silent()
+        return (
+            self.state is CallerState.UP
+            and self.call is None
+            and self._stream is not None
+            and self._stream.silent()
+        )
 
     def close(self) -> None:
         """Ends it without a word to the call."""
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -139,9 +139,13 @@
 class Channel:
     """A connected Unix socket in the loop.  A socket that is sent along is closed here once it is gone."""
 
-    def __init__(self, loop: Loop, sock: socket.socket,
-                 received: Callable[[Message, socket.socket | None], None],
-                 lost: Callable[[list[tuple[Message, socket.socket]]], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        received: Callable[[Message, socket.socket | None], None],
+        lost: Callable[[list[tuple[Message, socket.socket]]], None],
+    ) -> None:
         """``lost`` is told of the sockets that did not get there any more."""
         self.closed = False
         self._loop = loop
@@ -198,8 +202,8 @@
                 return
             if len(self._in) < LENGTH + size:
                 return
-            body = bytes(self._in[LENGTH:LENGTH + size])
-            del self._in[:LENGTH + size]
+            body = bytes(self._in[LENGTH : LENGTH + size])
+            del self._in[: LENGTH + size]
             try:
                 message = _DECODER.decode(body)
                 along = self._sockets.popleft() if isinstance(message, _ALONG) else None
--- a/carthinge/net/config.py
+++ b/carthinge/net/config.py
@@ -67,8 +67,13 @@
     Discovery is taken from the file: a running program's environment cannot be replaced, so that what it
     says of discovery is as old as the start.
     """
-    config = load({name: value for name, value in environment.items()
-                   if name not in ("RELAY_DISCOVERY", "CARTHINGE_FILE")})
+    config = load(
+        {
+            name: value
+            for name, value in environment.items()
+            if name not in ("RELAY_DISCOVERY", "CARTHINGE_FILE")
+        }
+    )
     missing = sorted(before.shape - config.shape)
     if missing:
         raise ConfigError(f"settings: {missing[0]}: missing, though the settings in force have it")
--- a/carthinge/net/discovery.py
+++ b/carthinge/net/discovery.py
@@ -81,8 +81,15 @@
     themselves, so that it is kept up from here.
     """
 
-    def __init__(self, loop: Loop, address: Address, table: RouteTable, site: Site, counters: Counters,
-                 tell: Callable[[WorkerList], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        table: RouteTable,
+        site: Site,
+        counters: Counters,
+        tell: Callable[[WorkerList], None],
+    ) -> None:
         self.state = WatchState.STOPPED
         self._loop = loop
         self._address = address
@@ -152,8 +159,9 @@
         if caller is None or not caller.usable():
             if caller is not None:
                 caller.close()
-            caller = self._caller = Caller(self._loop, self._address, self._connect_timeout, LIST_LIMIT,
-                                           BROKEN_OFF)
+            caller = self._caller = Caller(
+                self._loop, self._address, self._connect_timeout, LIST_LIMIT, BROKEN_OFF
+            )
             caller.open()
         checking = self._failures > 0
         wait = self._pace.check_wait if checking else self._pace.wait
@@ -181,8 +189,12 @@
         except (msgspec.MsgspecError, ValueError, OverflowError) as fault:
             self._failed(f"unreadable: {fault}")
             return
-        log.logger().debug("list_taken", revision=listed.revision, complete=listed.complete,
-                           members=",".join(f"{member.id}={member.phase}" for member in listed.members))
+        log.logger().debug(
+            "list_taken",
+            revision=listed.revision,
+            complete=listed.complete,
+            members=",".join(f"{member.id}={member.phase}" for member in listed.members),
+        )
         self._counters.watch_answers += 1
         self._counters.list_lines += len(listed.members)
         self._failures = 0
--- a/carthinge/net/egress.py
+++ b/carthinge/net/egress.py
@@ -55,8 +55,10 @@
         """A load report in the module's order; none where a figure is missing that the module reads."""
         site = self._site
         # Guards against a figure that nobody reads, left out or worded otherwise, taking the others with it.
-        if not values or any(read in NEEDED and name not in values for name, read
-                             in zip(site.report_fields, site.decisions.report_fields, strict=True)):
+        if not values or any(
+            read in NEEDED and name not in values
+            for name, read in zip(site.report_fields, site.decisions.report_fields, strict=True)
+        ):
             return ()
         return tuple(values.get(name, 0.0) for name in site.report_fields)
 
@@ -79,11 +81,16 @@
             self.ended(attempt, Result.MOOT, None, why_not)
             return None
         job = attempt.exchange.job
-        headers = [("Req-Id", job.id.encode()), deadline_header(attempt.due, self._loop.clock.now()),
-                   *job.headers]
+        headers = [
+            ("Req-Id", job.id.encode()),
+            deadline_header(attempt.due, self._loop.clock.now()),
+            *job.headers,
+        ]
         if attempt.token:
-            headers += [("Lease-Token", b"%d" % attempt.token),
-                        ("Lease-Duration", b"%dm" % (self.lease // MILLISECOND))]
+            headers += [
+                ("Lease-Token", b"%d" % attempt.token),
+                ("Lease-Duration", b"%dm" % (self.lease // MILLISECOND)),
+            ]
         return call_bytes("POST", job.subject, str(attempt.target.address), headers, job.body)
 
     def stop_unsent(self) -> None:
@@ -328,8 +335,16 @@
 class _Withdrawal:
     """A DELETE; what the worker answers does not matter, but that it has got there does."""
 
-    def __init__(self, loop: Loop, egress: Egress, caller: Caller, attempt: Attempt,
-                 gone: Callable[[], None], again: timedelta, arrives_within: timedelta) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        egress: Egress,
+        caller: Caller,
+        attempt: Attempt,
+        gone: Callable[[], None],
+        again: timedelta,
+        arrives_within: timedelta,
+    ) -> None:
         self._loop = loop
         self._egress = egress
         self._caller = caller
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -126,8 +126,11 @@
         parser = self._parser
         self.under_way = self.expects_go_ahead = False
         self._in_head = True
-        self._done.append(Request(parser.get_method(), self.target, self.headers, bytes(self.body),
-                                  parser.should_keep_alive()))
+        self._done.append(
+            Request(
+                parser.get_method(), self.target, self.headers, bytes(self.body), parser.should_keep_alive()
+            )
+        )
 
 
 class AnswerReader(_Message):
@@ -171,8 +174,9 @@
 GO_AHEAD: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-def answer_bytes(status: int, body: bytes = b"", headers: Iterable[tuple[str, str]] = (),
-                 keep_alive: bool = True) -> bytes:
+def answer_bytes(
+    status: int, body: bytes = b"", headers: Iterable[tuple[str, str]] = (), keep_alive: bool = True
+) -> bytes:
     """An answer as it goes out."""
     lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
     lines.extend(f"{name}: {value}" for name, value in headers)
@@ -183,8 +187,9 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
-def call_bytes(method: str, target: bytes, host: str, headers: Iterable[tuple[str, bytes]] = (),
-               body: bytes = b"") -> bytes:
+def call_bytes(
+    method: str, target: bytes, host: str, headers: Iterable[tuple[str, bytes]] = (), body: bytes = b""
+) -> bytes:
     """A request as it goes out."""
     parts = [method.encode(), b" ", target, b" HTTP/1.1\r\nHost: ", host.encode(), b"\r\n"]
     for name, value in headers:
--- a/carthinge/net/load.py
+++ b/carthinge/net/load.py
@@ -11,8 +11,11 @@
     """A load report as ``name=value,...`` or as a JSON object; what is no finite number is left out."""
     text = body.decode("latin-1").strip()
     try:
-        pairs = msgspec.json.decode(body).items() if text.startswith("{") else (
-            part.split("=", 1) for part in text.split(",") if "=" in part)
+        pairs = (
+            msgspec.json.decode(body).items()
+            if text.startswith("{")
+            else (part.split("=", 1) for part in text.split(",") if "=" in part)
+        )
     except msgspec.MsgspecError:
         return {}
     return {name.strip(): figure for name, raw in pairs if math.isfinite(figure := _figure(raw))}
--- a/carthinge/net/log.py
+++ b/carthinge/net/log.py
@@ -8,8 +8,12 @@
 
 import structlog
 
-LEVELS: Final = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING,
-                 "error": logging.ERROR}
+LEVELS: Final = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
 
 
 def set_up(level: str, name: str) -> None:
--- a/carthinge/net/route_table.py
+++ b/carthinge/net/route_table.py
@@ -89,18 +89,26 @@
 
     def told(self) -> list[Target]:
         """For the process that takes over."""
-        return [Target(target.id, str(target.address), target.id in self.ready, target.id in self.listed,
-                       self._members.get(target.id),
-                       start.at // MICROSECOND if (start := self._starts.get(target.id)) else 0)
-                for target in self.targets.values()]
+        return [
+            Target(
+                target.id,
+                str(target.address),
+                target.id in self.ready,
+                target.id in self.listed,
+                self._members.get(target.id),
+                start.at // MICROSECOND if (start := self._starts.get(target.id)) else 0,
+            )
+            for target in self.targets.values()
+        ]
 
     def go_on(self, state: HandedOver) -> WorkerList:
         """From what another process held, translated by the names of this one's settings."""
         self.revision = state.revision
         for told in state.targets:
             number = number_of(told.id)
-            self.targets[number] = EgressTarget(told.id, number, Address.parse(told.address),
-                                                left=not told.ready)
+            self.targets[number] = EgressTarget(
+                told.id, number, Address.parse(told.address), left=not told.ready
+            )
             if told.member is not None:
                 self._members[told.id] = told.member
                 self._starts[told.id] = Start(told.member.up_since_ms, told.started_us * MICROSECOND)
@@ -127,9 +135,15 @@
         return tuple(self._entry(self._members[name]) for name in named)
 
     def _entry(self, member: Member) -> WorkerEntry:
-        return WorkerEntry(number_of(member.id), self._zones.get(member.locality, 0),
-                           self._kinds.get(member.flavor, 0), member.cell, STATES[member.phase], member.size,
-                           self._started(member) // MICROSECOND)
+        return WorkerEntry(
+            number_of(member.id),
+            self._zones.get(member.locality, 0),
+            self._kinds.get(member.flavor, 0),
+            member.cell,
+            STATES[member.phase],
+            member.size,
+            self._started(member) // MICROSECOND,
+        )
 
     def _started(self, member: Member) -> timedelta:
         if not member.up_since_ms:
--- a/carthinge/net/sockets.py
+++ b/carthinge/net/sockets.py
@@ -13,9 +13,18 @@
 PEEKED: Final = 1  # bytes: whether there is anything is all that is asked
 
 #: Shortages of this machine that pass by themselves.  They say nothing of the other side.
-LOCAL_SHORTAGES: Final = frozenset({
-    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETUNREACH,
-    errno.ENETDOWN, errno.ENOSPC})
+LOCAL_SHORTAGES: Final = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+        errno.ENETUNREACH,
+        errno.ENETDOWN,
+        errno.ENOSPC,
+    }
+)
 #: A send that failed so may be made again: nothing of it was taken, and the connection stands.
 SEND_AGAIN: Final = frozenset({errno.ENOBUFS, errno.ENOMEM})
 
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -51,8 +51,9 @@
 class Stream:
     """Calls its owner from the loop only, but for ``flushed``, which may come from within ``write``."""
 
-    def __init__(self, loop: Loop, sock: socket.socket, owner: StreamOwner,
-                 connecting: ConnectingOwner | None = None) -> None:
+    def __init__(
+        self, loop: Loop, sock: socket.socket, owner: StreamOwner, connecting: ConnectingOwner | None = None
+    ) -> None:
         """``connecting``: the owner again, where the socket is not up yet.  OSError as for any socket."""
         self.state = StreamState.OPEN if connecting is None else StreamState.CONNECTING
         self.reset = False  # the other side broke it off; it may be well, and there still
@@ -196,7 +197,7 @@
         try:
             had = len(self._out)
             while self._out:
-                del self._out[:self._loop.sockets.send(self._sock, self._out)]
+                del self._out[: self._loop.sockets.send(self._sock, self._out)]
             if self.state is StreamState.FINISHING:
                 self.state = StreamState.HALF_CLOSED
                 self._loop.sockets.end_sending(self._sock)
--- a/carthinge/operator_file.py
+++ b/carthinge/operator_file.py
@@ -67,8 +67,12 @@
     fleet: FleetOptions = FleetOptions()
 
 
-LEAST_SPANS = {"durable.keep_results": timedelta(seconds=1), "durable.keep_collected": timedelta(),
-               "leases.duration": timedelta(milliseconds=100), "fleet.period": timedelta(milliseconds=100)}
+LEAST_SPANS = {
+    "durable.keep_results": timedelta(seconds=1),
+    "durable.keep_collected": timedelta(),
+    "leases.duration": timedelta(milliseconds=100),
+    "fleet.period": timedelta(milliseconds=100),
+}
 
 
 def read(path: str | None) -> Options:
@@ -150,8 +154,11 @@
     for name, value in raw.items():
         if name not in known:
             yield f"{prefix}{name}: no such key{_nearest(name, tuple(known))}"
-        elif isinstance(value, Mapping) and isinstance(known[name], type) \
-                and issubclass(known[name], msgspec.Struct):
+        elif (
+            isinstance(value, Mapping)
+            and isinstance(known[name], type)
+            and issubclass(known[name], msgspec.Struct)
+        ):
             yield from _unknown(value, known[name], f"{prefix}{name}.")
 
 
@@ -162,8 +169,11 @@
     def converted(name: str, value: object) -> object:
         if known[name] is timedelta and isinstance(value, int | float) and not isinstance(value, bool):
             return timedelta(seconds=value)
-        if isinstance(value, Mapping) and isinstance(known[name], type) \
-                and issubclass(known[name], msgspec.Struct):
+        if (
+            isinstance(value, Mapping)
+            and isinstance(known[name], type)
+            and issubclass(known[name], msgspec.Struct)
+        ):
             return _with_spans(value, known[name])
         return value
 
--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -105,8 +105,11 @@
     def call_off(self, job: Job, kept: Attempt | None = None) -> None:
         """What is still out beside ``kept`` is not wanted any more."""
         if self.desk.settings.may_cancel:
-            self.desk.actions.extend(io.Cancel(job.id, attempt.number) for attempt in job.attempts
-                                     if attempt.open and attempt is not kept)
+            self.desk.actions.extend(
+                io.Cancel(job.id, attempt.number)
+                for attempt in job.attempts
+                if attempt.open and attempt is not kept
+            )
 
     def hear(self, event: io.Note) -> None:
         if attempt := self.desk.attempt(event):
@@ -186,8 +189,11 @@
                 self._copy(job)
         elif self.desk.rationed() and not self.desk.budget.allows():
             self.attend(attempt)
-        elif worker.strikes and settings.may_cancel and any(
-                self.pick.may_repeat(other, job) for other in self.pick.eligible(job)):
+        elif (
+            worker.strikes
+            and settings.may_cancel
+            and any(self.pick.may_repeat(other, job) for other in self.pick.eligible(job))
+        ):
             self.desk.budget.spend()
             job.silent = attempt.begun > 0  # it is called off, and its end sends the job back to its heap
             self.desk.actions.append(io.Cancel(job.id, attempt.number))
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -32,11 +32,19 @@
         self.sequence = 0
         self._adopt(io.Retune(settings, [-1] * len(settings.classes), [-1] * len(settings.tenants)))
         self.handlers: dict[type, Callable[..., None]] = {
-            io.Arrival: self.arrive, io.Outcome: self._end, io.Note: self.attempts.hear,
-            io.Timer: desk.nothing, io.WorkerList: Outside(desk).listed,
+            io.Arrival: self.arrive,
+            io.Outcome: self._end,
+            io.Note: self.attempts.hear,
+            io.Timer: desk.nothing,
+            io.WorkerList: Outside(desk).listed,
             io.ByHand: lambda event: desk.fleet.by_hand(event, CAP_START, desk.now),
-            io.ProbeResult: self.reports.probed, io.Message: desk.fleet.told, io.Abandoned: self._abandon,
-            io.StreamStarted: self._stream, io.Retune: self._adopt, **handlers(self)}
+            io.ProbeResult: self.reports.probed,
+            io.Message: desk.fleet.told,
+            io.Abandoned: self._abandon,
+            io.StreamStarted: self._stream,
+            io.Retune: self._adopt,
+            **handlers(self),
+        }
 
     def handle(self, now: int, events: Sequence[io.Event]) -> list[io.Action]:
         """What to do about ``events``, which all happened at ``now``."""
@@ -61,8 +69,10 @@
         self.reports.asks = settings.reports is io.Reports.PROBES and settings.may_probe
         self.pick.adopt(settings)
         self.fleet.retune(event.kinds)
-        self.spans = [min(self.spans[was], spec.deadline) if was >= 0 else 0
-                      for was, spec in zip(event.classes, settings.classes, strict=True)]
+        self.spans = [
+            min(self.spans[was], spec.deadline) if was >= 0 else 0
+            for was, spec in zip(event.classes, settings.classes, strict=True)
+        ]
 
     def arrive(self, event: io.Arrival, sent: Sequence[io.AttemptMemory] = ()) -> None:
         """Takes a job in, with the attempts that it has had elsewhere."""
@@ -75,8 +85,19 @@
         # A repeat has less time left than a first try: that tells when its client began to wait.
         left = event.give_up - desk.now
         span = self.spans[event.job_class] = max(self.spans[event.job_class], left)
-        job = Job(event.request, spec, self.tenants.queue(event.tenant), event.key, event.give_up,
-                  desk.now - span + left, work, event.slots, cost, rank, settings.try_limit)
+        job = Job(
+            event.request,
+            spec,
+            self.tenants.queue(event.tenant),
+            event.key,
+            event.give_up,
+            desk.now - span + left,
+            work,
+            event.slots,
+            cost,
+            rank,
+            settings.try_limit,
+        )
         strict = spec.late_worth <= 0
         job.hedged = strict and settings.tells_start and settings.may_copy and settings.may_cancel
         job.bearable = float(spec.objective) if strict else math.inf
@@ -180,7 +201,8 @@
         if job.choice or not pool or job.spared:
             return True
         job.narrow = len(pool) < len(desk.fleet.pool(job.spec.kind)) or (
-            job.work > desk.mean_work and any(self.cold.is_cold(worker) for worker in pool))
+            job.work > desk.mean_work and any(self.cold.is_cold(worker) for worker in pool)
+        )
         job.list_seen = desk.fleet.version
         job.look_at = desk.now + max(4000, min(job.spec.objective // 8, 200_000))
         desk.after(job.look_at, desk.nothing)
--- a/carthinge/policy/news.py
+++ b/carthinge/policy/news.py
@@ -74,8 +74,9 @@
             return
         free = values["free_slots"]
         held = values.get("held", 0.0) if free > 0.5 else 0.0
-        self.desk.fleet.shown(worker.pool, round(free + held),
-                              rated=settings.weights in (io.Weights.NOMINAL, io.Weights.ROUGH))
+        self.desk.fleet.shown(
+            worker.pool, round(free + held), rated=settings.weights in (io.Weights.NOMINAL, io.Weights.ROUGH)
+        )
         worker.free = round(free)
         if worker.free_at < 0 or worker not in self.latest:
             self.latest.append(worker)
--- a/carthinge/policy/pick.py
+++ b/carthinge/policy/pick.py
@@ -29,7 +29,7 @@
     size = max(SAMPLE, NEAR_COVER * len(pool) // settings.instances)
     start = settings.position * len(pool) // settings.instances
     apart = settings.price_connection > 0 and size < len(pool) and not desk.heat
-    return (pool + pool)[start:start + size] if apart else pool
+    return (pool + pool)[start : start + size] if apart else pool
 
 
 class Pick:
@@ -67,7 +67,7 @@
     def _least(self, job: Job, pool: list[Worker]) -> Worker | None:
         best, least, ties = None, math.inf, 0
         wide, homes = self.homes(job)
-        own = self.desk.fleet.order(homes[:wide + 1] or pool, self.desk.settings) if self.apart else []
+        own = self.desk.fleet.order(homes[: wide + 1] or pool, self.desk.settings) if self.apart else []
         for place, worker in enumerate(own + [w for w in self.candidates(job, pool, homes) if w not in own]):
             if least <= (step := STEP_WORK * self.desk.mean_work * min(place, len(own))) and own:
                 break  # none that is further down can be better
@@ -96,8 +96,12 @@
             return pool
         # What all draw with nothing to go by adds up by chance alone: to what each worker can do.
         desk, rng, groups = self.desk, self.desk.rng, self.desk.fleet.by_kind(pool)
-        drawn = [group[int(rng.random() * len(group))] for group in rng.choices(
-            groups, [len(group) * group[0].strength() for group in groups], k=self.draws)]
+        drawn = [
+            group[int(rng.random() * len(group))]
+            for group in rng.choices(
+                groups, [len(group) * group[0].strength() for group in groups], k=self.draws
+            )
+        ]
         if self.reports.asks:
             drawn.extend(worker for worker in self.reports.latest if worker.free >= job.slots)
         elif self.blind:  # where a job from here has just ended is a slot that no other gateway was told of
@@ -109,11 +113,17 @@
         spec, here = job.spec, worker.entry
         for attempt in job.attempts:
             if attempt.may_have_run and (
-                    attempt.worker.id == worker.id or spec.effect is io.Effect.UNSAFE
-                    or spec.effect is io.Effect.KEYED and (
-                        self.desk.now >= attempt.sent + spec.window
-                        or spec.scope is io.Scope.ZONE and attempt.entry.zone != here.zone
-                        or spec.scope is io.Scope.CELL and attempt.entry.cell != here.cell)):
+                attempt.worker.id == worker.id
+                or spec.effect is io.Effect.UNSAFE
+                or spec.effect is io.Effect.KEYED
+                and (
+                    self.desk.now >= attempt.sent + spec.window
+                    or spec.scope is io.Scope.ZONE
+                    and attempt.entry.zone != here.zone
+                    or spec.scope is io.Scope.CELL
+                    and attempt.entry.cell != here.cell
+                )
+            ):
                 return False
         return True
 
--- a/carthinge/policy/tenants.py
+++ b/carthinge/policy/tenants.py
@@ -74,8 +74,10 @@
         shares = [tenant.share for tenant in settings.tenants] or [1.0]
         mean = sum(shares) / len(shares) or 1.0
         scale = min(spec.objective for spec in settings.classes) or 1
-        self.ring.retune([max(share / mean, 0.01) * scale for share in shares],
-                         before or [min(len(self.ring.queues), 1) - 1])
+        self.ring.retune(
+            [max(share / mean, 0.01) * scale for share in shares],
+            before or [min(len(self.ring.queues), 1) - 1],
+        )
         quotas = [tenant.quota_per_s / settings.instances for tenant in settings.tenants]
         self.quotas = [Bucket(part, max(QUOTA_DEPTH, QUOTA_SECONDS * part), QUOTA_DEPTH) for part in quotas]
 
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -221,8 +221,9 @@
         """When a further attempt has to begin at the latest; 0 where nothing limits that."""
         if self.spec.effect is not io.Effect.KEYED:
             return 0
-        return min((attempt.sent + self.spec.window for attempt in self.attempts if attempt.may_have_run),
-                   default=0)
+        return min(
+            (attempt.sent + self.spec.window for attempt in self.attempts if attempt.may_have_run), default=0
+        )
 
     def never_ran(self) -> bool:
         return not any(attempt.may_have_run for attempt in self.attempts)
--- a/carthinge/roster.py
+++ b/carthinge/roster.py
@@ -27,8 +27,13 @@
         if len(out) > Loads.MOST:
             out = rng.sample(out, Loads.MOST)
         return b"".join(
-            LOAD_ENTRY.pack(worker.tag, min(255, round(worker.slots_out * 8)),
-                            min(255, round(8 * math.log2(1 + worker.work_out)))) for worker in out)
+            LOAD_ENTRY.pack(
+                worker.tag,
+                min(255, round(worker.slots_out * 8)),
+                min(255, round(8 * math.log2(1 + worker.work_out))),
+            )
+            for worker in out
+        )
 
     @staticmethod
     def unpack(body: bytes) -> Iterator[tuple[int, float, float]]:
@@ -40,8 +45,21 @@
 class Fleet:
     """All known workers, and the listed ones by machine kind in an order that all dispatchers share."""
 
-    __slots__ = ("workers", "kinds", "tags", "near", "out", "version", "_together", "_part", "_pools",
-                 "_homes", "_groups", "_peers", "_ranks")
+    __slots__ = (
+        "workers",
+        "kinds",
+        "tags",
+        "near",
+        "out",
+        "version",
+        "_together",
+        "_part",
+        "_pools",
+        "_homes",
+        "_groups",
+        "_peers",
+        "_ranks",
+    )
 
     def __init__(self, together: bool, part: Callable[[list[Worker]], list[Worker]]) -> None:
         self.workers: dict[int, Worker] = {}
@@ -118,16 +136,19 @@
         for worker, slots, work in self._peers.pop(event.sender, ()):
             worker.peer_slots -= slots
             worker.peer_work -= work
-        loads = self._peers[event.sender] = [(self.tags[tag], slots, work) for tag, slots, work
-                                             in Loads.unpack(event.body) if tag in self.tags]
+        loads = self._peers[event.sender] = [
+            (self.tags[tag], slots, work) for tag, slots, work in Loads.unpack(event.body) if tag in self.tags
+        ]
         for worker, slots, work in loads:
             worker.peer_slots += slots
             worker.peer_work += work
 
     def excluded(self, now: int) -> int:
         """How many of the listed workers get nothing just now, by hand or by choice."""
-        return sum(worker.listed and (worker.id in self.out or worker.avoid_until > now)
-                   for worker in self.workers.values())
+        return sum(
+            worker.listed and (worker.id in self.out or worker.avoid_until > now)
+            for worker in self.workers.values()
+        )
 
     def shown(self, kind: Kind, slots: float, rated: bool) -> None:
         """A worker of a kind has shown so many slots; where ratings tell sizes, others have theirs by size.
@@ -182,7 +203,7 @@
         if not self._ranks and (fleet := self.pool(-1)):
             start = settings.position * len(fleet) // settings.instances % len(fleet)
             mixed = mix(settings.position + 1)
-            rest = sorted(fleet[:start] + fleet[start + 1:], key=lambda worker: mix(worker.point ^ mixed))
+            rest = sorted(fleet[:start] + fleet[start + 1 :], key=lambda worker: mix(worker.point ^ mixed))
             self._ranks = {worker.id: rank for rank, worker in enumerate([fleet[start], *rest])}
         return sorted(pool, key=lambda worker: self._ranks.get(worker.id, len(self._ranks)))
 
--- a/carthinge/scheduler/fleet_facts.py
+++ b/carthinge/scheduler/fleet_facts.py
@@ -17,8 +17,11 @@
 def purses_of(tenants: Collection[str], decisions: Settings) -> dict[int, int]:
     """The quotas that may pass, by the names of their tenants, to the tenants' positions."""
     named = enumerate(zip(tenants, decisions.tenants, strict=False))
-    return {purse_of(name, tenant.quota_per_s, decisions.instances): at
-            for at, (name, tenant) in named if tenant.quota_per_s > 0}
+    return {
+        purse_of(name, tenant.quota_per_s, decisions.instances): at
+        for at, (name, tenant) in named
+        if tenant.quota_per_s > 0
+    }
 
 
 class Insight:
@@ -33,22 +36,40 @@
         dispatcher = self.dispatcher
         known, desk = dispatcher.fleet.workers, dispatcher.desk
         struck = not desk.level.up  # else silence is a queue, and no doubt that others should share
-        doubted = {worker.id: worker.strikes * struck + max(0, worker.errors - 1) for worker in known.values()
-                   if worker.listed and (worker.strikes * struck or worker.errors > 1)}
-        well = {number: known[number].heard_at * MICROSECOND for number in workers
-                if number in known and number not in doubted}
+        doubted = {
+            worker.id: worker.strikes * struck + max(0, worker.errors - 1)
+            for worker in known.values()
+            if worker.listed and (worker.strikes * struck or worker.errors > 1)
+        }
+        well = {
+            number: known[number].heard_at * MICROSECOND
+            for number in workers
+            if number in known and number not in doubted
+        }
         quotas = dispatcher.tenants.quotas
         left = {purse: quotas[at].fill(now) for purse, at in self.purses.items() if at < len(quotas)}
         waiting = sum(job.work for job in dispatcher.jobs.values() if job.waiting)
         ended = max(LEAST_RATE, desk.served.per_s)
         levels = {cell_of(*cell, self.classes): level for cell, level in desk.levels(now).items()}
         spent, self._spent = desk.budget.spent - self._spent, desk.budget.spent
-        return Facts(doubted, well, sum(worker.listed for worker in known.values()), left, waiting / ended,
-                     levels, spent, desk.budget.left, desk.budget.most)
+        return Facts(
+            doubted,
+            well,
+            sum(worker.listed for worker in known.values()),
+            left,
+            waiting / ended,
+            levels,
+            spent,
+            desk.budget.left,
+            desk.budget.most,
+        )
 
     def view(self, talk: Talk, parts: tuple[float, ...]) -> FleetView:
         """What the decisions are told; what has been passed on is taken out of the talk."""
         view = talk.view
         return FleetView(
-            tuple((worker, until // MICROSECOND) for worker, until in view.ruling.alone.items()), parts,
-            {divmod(cell, self.classes): level for cell, level in view.levels.items()}, talk.passed())
+            tuple((worker, until // MICROSECOND) for worker, until in view.ruling.alone.items()),
+            parts,
+            {divmod(cell, self.classes): level for cell, level in view.levels.items()},
+            talk.passed(),
+        )
--- a/carthinge/scheduler/fleet_link.py
+++ b/carthinge/scheduler/fleet_link.py
@@ -36,15 +36,26 @@
 BATCH: Final = 64  # datagrams that are read in a turn
 RECEIVE_BUFFER: Final = 1 << 20  # bytes: a burst waits there while the loop is at other work
 BEFORE: Final = 1 - LENDABLE / BASE  # part of a quota here until the others are known
-NEWS: Final = {Standing.ALIVE: "member_here", Standing.SUSPECT: "member_suspected",
-               Standing.DEAD: "member_dead", Standing.LEFT: "member_left"}
+NEWS: Final = {
+    Standing.ALIVE: "member_here",
+    Standing.SUSPECT: "member_suspected",
+    Standing.DEAD: "member_dead",
+    Standing.LEFT: "member_left",
+}
 
 
 class FleetLink:
     """One scheduler's socket for the others, and its part in what all decide."""
 
-    def __init__(self, loop: Loop, options: FleetOptions, name: str, site: Site, dispatcher: Dispatcher,
-                 tell: Callable[[FleetView], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        options: FleetOptions,
+        name: str,
+        site: Site,
+        dispatcher: Dispatcher,
+        tell: Callable[[FleetView], None],
+    ) -> None:
         """``tell``: has the decisions hear of a view before they decide on anything else."""
         self.loop, self.options, self.name, self.site = loop, options, name, site
         self.counts: Counter[str] = Counter()
@@ -81,14 +92,26 @@
         # Above that of any life before, unless the clock was set back: then the others tell it theirs.
         self._incarnation = max(self._incarnation + 1, self.loop.clock.wall() // MILLISECOND)
         options = self.options
-        membership = Membership(self.name, options.advertise or options.listen, options.members,
-                                options.period, self._incarnation, draw.getrandbits(64), now)
-        self._talk = Talk(membership, self._shape(), self._insight.purses.keys(), draw.randrange(LIFE_MOST),
-                          self, now)
+        membership = Membership(
+            self.name,
+            options.advertise or options.listen,
+            options.members,
+            options.period,
+            self._incarnation,
+            draw.getrandbits(64),
+            now,
+        )
+        self._talk = Talk(
+            membership, self._shape(), self._insight.purses.keys(), draw.randrange(LIFE_MOST), self, now
+        )
         self.loop.register(sock, READ, lambda _: self._read())
         self._due()
-        log.logger().info("fleet_open", listen=self.options.listen, members=len(self.options.members),
-                          sealed=bool(self._key))
+        log.logger().info(
+            "fleet_open",
+            listen=self.options.listen,
+            members=len(self.options.members),
+            sealed=bool(self._key),
+        )
 
     def close(self, leave: bool) -> None:
         """Ends to talk.  ``leave``: for good, which the others are told; else another process goes on."""
@@ -114,8 +137,10 @@
 
     def figures(self) -> dict[str, Any]:
         """What operators see."""
-        counts = {name: self.counts[name] for name in (
-            "sent", "received", "bytes_sent", "bytes_received", "bad", "not_sent", "namesakes")}
+        counts = {
+            name: self.counts[name]
+            for name in ("sent", "received", "bytes_sent", "bytes_received", "bad", "not_sent", "namesakes")
+        }
         return {**counts, **(self._talk.figures() if self._talk is not None else {})}
 
     # ---- what is told of this scheduler -------------------------------------------------------
--- a/carthinge/scheduler/partner.py
+++ b/carthinge/scheduler/partner.py
@@ -33,10 +33,20 @@
 class Partner:
     """This process as the other one sees it."""
 
-    def __init__(self, loop: Loop, upgrade: Upgrade, table: RouteTable, dispatcher: Dispatcher, book: Book,
-                 egress: Egress, ingress: Ingress, durable: DurableJobs | None,
-                 config: Callable[[], Config], begin: Callable[[State | None], None],
-                 by_hand_here: Callable[[str, bool, bool], bool]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        upgrade: Upgrade,
+        table: RouteTable,
+        dispatcher: Dispatcher,
+        book: Book,
+        egress: Egress,
+        ingress: Ingress,
+        durable: DurableJobs | None,
+        config: Callable[[], Config],
+        begin: Callable[[State | None], None],
+        by_hand_here: Callable[[str, bool, bool], bool],
+    ) -> None:
         """``begin`` and ``by_hand_here``: what the program does of what :class:`Upgrade` asks for."""
         self.begin = begin
         self.by_hand_here = by_hand_here
@@ -55,8 +65,15 @@
     def state(self) -> State:
         config = self._config()
         site = config.site
-        return State(str(config.discovery), self._table.revision, self._table.told(),
-                     memory_of(self._dispatcher), site.classes, site.tenants, site.kinds)
+        return State(
+            str(config.discovery),
+            self._table.revision,
+            self._table.told(),
+            memory_of(self._dispatcher),
+            site.classes,
+            site.tenants,
+            site.kinds,
+        )
 
     def leave(self, leaving: bool) -> None:
         self._book.tell(Leave(leaving))
@@ -84,6 +101,7 @@
 
     def let_go(self, done: Callable[[bool], None]) -> None:
         """New connections are taken in until then: workers that call back must not wait for the other."""
+
         def gone(free: bool) -> None:
             if free:
                 self._ingress.rest()
@@ -107,19 +125,30 @@
         self._ingress.adopt(sock, fresh, read)
 
     def adopt_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
-        self._ingress.adopt_waiting(sock, waiting.keep_alive, waiting.job, waiting.in_place,
-                                   waiting.until_us * MICROSECOND)
+        self._ingress.adopt_waiting(
+            sock, waiting.keep_alive, waiting.job, waiting.in_place, waiting.until_us * MICROSECOND
+        )
 
     def adopt_open(self, sock: socket.socket, exchange: Open) -> None:
         """The client waits here from now on, and call-backs for its job are looked for here."""
         client = self._ingress.adopt_open(sock, exchange.keep_alive)
         job = Job(exchange.id, exchange.subject, exchange.body, tuple(exchange.headers))
-        taken = Exchange(0, job, exchange.class_name, exchange.tenant, client,
-                         exchange.give_up_us * MICROSECOND)
+        taken = Exchange(
+            0, job, exchange.class_name, exchange.tenant, client, exchange.give_up_us * MICROSECOND
+        )
         for number, sent in enumerate(exchange.attempts):
             target = self._table.target(sent.worker, Address.parse(sent.address))
-            taken.attempts.append(Attempt(taken, number, target, sent.sent_us * MICROSECOND,
-                                          sent.due_us * MICROSECOND, open=sent.open, arrived=True))
+            taken.attempts.append(
+                Attempt(
+                    taken,
+                    number,
+                    target,
+                    sent.sent_us * MICROSECOND,
+                    sent.due_us * MICROSECOND,
+                    open=sent.open,
+                    arrived=True,
+                )
+            )
         client.owe(taken)
         self._book.take_over(taken, self._ingress.translator.tenant(exchange.tenant) or 0, exchange.memory)
 
@@ -152,18 +181,37 @@
             client = exchange.client
             if not (exchange.owed and isinstance(client, IngressConnection) and client.at_rest()):
                 continue
-            if all(attempt.arrived and not (attempt.leaving or self._egress.calling(attempt))
-                   for attempt in exchange.out()):
+            if all(
+                attempt.arrived and not (attempt.leaving or self._egress.calling(attempt))
+                for attempt in exchange.out()
+            ):
                 self._pass_on(exchange, client)
         for sock, address, idle_since in self._egress.release_idle():
             self._upgrade.pass_outgoing(sock, address, idle_since)
 
     def _pass_on(self, exchange: Exchange, client: IngressConnection) -> None:
         job = exchange.job
-        attempts = [OpenAttempt(sent.target.id, str(sent.target.address), sent.sent // MICROSECOND,
-                                sent.due // MICROSECOND, sent.open) for sent in exchange.attempts]
-        passed = Open(job.id, job.subject, job.body, list(job.headers), exchange.class_name,
-                      exchange.tenant_name, exchange.give_up // MICROSECOND, client.keep_alive(), attempts,
-                      job_memory(self._dispatcher, exchange.number))
+        attempts = [
+            OpenAttempt(
+                sent.target.id,
+                str(sent.target.address),
+                sent.sent // MICROSECOND,
+                sent.due // MICROSECOND,
+                sent.open,
+            )
+            for sent in exchange.attempts
+        ]
+        passed = Open(
+            job.id,
+            job.subject,
+            job.body,
+            list(job.headers),
+            exchange.class_name,
+            exchange.tenant_name,
+            exchange.give_up // MICROSECOND,
+            client.keep_alive(),
+            attempts,
+            job_memory(self._dispatcher, exchange.number),
+        )
         self._book.give_away(exchange)
         self._upgrade.pass_open(client.release(), passed)
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -72,10 +72,19 @@
         out = int(rest * EGRESS_SHARE)
         self.egress = Egress(self.loop, config.site, self.book, self.counters, out)
         self.upgrade = Upgrade(self.loop, str(config.listen))
-        self.ingress = Ingress(self.loop, config.site, self.book, self.egress, self.counters, rest - out,
-                               lambda: bool(self.table.ready), self.upgrade)
-        self.watch = DiscoveryWatch(self.loop, config.discovery, self.table, config.site, self.counters,
-                                    self._listed)
+        self.ingress = Ingress(
+            self.loop,
+            config.site,
+            self.book,
+            self.egress,
+            self.counters,
+            rest - out,
+            lambda: bool(self.table.ready),
+            self.upgrade,
+        )
+        self.watch = DiscoveryWatch(
+            self.loop, config.discovery, self.table, config.site, self.counters, self._listed
+        )
         self.book.target = self.egress
         self.book.watch = self.watch.start
         probes = Probes(self.loop, self.egress, self.book.tell)
@@ -84,15 +93,26 @@
         self.durable: DurableJobs | None = None
         if config.options.durable.folder:
             self._make_durable()
-        self.partner = Partner(self.loop, self.upgrade, self.table, self.dispatcher, self.book, self.egress,
-                               self.ingress, self.durable, lambda: self.config, self.begin,
-                               self.by_hand_here)
+        self.partner = Partner(
+            self.loop,
+            self.upgrade,
+            self.table,
+            self.dispatcher,
+            self.book,
+            self.egress,
+            self.ingress,
+            self.durable,
+            lambda: self.config,
+            self.begin,
+            self.by_hand_here,
+        )
         self.upgrade.scheduler = self.partner
         if config.options.fleet.listen:
             from carthinge.scheduler.fleet_link import FleetLink
 
-            self.partner.fleet = FleetLink(self.loop, config.options.fleet, config.name, config.site,
-                                           self.dispatcher, self.book.tell)
+            self.partner.fleet = FleetLink(
+                self.loop, config.options.fleet, config.name, config.site, self.dispatcher, self.book.tell
+            )
         self.fleet = self.partner.fleet
         self._quiet_since: timedelta | None = None
         self._serving = False
@@ -107,8 +127,14 @@
         gc.set_threshold(*COLLECTIONS)
         options = self.config.options
         self.durable = DurableJobs(
-            self.loop, self.book, options, BOOT.read_text().strip(), self._terms_of,
-            lambda number: self.dispatcher.fleet.workers[number].entry, self.table.target)
+            self.loop,
+            self.book,
+            options,
+            BOOT.read_text().strip(),
+            self._terms_of,
+            lambda number: self.dispatcher.fleet.workers[number].entry,
+            self.table.target,
+        )
         self.ingress.call_backs.durable = self.durable
         self.egress.lease = options.leases.duration
         self.ingress.durable = DurableFront(self.loop, self.durable, lambda: self.ingress.max_retry_after)
@@ -121,8 +147,17 @@
             return None
         known = accepted.terms
         hint = None if known.hint_us is None else known.hint_us * MICROSECOND
-        return Terms(job_class, accepted.class_name, tenant, accepted.tenant, patience, known.key, hint,
-                     known.slots, known.memory)
+        return Terms(
+            job_class,
+            accepted.class_name,
+            tenant,
+            accepted.tenant,
+            patience,
+            known.key,
+            hint,
+            known.slots,
+            known.memory,
+        )
 
     def run(self) -> None:
         """Serves until SIGTERM or SIGINT has come and all that was taken is answered.
@@ -134,9 +169,14 @@
             self.operator = Operator(self.loop, self.config.operator, self, self.counters)
         limits = self.config.limits
         # Before anything waits for an answer here: the first line of a log costs more than many after it.
-        log.logger().info("starting", instances=self.config.site.decisions.instances, cores=limits.cores,
-                          memory_mb=limits.memory_mb, sockets=limits.sockets,
-                          workers=len(self.config.known.members))
+        log.logger().info(
+            "starting",
+            instances=self.config.site.decisions.instances,
+            cores=limits.cores,
+            memory_mb=limits.memory_mb,
+            sockets=limits.sockets,
+            workers=len(self.config.known.members),
+        )
         self.upgrade.find()
         while not self._over:
             self.loop.turn(idle=not self.book.events)
@@ -152,8 +192,7 @@
             self.operator.close()
         self.loop.close()
         owed = sum(e.owed and e.keeper is None for e in self.book.exchanges.values())
-        log.logger().info("stopped", unanswered=owed,
-                          **self.counters.as_dict())
+        log.logger().info("stopped", unanswered=owed, **self.counters.as_dict())
 
     def begin(self, state: State | None) -> None:
         """Starts to serve, where another process does from what it has told."""
@@ -163,9 +202,14 @@
             self.config = replace(self.config, discovery=Address.parse(state.discovery))
             self.watch.move(self.config.discovery)
             site = self.config.site
-            self.book.tell(Inherit(state.memory, _positions(site.classes, state.classes),
-                                   _positions(site.tenants, state.tenants),
-                                   _positions(site.kinds, state.kinds)))
+            self.book.tell(
+                Inherit(
+                    state.memory,
+                    _positions(site.classes, state.classes),
+                    _positions(site.tenants, state.tenants),
+                    _positions(site.kinds, state.kinds),
+                )
+            )
             self.book.tell(self.table.go_on(state))
             self.partner.share(0)
         if self.durable is not None:
@@ -193,13 +237,19 @@
         has this process pay for its start: their clients' time runs, and nobody here knows since when.
         """
         listening = self.config.listening
-        self.ingress.listen(bind(self.config.listen, BACKLOG) if listening is None
-                            else socket.socket(fileno=listening))
+        self.ingress.listen(
+            bind(self.config.listen, BACKLOG) if listening is None else socket.socket(fileno=listening)
+        )
         self.upgrade.listen()
         self._serving = True
-        log.logger().info("serving", listen=str(self.config.listen),
-                          workers=len(self.table.ready), revision=self.table.revision,
-                          discovery=str(self.config.discovery), taken_over=taken_over)
+        log.logger().info(
+            "serving",
+            listen=str(self.config.listen),
+            workers=len(self.table.ready),
+            revision=self.table.revision,
+            discovery=str(self.config.discovery),
+            taken_over=taken_over,
+        )
 
     # ---- what operators ask for -----------------------------------------------------------
 
@@ -208,14 +258,20 @@
 
     def figures(self) -> dict[str, Any]:
         ended, counters, fleet = self.book.ended, self.counters, self.dispatcher.fleet
-        return {"served": ended.served, "refused": ended.refused, "failed": ended.failed,
-                "attempts": counters.attempts_written, "in_flight": self.book.in_flight(),
-                "workers_known": len(self.table.listed),
-                "workers_excluded": fleet.excluded(self.loop.now // MICROSECOND),
-                "overload": self.dispatcher.desk.level.figures() | self.dispatcher.desk.budget.figures(),
-                "reloads_ok": counters.reloads_ok, "reloads_failed": counters.reloads_failed,
-                **({"durable": self.durable.figures()} if self.durable is not None else {}),
-                **({"fleet": self.fleet.figures()} if self.fleet is not None else {})}
+        return {
+            "served": ended.served,
+            "refused": ended.refused,
+            "failed": ended.failed,
+            "attempts": counters.attempts_written,
+            "in_flight": self.book.in_flight(),
+            "workers_known": len(self.table.listed),
+            "workers_excluded": fleet.excluded(self.loop.now // MICROSECOND),
+            "overload": self.dispatcher.desk.level.figures() | self.dispatcher.desk.budget.figures(),
+            "reloads_ok": counters.reloads_ok,
+            "reloads_failed": counters.reloads_failed,
+            **({"durable": self.durable.figures()} if self.durable is not None else {}),
+            **({"fleet": self.fleet.figures()} if self.fleet is not None else {}),
+        }
 
     def by_hand(self, worker: str, out: bool, done: Callable[[bool], None]) -> None:
         """Carried out at both processes, where there are two, before it is answered."""
@@ -273,14 +329,23 @@
             log.logger().error("reload_failed", why=str(fault), discovery=str(self.config.discovery))
             return
         self.counters.reloads_ok += 1
-        log.logger().info("reloaded", discovery=str(config.discovery), before=str(self.config.discovery),
-                          classes=",".join(config.site.classes),
-                          attempts=config.site.decisions.try_limit)
+        log.logger().info(
+            "reloaded",
+            discovery=str(config.discovery),
+            before=str(self.config.discovery),
+            classes=",".join(config.site.classes),
+            attempts=config.site.decisions.try_limit,
+        )
         before, site = self.config.site, config.site
         self.config = replace(self.config, discovery=config.discovery, site=site, shape=config.shape)
-        self.book.tell(Retune(site.decisions, _positions(site.classes, before.classes),
-                              _positions(site.tenants, before.tenants),
-                              _positions(site.kinds, before.kinds)))
+        self.book.tell(
+            Retune(
+                site.decisions,
+                _positions(site.classes, before.classes),
+                _positions(site.tenants, before.tenants),
+                _positions(site.kinds, before.kinds),
+            )
+        )
         if (site.zones, site.kinds) != (before.zones, before.kinds):
             self.book.tell(self.table.retune(site))
         self.book.ended.name(site.classes)
--- a/carthinge/settings.py
+++ b/carthinge/settings.py
@@ -168,8 +168,12 @@
 
 def read_settings(facts: Facts) -> Settings:
     """The settings of one instance; keys this reader does not know are ignored."""
-    names = {"rif": "held", "inflight": "held",
-             "x0": facts.word("extra.report_x0"), "x1": facts.word("extra.report_x1")}
+    names = {
+        "rif": "held",
+        "inflight": "held",
+        "x0": facts.word("extra.report_x0"),
+        "x1": facts.word("extra.report_x1"),
+    }
     fields = tuple(names.get(field, field) for field in facts.listed("load_info.fields"))
     return Settings(
         classes=tuple(_read_class(facts, i) for i in range(facts.whole("services.count"))),
--- a/carthinge/wire.py
+++ b/carthinge/wire.py
@@ -95,8 +95,12 @@
 _LENGTH: Final = Struct("<I")
 _BATCH: Final = Struct("<QI")
 _REPLY: Final = Struct("<II")
-_COUNTS: Final = {"text16": Struct("<H"), "text32": Struct("<I"), "floats8": Struct("<B"),
-                  "entries32": Struct("<I")}
+_COUNTS: Final = {
+    "text16": Struct("<H"),
+    "text32": Struct("<I"),
+    "floats8": Struct("<B"),
+    "entries32": Struct("<I"),
+}
 _UNITS: Final = {"text16": 1, "text32": 1, "floats8": 4, "entries32": _ENTRY.size}
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,8 +15,9 @@
 pytest_plugins = ["known_red"]
 
 hypothesis.settings.register_profile("everywhere", deadline=None)  # how busy the machine is says nothing
-hypothesis.settings.register_profile("gate", parent=hypothesis.settings.get_profile("everywhere"),
-                                     derandomize=True)  # there the same examples each time: the same verdict
+hypothesis.settings.register_profile(
+    "gate", parent=hypothesis.settings.get_profile("everywhere"), derandomize=True
+)  # there the same examples each time: the same verdict
 hypothesis.settings.load_profile("gate" if os.environ.get("CI") else "everywhere")
 
 
@@ -39,12 +40,23 @@
 
     def make(sockets=1024, settings=SETTINGS, workers=1, file=None):
         path = tmp_path / f"config-{len(made)}.json"
-        path.write_text(json.dumps({
-            "name": "n0", "listen": f"{HOST}:{free_port()}", "seed": "8c1f",
-            "discovery": f"{HOST}:{free_port()}", "settings": settings,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-            "known": {"revision": 7, "complete": True,
-                      "members": [nowhere(f"s-{number}") for number in range(workers)]}}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"{HOST}:{free_port()}",
+                    "seed": "8c1f",
+                    "discovery": f"{HOST}:{free_port()}",
+                    "settings": settings,
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+                    "known": {
+                        "revision": 7,
+                        "complete": True,
+                        "members": [nowhere(f"s-{number}") for number in range(workers)],
+                    },
+                }
+            )
+        )
         environment = {"RELAY_CONFIG": str(path), **({"CARTHINGE_FILE": str(file)} if file else {})}
         made.append(Program(load(environment), lambda before: before))
         return made[-1]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,17 +8,35 @@
 from carthinge import interface as io
 
 SAFE = io.JobClass(objective=100_000, deadline=5_000_000, late_worth=0.5, stretch=2.0)
-KEYED = io.JobClass(objective=100_000, deadline=5_000_000, late_worth=0.5, effect=io.Effect.KEYED,
-                    scope=io.Scope.CELL, window=1_000_000)
+KEYED = io.JobClass(
+    objective=100_000,
+    deadline=5_000_000,
+    late_worth=0.5,
+    effect=io.Effect.KEYED,
+    scope=io.Scope.CELL,
+    window=1_000_000,
+)
 UNSAFE = io.JobClass(objective=100_000, deadline=5_000_000, late_worth=0.5, effect=io.Effect.UNSAFE)
 WORTHLESS_LATE = io.JobClass(objective=100_000, deadline=5_000_000)
 
 
 def settings(*classes, **more):
-    given = {"classes": classes or (SAFE,), "tenants": (io.Tenant(0.5), io.Tenant(0.5)), "try_limit": 4,
-             "may_copy": True, "may_cancel": True, "tells_start": True, "answer_grace": 16_000,
-             "drain_grace": 500_000, "cold_start_share": 0.4, "cold_time": 8_000_000, "fall_multiple": 3.0,
-             "fall_window": 2_000_000, "ask_within": 10_000_000, "kinds": 2}
+    given = {
+        "classes": classes or (SAFE,),
+        "tenants": (io.Tenant(0.5), io.Tenant(0.5)),
+        "try_limit": 4,
+        "may_copy": True,
+        "may_cancel": True,
+        "tells_start": True,
+        "answer_grace": 16_000,
+        "drain_grace": 500_000,
+        "cold_start_share": 0.4,
+        "cold_time": 8_000_000,
+        "fall_multiple": 3.0,
+        "fall_window": 2_000_000,
+        "ask_within": 10_000_000,
+        "kinds": 2,
+    }
     return io.Settings(**{**given, **more})
 
 
@@ -38,8 +56,15 @@
 
 
 def outcome(request, attempt, worker, result, latency=1000, finished=None, report=()):
-    return io.Outcome(request, attempt, worker, result, latency,
-                      result is io.Result.OK if finished is None else finished, report)
+    return io.Outcome(
+        request,
+        attempt,
+        worker,
+        result,
+        latency,
+        result is io.Result.OK if finished is None else finished,
+        report,
+    )
 
 
 def of(kind, actions):
@@ -55,5 +80,11 @@
 
 def run_adapter(data, hash_seed="0"):
     """The adapter process on these bytes of input."""
-    return subprocess.run([sys.executable, "-m", "carthinge.benchlink"], input=data, capture_output=True,
-                          timeout=60, check=False, env={**os.environ, "PYTHONHASHSEED": hash_seed})
+    return subprocess.run(
+        [sys.executable, "-m", "carthinge.benchlink"],
+        input=data,
+        capture_output=True,
+        timeout=60,
+        check=False,
+        env={**os.environ, "PYTHONHASHSEED": hash_seed},
+    )
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -39,8 +39,10 @@
         """What the operator's file of that scheduler says."""
         fronts = ["{}:{}".format(*sock.getsockname()) for sock in self.fronts]
         home = "{}:{}".format(*self.homes[number])
-        return (f"[fleet]\nlisten = '{home}'\nadvertise = '{fronts[number]}'\nmembers = {fronts}\n"
-                f"period = {period}\nkey_file = '{key_file}'\n")
+        return (
+            f"[fleet]\nlisten = '{home}'\nadvertise = '{fronts[number]}'\nmembers = {fronts}\n"
+            f"period = {period}\nkey_file = '{key_file}'\n"
+        )
 
     def cut(self, *pairs):
         self.cuts = set(pairs)
--- a/tests/store_shorthands.py
+++ b/tests/store_shorthands.py
@@ -1,6 +1,5 @@
 """Shorthands for tests of the store: records of each kind, and a store that is open."""
 
-
 import msgspec
 
 from carthinge import interface as io
@@ -16,8 +15,20 @@
 
 
 def accepted(number, key=None, body=b"body", give_up=10_000_000):
-    return Accepted(number, f"r{number}", "acme", "reindex", key, b"d" * 16, b"/api/x", body,
-                    (("Idempotency-Key", b"k"),), Terms(1, 20_000, 1.0, 0.0), 1, give_up)
+    return Accepted(
+        number,
+        f"r{number}",
+        "acme",
+        "reindex",
+        key,
+        b"d" * 16,
+        b"/api/x",
+        body,
+        (("Idempotency-Key", b"k"),),
+        Terms(1, 20_000, 1.0, 0.0),
+        1,
+        give_up,
+    )
 
 
 def granted(token, job, number=0):
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -44,21 +44,25 @@
     replies, at = [], 0
     while at < len(done.stdout):
         (length,) = struct.unpack_from("<I", done.stdout, at)
-        replies.append(wire.decode_reply(done.stdout[at + 4:at + 4 + length]))
+        replies.append(wire.decode_reply(done.stdout[at + 4 : at + 4 + length]))
         at += 4 + length
     return replies
 
 
 def test_a_request_is_issued_and_its_answer_ends_it():
-    first, second = talk((1000, [*started(), request(5)]), (2000, [
-        (Ev.ENDED, (3, 5, 900, 1, RAW[0], 0, 200, 0, ())), (Ev.ABANDONED, (3, 5))]))
+    first, second = talk(
+        (1000, [*started(), request(5)]),
+        (2000, [(Ev.ENDED, (3, 5, 900, 1, RAW[0], 0, 200, 0, ())), (Ev.ABANDONED, (3, 5))]),
+    )
     issue = next(fields for code, fields in first if code == Act.ISSUE)
     assert issue[:2] == (3, 5) and issue[2] in RAW
     assert not [code for code, _ in second if code != Act.SLEEP]
 
 
-@pytest.mark.parametrize(("line", "field"), [
-    ("services.0.objective=300000", "services.0.objective"), ("caps.try_limit=3", "caps.try_limit")])
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [("services.0.objective=300000", "services.0.objective"), ("caps.try_limit=3", "caps.try_limit")],
+)
 def test_missing_settings_bail_out_with_the_field(line, field):
     ((code, fields),) = talk((1000, [(Ev.NEW_INSTANCE, (3, 99, FACTS.replace(line, "").encode()))]))[0]
     assert code == Act.BAIL_OUT and field in fields[1].decode()
@@ -71,14 +75,19 @@
 
 
 def test_events_after_shutdown_and_unknown_ids_are_ignored():
-    replies = talk((1000, started()), (2000, [
-        request(5), (Ev.SHUTDOWN, (3,)), request(6), (Ev.WAKE, (3, 7)), (Ev.ABANDONED, (8, 7))]))
+    replies = talk(
+        (1000, started()),
+        (2000, [request(5), (Ev.SHUTDOWN, (3,)), request(6), (Ev.WAKE, (3, 7)), (Ev.ABANDONED, (8, 7))]),
+    )
     assert replies[1] == []
 
 
 def test_a_new_start_forgets_the_one_before():
-    again = talk((1000, [*started(), request(5)]), (2000, [(Ev.SHUTDOWN, (3,)), *started()]),
-                 (3000, [(Ev.ENDED, (3, 5, 900, 0, RAW[0], 0, 502, 0, ()))]))[2]
+    again = talk(
+        (1000, [*started(), request(5)]),
+        (2000, [(Ev.SHUTDOWN, (3,)), *started()]),
+        (3000, [(Ev.ENDED, (3, 5, 900, 0, RAW[0], 0, 502, 0, ()))]),
+    )[2]
     assert not [code for code, _ in again if code in (Act.ISSUE, Act.BOUNCE, Act.END_FAILED)]
 
 
