--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -179,8 +179,10 @@
 
 def test_a_repeat_that_would_begin_after_its_window_is_not_sent(serve, dial, worker):
     """Its connection came up when the workers no longer drop what they have run before."""
-    services = [{**spec, "window": 1_000_000} if spec["effect"] == "idempotency_key" else spec
-                for spec in altered()["services"]]
+    services = [
+        {**spec, "window": 1_000_000} if spec["effect"] == "idempotency_key" else spec
+        for spec in altered()["services"]
+    ]
     program = serve(settings={**altered(dial_timeout=900_000), "services": services})
     lists(program, member("s-0", worker.port), member("s-1", worker.port))
     sockets = faulty(program)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -94,8 +94,11 @@
     ends = []
     for request in range(60):
         actions = gateway.handle(NOW + 10, [arrival(request, now=NOW + 10)])
-        ends += [(type(action), getattr(action, "worker", 0)) for action in actions
-                 if isinstance(action, io.Send | io.Refuse)]
+        ends += [
+            (type(action), getattr(action, "worker", 0))
+            for action in actions
+            if isinstance(action, io.Send | io.Refuse)
+        ]
     assert not any(job.spared and job.waiting for job in gateway.jobs.values())  # nothing is held back
     assert 0 < ends.count((io.Send, 2)) <= 2
     assert ends.count((io.Refuse, 0)) > 30
@@ -118,6 +121,7 @@
 
 def test_while_the_level_is_up_a_cold_worker_that_can_begin_goes_before_those_that_are_waited_for():
     """Its allowance is lost with its second; a wait that has not been seen was guessed to be short."""
+
     def sent(level_up):
         gateway = started(settings(WORTHLESS_LATE, reports=io.Reports.OFF), *range(1, 4))
         gateway.handle(NOW, [cold(3)])
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -112,8 +112,15 @@
 @pytest.mark.parametrize(("known", "restarted"), [(1, 0), (0, 1), (20, 10), (0, 30), (150, 50), (0, 200)])
 def test_the_sum_of_all_schedulers_stays_below_a_cold_worker_s_budget(known, restarted, fall_multiple):
     for seed in range(3):
-        config = settings(SAFE, UNSAFE, instances=known + restarted, fall_multiple=fall_multiple,
-                          fall_window=1_000_000, cold_start_share=0.25, tells_start=True)
+        config = settings(
+            SAFE,
+            UNSAFE,
+            instances=known + restarted,
+            fall_multiple=fall_multiple,
+            fall_window=1_000_000,
+            cold_start_share=0.25,
+            tells_start=True,
+        )
         fleet = FleetInVirtualTime(config, known, restarted, seed)
         fleet.run(per_s=1.1 * SLOTS * WARM / WORK * 1e6)  # more than the warm ones can do
         for worker in range(WARM + 1, WARM + COLD + 1):
--- a/tests/test_connections_end.py
+++ b/tests/test_connections_end.py
@@ -121,7 +121,7 @@
     sockets = faulty(program)
     client = dial(program)
     turns(program, lambda: program.ingress.places.fresh)
-    connection, = program.ingress.places.all()
+    (connection,) = program.ingress.places.all()
     connection._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     answer = connection._answer
@@ -258,7 +258,7 @@
     turns(program, lambda: program.counters.connections_in_silent)
     assert silent.ended()
     for at in range(4, len(UP)):
-        slow.send(UP[at:at + 1])
+        slow.send(UP[at : at + 1])
         program.loop.turn(idle=False)
         let_pass(program, timedelta(milliseconds=100))
     assert reading(slow, program)[0].endswith("200 OK") and program.counters.connections_in_silent == 1
--- a/tests/test_deployment_settings.py
+++ b/tests/test_deployment_settings.py
@@ -31,8 +31,11 @@
     serve(gateway, 200, 20_000)
     blocked = started(settings(may_probe=True, price_probe=0.002, **TOLD), 1)
     fill(blocked, 1)
-    actions = [gateway.handle(5_000_000, [arrival(900, now=5_000_000)]), blocked.handle(2, [arrival(900)]),
-               *(blocked.handle(now, [io.Timer(0)]) for now in range(50_000, 400_000, 50_000))]
+    actions = [
+        gateway.handle(5_000_000, [arrival(900, now=5_000_000)]),
+        blocked.handle(2, [arrival(900)]),
+        *(blocked.handle(now, [io.Timer(0)]) for now in range(50_000, 400_000, 50_000)),
+    ]
     assert not [action for batch in actions for action in of(io.Probe, batch)]
 
 
@@ -68,8 +71,12 @@
 @pytest.mark.parametrize(("free", "sends"), [(0.0, 2), (3.0, 3)])
 def test_the_free_slots_are_read_beside_a_queue_and_used(name, free, sends):
     """Without a free slot by its report there are two by this gateway's own count, with a third job out."""
-    gateway = started(read_settings(Facts.from_nested(
-        {**SETTINGS, "load_info": {"how": "inline", "fields": [name, "x0"]}})), 1)
+    gateway = started(
+        read_settings(
+            Facts.from_nested({**SETTINGS, "load_info": {"how": "inline", "fields": [name, "x0"]}})
+        ),
+        1,
+    )
     for now in (1, 2):  # the only worker shows its three slots, and gets three jobs
         gateway.handle(now, [arrival(now), outcome(now - 1, 0, 1, R.OK, report=(9.0, 3.0))])
     gateway.handle(3, [outcome(2, 0, 1, R.OK, report=(9.0, 3.0)), *(arrival(n) for n in (3, 4, 5))])
@@ -132,9 +139,20 @@
     for now in range(10_000, 410_000, 10_000):
         worker = of(io.Send, gateway.handle(now, [arrival(now, now=now)]))[0].worker
         sent.append(worker)
-        gateway.handle(now + 1, [io.Note(now, 0, worker), outcome(
-            now, 0, worker, R.ERROR if worker == 1 else R.OK, report=(0.0, 9.0 if worker == 1 else 1.0)),
-            io.Abandoned(now)])
+        gateway.handle(
+            now + 1,
+            [
+                io.Note(now, 0, worker),
+                outcome(
+                    now,
+                    0,
+                    worker,
+                    R.ERROR if worker == 1 else R.OK,
+                    report=(0.0, 9.0 if worker == 1 else 1.0),
+                ),
+                io.Abandoned(now),
+            ],
+        )
     assert sent.count(1) == 2
 
 
@@ -172,8 +190,9 @@
     order = []
     for now, ended in ((200_000, 100), (200_001, 101)):
         events = [arrival(900, job_class=1, now=now)] if ended == 100 else []
-        order += [send.request for send in
-                  of(io.Send, gateway.handle(now, [*events, outcome(ended, 0, 1, R.OK)]))]
+        order += [
+            send.request for send in of(io.Send, gateway.handle(now, [*events, outcome(ended, 0, 1, R.OK)]))
+        ]
     assert order[0] == first and set(order) <= {104, 900}
 
 
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -28,25 +28,50 @@
     """Settings and limits that the protocol allows, though few days draw them together."""
     effects = rng.sample(["read_like", "idempotency_key", "non_idempotent"], rng.randint(1, 3))
     deadlines = [rng.choice([400_000, 900_000, 25_000_000]) for _ in effects]
-    classes = [{"name": f"c{number}", "effect": effect, "objective": deadline // 4, "hard_limit": deadline,
-                "value": float(rng.choice([1, 10])), "late_worth": rng.choice([0.0, 0.5]),
-                "window": rng.choice([100_000, 40_000_000]), "group": rng.choice(["all", "zone", "cell"])}
-               for number, (effect, deadline) in enumerate(zip(effects, deadlines, strict=True))]
-    reports = {"how": rng.choice(["inline", "on_probe", "off"]),
-               "fields": rng.choice([["util", "qps", "x0"], ["queue", "x0"], ["q"]])}
-    caps = {"try_limit": rng.choice([1, 3, 6]), "second_copies": rng.random() < 0.6,
-            "probing": reports["how"] == "on_probe" or rng.random() < 0.5, "peers": rng.random() < 0.2,
-            "idle_close": rng.choice([500_000, 5_000_000, 60_000_000]),
-            "dial_timeout": rng.choice([25_000, 250_000, 2_500_000])}
-    settings = {**SETTINGS, "services": classes, "load_info": reports, "instances": rng.choice([1, 2, 230]),
-                "membership_mode": rng.choice(["automatic", "subscribe"]),
-                "zones": rng.choice([[], ["a", "b"], ["a", "b", "c"]]),
-                "tenants": rng.choice([[], SETTINGS["tenants"]]), "caps": {**SETTINGS["caps"], **caps},
-                "extra": {**SETTINGS["extra"], "class_kind": [-1] * len(classes),
-                          "class_stretch": [2.0] * len(classes), "tells_start": rng.random() < 0.7,
-                          "progress": rng.choice([0, 20_000, 2_000_000])},
-                "rules": {**SETTINGS["rules"], "drain_grace": rng.choice([100_000, 500_000, 10_000_000])},
-                "prices": {"handshake": rng.choice([0.0, 0.02]), "cross_zone": rng.choice([0.0, 0.025])}}
+    classes = [
+        {
+            "name": f"c{number}",
+            "effect": effect,
+            "objective": deadline // 4,
+            "hard_limit": deadline,
+            "value": float(rng.choice([1, 10])),
+            "late_worth": rng.choice([0.0, 0.5]),
+            "window": rng.choice([100_000, 40_000_000]),
+            "group": rng.choice(["all", "zone", "cell"]),
+        }
+        for number, (effect, deadline) in enumerate(zip(effects, deadlines, strict=True))
+    ]
+    reports = {
+        "how": rng.choice(["inline", "on_probe", "off"]),
+        "fields": rng.choice([["util", "qps", "x0"], ["queue", "x0"], ["q"]]),
+    }
+    caps = {
+        "try_limit": rng.choice([1, 3, 6]),
+        "second_copies": rng.random() < 0.6,
+        "probing": reports["how"] == "on_probe" or rng.random() < 0.5,
+        "peers": rng.random() < 0.2,
+        "idle_close": rng.choice([500_000, 5_000_000, 60_000_000]),
+        "dial_timeout": rng.choice([25_000, 250_000, 2_500_000]),
+    }
+    settings = {
+        **SETTINGS,
+        "services": classes,
+        "load_info": reports,
+        "instances": rng.choice([1, 2, 230]),
+        "membership_mode": rng.choice(["automatic", "subscribe"]),
+        "zones": rng.choice([[], ["a", "b"], ["a", "b", "c"]]),
+        "tenants": rng.choice([[], SETTINGS["tenants"]]),
+        "caps": {**SETTINGS["caps"], **caps},
+        "extra": {
+            **SETTINGS["extra"],
+            "class_kind": [-1] * len(classes),
+            "class_stretch": [2.0] * len(classes),
+            "tells_start": rng.random() < 0.7,
+            "progress": rng.choice([0, 20_000, 2_000_000]),
+        },
+        "rules": {**SETTINGS["rules"], "drain_grace": rng.choice([100_000, 500_000, 10_000_000])},
+        "prices": {"handshake": rng.choice([0.0, 0.02]), "cross_zone": rng.choice([0.0, 0.025])},
+    }
     return settings, {"sockets": rng.choice([64, 96, 1024]), "workers": rng.choice([1, 3, 17])}
 
 
@@ -74,8 +99,10 @@
             self.lag = max(time.monotonic() - began - 0.005, self.lag * 0.98)
 
     async def listen(self):
-        return [await asyncio.start_server(partial(self.serve, number), sock=stub.sock)
-                for number, stub in enumerate(self.world.workers)]
+        return [
+            await asyncio.start_server(partial(self.serve, number), sock=stub.sock)
+            for number, stub in enumerate(self.world.workers)
+        ]
 
     async def serve(self, number, reader, writer):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -88,8 +115,9 @@
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
                 elif head.startswith("GET /metrics/load"):
                     writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 12\r\n\r\nqueue=3,x0=2")
-                elif not await self.work(number, fields["req-id"], float(fields["req-deadline"][:-1]) / 1000,
-                                         writer):
+                elif not await self.work(
+                    number, fields["req-id"], float(fields["req-deadline"][:-1]) / 1000, writer
+                ):
                     break
         writer.close()
 
@@ -140,12 +168,19 @@
     async def call_back(self, number, job, way):
         ending = [(self.rng.uniform(0.0, 0.05), "failed" if way == "failed" else "done")]
         notes = [(0.01, "running")] * (self.settings["extra"]["progress"] == 20_000)
-        for wait, state in [(0.005, "started"), *notes, *ending, *ending[:way == "twice"]]:
+        for wait, state in [(0.005, "started"), *notes, *ending, *ending[: way == "twice"]]:
             await asyncio.sleep(wait)  # its work
             if state in ("done", "failed"):
                 self.out.get(job, set()).discard(number)
-            body = json.dumps({"id": job, "from": f"s-{number}", "state": state, "result": f"of {job}",
-                               "load": {"util": 0.5, "qps": 9.0, "queue": 1, "x0": 2.0}}).encode()
+            body = json.dumps(
+                {
+                    "id": job,
+                    "from": f"s-{number}",
+                    "state": state,
+                    "result": f"of {job}",
+                    "load": {"util": 0.5, "qps": 9.0, "queue": 1, "x0": 2.0},
+                }
+            ).encode()
             head = f"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
             call = head.encode() + body
             for _ in range(CALLS):
@@ -186,8 +221,18 @@
         job, patience = f"{name}.{number}-{step}", rng.choice([0.15, 0.4])
         key = [f"Idempotency-Key: {job}"] * (workers.classes[name]["effect"] == "idempotency_key")
         span = rng.choice([f"{patience * 1000:.0f}m", f"{patience * 1e6:.0f}u"])
-        lines = [f"POST /api/{job} HTTP/1.1", "Host: x", f"Req-Id: {job}", f"Req-Kind: {name}",
-                 "Req-Owner: acme", f"Req-Deadline: {span}", *key, "Content-Length: 2", "", "{}"]
+        lines = [
+            f"POST /api/{job} HTTP/1.1",
+            "Host: x",
+            f"Req-Id: {job}",
+            f"Req-Kind: {name}",
+            "Req-Owner: acme",
+            f"Req-Deadline: {span}",
+            *key,
+            "Content-Length: 2",
+            "",
+            "{}",
+        ]
         before, sent = killed[0], time.monotonic()
         if rng.random() < 0.3 and kept is not None:
             kept[1].close()
@@ -245,9 +290,10 @@
     feeling = asyncio.create_task(workers.feel_lag())
     servers = await workers.listen()
     servers.append(await asyncio.start_server(partial(discovery, kind), sock=world.discovery.sock))
-    clients = [asyncio.create_task(client(world, number, rng, workers, killed, found))
-               for number in range(CLIENTS)]
-    await asyncio.wait(clients[:CLIENTS // 4])
+    clients = [
+        asyncio.create_task(client(world, number, rng, workers, killed, found)) for number in range(CLIENTS)
+    ]
+    await asyncio.wait(clients[: CLIENTS // 4])
     killed[0] += 1  # up to the next such line nobody is owed anything
     await asyncio.to_thread(world.kill)
     workers.out.clear(), workers.ran.clear()  # another process knows nothing of these
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -35,8 +35,14 @@
     world.workers.append(type(world.discovery)())
     world.names.append("s-new")
     peer, _ = world.watched()
-    peer.answer(200, told(8, member("s-new", world.workers[1].port),
-                          member("s-0", world.workers[0].port, phase="Terminating")))
+    peer.answer(
+        200,
+        told(
+            8,
+            member("s-new", world.workers[1].port),
+            member("s-0", world.workers[0].port, phase="Terminating"),
+        ),
+    )
     peer.read()  # the next call: that answer has taken effect
     for number in range(4):
         world.submit(f"a{number}")
@@ -132,9 +138,13 @@
 
 
 def pushed(grace, dial_timeout=250_000):
-    return {**SETTINGS, "membership_mode": "automatic", "instances": 300,
-            "caps": {**SETTINGS["caps"], "dial_timeout": dial_timeout},
-            "rules": {**SETTINGS["rules"], "drain_grace": grace, "ask_within": 0}}
+    return {
+        **SETTINGS,
+        "membership_mode": "automatic",
+        "instances": 300,
+        "caps": {**SETTINGS["caps"], "dial_timeout": dial_timeout},
+        "rules": {**SETTINGS["rules"], "drain_grace": grace, "ask_within": 0},
+    }
 
 
 def test_a_new_process_hears_the_agent_before_it_serves(tmp_path):
@@ -148,8 +158,10 @@
         assert line == "GET /discovery/hosts HTTP/1.1"
         with pytest.raises(ConnectionRefusedError):
             world.connect()
-        drained = [member("s-0", world.workers[0].port, phase="Terminating"),
-                   member("s-1", world.workers[1].port)]
+        drained = [
+            member("s-0", world.workers[0].port, phase="Terminating"),
+            member("s-1", world.workers[1].port),
+        ]
         peer.answer(200, told(8, *drained, complete=True))
         assert peer.read()[0].startswith("GET /discovery/hosts?index=8&wait=1000")
         world.wait_until_up()
@@ -190,8 +202,12 @@
 
 
 def test_a_list_that_is_pushed_from_a_reload_on_is_watched(tmp_path):
-    asked = {**SETTINGS, "instances": 300, "position": 299,  # whose first watch comes much later
-             "rules": {**SETTINGS["rules"], "ask_within": 3_600_000_000}}
+    asked = {
+        **SETTINGS,
+        "instances": 300,
+        "position": 299,  # whose first watch comes much later
+        "rules": {**SETTINGS["rules"], "ask_within": 3_600_000_000},
+    }
     with World(tmp_path, settings=asked) as world:
         world.reload(pushed(2_000_000))
         assert world.watched()[1].startswith("GET /discovery/hosts?index=7&wait=500")
--- a/tests/test_discovery_terms.py
+++ b/tests/test_discovery_terms.py
@@ -52,10 +52,15 @@
         program.book.decide()
 
 
-@given(failures=st.integers(1, 60), instances=st.integers(1, 230),
-       ask_within=st.integers(1_000_000, 60_000_000), seed=st.integers(0, 2**32))
+@given(
+    failures=st.integers(1, 60),
+    instances=st.integers(1, 230),
+    ask_within=st.integers(1_000_000, 60_000_000),
+    seed=st.integers(0, 2**32),
+)
 def test_however_often_it_failed_a_call_and_the_pause_before_it_stay_below_the_term(
-        failures, instances, ask_within, seed):
+    failures, instances, ask_within, seed
+):
     """The pause grew with each failure, to as much as ten seconds: so long after its return was it called."""
     gateway = started(settings(subscribe=True, instances=instances, ask_within=ask_within), 1, seed=seed)
     now = 30_000_000
@@ -180,13 +185,18 @@
     program, peer = watching
     worker = Listener()
     tell(program, peer, 9, member("s-0", worker.port))
-    body = json.dumps({"revision": 10, "complete": False,
-                       "members": [member("s-0", worker.port, phase="Terminating")]}).encode()
+    body = json.dumps(
+        {"revision": 10, "complete": False, "members": [member("s-0", worker.port, phase="Terminating")]}
+    ).encode()
     sockets = faulty(program)
     sockets.before("connect", lambda host, port: peer.answer(200, body))
     select, watched = program.loop._selector.select, program.watch._caller._stream._sock
-    monkeypatch.setattr(program.loop._selector, "select", lambda timeout=None: sorted(
-        select(timeout), key=lambda ready: ready[0].fileobj is not watched), raising=False)
+    monkeypatch.setattr(
+        program.loop._selector,
+        "select",
+        lambda timeout=None: sorted(select(timeout), key=lambda ready: ready[0].fileobj is not watched),
+        raising=False,
+    )
     client = dial(program).send(job("a1"))
     turns(program, lambda: program.counters.attempts)
     assert program.egress._calls
--- a/tests/test_durable_crashes.py
+++ b/tests/test_durable_crashes.py
@@ -140,8 +140,9 @@
     """A grant of that job to that worker, of which nothing was sent."""
     entry = msgspec.msgpack.encode(io.WorkerEntry(number_of(world.names[worker])))
     address = f"127.0.0.1:{world.workers[worker].port}"
-    return lambda jobs, now: Granted(1, jobs[req_id], 0, world.names[worker], address, entry, now,
-                                     now + 9_000_000)
+    return lambda jobs, now: Granted(
+        1, jobs[req_id], 0, world.names[worker], address, entry, now, now + 9_000_000
+    )
 
 
 def waiting(world, kind, deadline="9000m"):
@@ -160,8 +161,9 @@
     world.restart()
     assert get(world, path)[0] == 504  # the class forbids a repeat, and nothing tells that it was not sent
     with contextlib.closing(sqlite3.connect(world.store / "jobs.db")) as database:
-        assert database.execute("SELECT count(*) FROM attempts WHERE job = "
-                                "(SELECT number FROM jobs WHERE req_id = 'a1')").fetchone() == (1,)
+        assert database.execute(
+            "SELECT count(*) FROM attempts WHERE job = " "(SELECT number FROM jobs WHERE req_id = 'a1')"
+        ).fetchone() == (1,)
 
 
 def test_a_crash_between_recording_and_sending_a_keyed_job_has_it_sent_elsewhere(tmp_path):
--- a/tests/test_durable_disk.py
+++ b/tests/test_durable_disk.py
@@ -18,8 +18,11 @@
 
 
 def test_two_processes_cannot_have_one_store(world, tmp_path):
-    other = world.start(TMPDIR=str(tmp_path / "elsewhere"), RELAY_LISTEN=f"{HOST}:{free_port()}",
-                        RELAY_OPERATOR=f"{HOST}:{free_port()}")
+    other = world.start(
+        TMPDIR=str(tmp_path / "elsewhere"),
+        RELAY_LISTEN=f"{HOST}:{free_port()}",
+        RELAY_OPERATOR=f"{HOST}:{free_port()}",
+    )
     assert other.wait(10) == 4
     assert f"in use by process {world.process.pid}" in world.log()
 
@@ -41,7 +44,7 @@
     accept_and_end(world, "a3")
     world.kill()
     with contextlib.closing(sqlite3.connect(world.store / "jobs.db", isolation_level=None)) as database:
-        kept, = database.execute("SELECT state FROM jobs WHERE req_id = 'a1'").fetchone()
+        (kept,) = database.execute("SELECT state FROM jobs WHERE req_id = 'a1'").fetchone()
     assert kept == 0, "it stays as it is, for whoever mends it"
 
 
@@ -93,8 +96,9 @@
     path = put(world, "a1")
     number, req_id, token = accept(world)
     stuck = locked(world)
-    body = json.dumps({"id": req_id, "from": world.names[number], "state": "done", "result": "r",
-                       "token": token}).encode()
+    body = json.dumps(
+        {"id": req_id, "from": world.names[number], "state": "done", "result": "r", "token": token}
+    ).encode()
     caller = world.connect()
     caller.send(b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
     world.wait_for_log("store_failing")
@@ -114,8 +118,9 @@
     stuck = locked(world)
     began = time.monotonic()
     body = json.dumps({"id": req_id, "from": world.names[number], "state": "done", "result": "r"}).encode()
-    world.connect().send(b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body)
-                         + body)
+    world.connect().send(
+        b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    )
     first, _, answer = client.read()
     assert (first.split()[1], answer) == ("200", b"r") and time.monotonic() - began < 1.6
     stuck.rollback()
@@ -127,9 +132,20 @@
     with World(tmp_path, workers=2, file=file) as world:
         paths, refused = [], None
         while refused is None and len(paths) < 80:
-            first, headers, body = world.connect().send(
-                job(f"a{len(paths)}", kind="reindex", deadline="9000m", body=b"x" * 30000,
-                    Idempotency_Key=f"k{len(paths)}", Prefer="respond-async")).read()
+            first, headers, body = (
+                world.connect()
+                .send(
+                    job(
+                        f"a{len(paths)}",
+                        kind="reindex",
+                        deadline="9000m",
+                        body=b"x" * 30000,
+                        Idempotency_Key=f"k{len(paths)}",
+                        Prefer="respond-async",
+                    )
+                )
+                .read()
+            )
             if first.split()[1] == "202":
                 paths.append(headers["location"])
             else:
@@ -138,9 +154,20 @@
         for path in paths:
             assert get(world, path, "DELETE")[0] == 204
         until = time.monotonic() + 9
-        while (status := world.connect().send(
-                job(f"b{time.monotonic()}", kind="reindex", deadline="9000m", body=b"x" * 30000,
-                    Idempotency_Key=str(time.monotonic()), Prefer="respond-async")).status()) != 202:
+        while (
+            status := world.connect()
+            .send(
+                job(
+                    f"b{time.monotonic()}",
+                    kind="reindex",
+                    deadline="9000m",
+                    body=b"x" * 30000,
+                    Idempotency_Key=str(time.monotonic()),
+                    Prefer="respond-async",
+                )
+            )
+            .status()
+        ) != 202:
             assert status == 503 and time.monotonic() < until
             time.sleep(0.05)  # nothing tells that there is room but the answer itself
 
@@ -150,13 +177,17 @@
     path = put(world, "a1")
     number, req_id, token = accept(world, takes_part=False)
     world.kill()
-    compacting = subprocess.Popen([sys.executable, "-m", "carthinge", "store", "compact", str(world.store)],
-                                  stdout=subprocess.DEVNULL)
+    compacting = subprocess.Popen(
+        [sys.executable, "-m", "carthinge", "store", "compact", str(world.store)], stdout=subprocess.DEVNULL
+    )
     time.sleep(after)  # the point at which it is killed
     compacting.kill()
     compacting.wait()
-    checked = subprocess.run([sys.executable, "-m", "carthinge", "store", "check", str(world.store)],
-                             capture_output=True, check=False)
+    checked = subprocess.run(
+        [sys.executable, "-m", "carthinge", "store", "check", str(world.store)],
+        capture_output=True,
+        check=False,
+    )
     assert checked.returncode == 0, checked.stdout
     world.restart()
     assert world.tell(req_id, "done", number, result="r", token=token) == 204
--- a/tests/test_durable_limits.py
+++ b/tests/test_durable_limits.py
@@ -8,8 +8,9 @@
 
 
 def test_limits_name_what_is_short_and_count_what_is_open():
-    limits = Limits(max_open=3, max_open_per_tenant=2, max_open_bytes=100, max_store_bytes=10_000,
-                    max_backlog=5)
+    limits = Limits(
+        max_open=3, max_open_per_tenant=2, max_open_bytes=100, max_store_bytes=10_000, max_backlog=5
+    )
     fine = {"tenant": "a", "size": 10, "backlog": 0, "store_bytes": 0, "failing": False}
     assert limits.refusal(**fine) is None
     assert limits.refusal(**{**fine, "failing": True}) is Shed.FAILING
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -45,8 +45,9 @@
     assert worth < other * 2 or here <= standing(False, True, worth)
 
 
-@given(st.lists(st.tuples(st.integers(-5, 5), st.floats(1, 1e6)), min_size=1), points, points,
-       st.floats(0, 1))
+@given(
+    st.lists(st.tuples(st.integers(-5, 5), st.floats(1, 1e6)), min_size=1), points, points, st.floats(0, 1)
+)
 def test_schedulers_that_shed_unlike_parts_still_keep_the_same_requests(jobs, point, other, part):
     offered = Offered()
     for rank, work in jobs:
@@ -138,8 +139,7 @@
         events = [arrival(number, number % 2, now=now, hint=50_000)]
         for request, attempt, worker, since in [item for item in late if item[3] <= now - 100_000]:
             late.remove((request, attempt, worker, since))
-            events += [io.Note(request, attempt, worker),
-                       outcome(request, attempt, worker, io.Result.OK)]
+            events += [io.Note(request, attempt, worker), outcome(request, attempt, worker, io.Result.OK)]
         for send in of(io.Send, gateway.handle(now, events)):
             late.append((send.request, 0, send.worker, now))
     return gateway
--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -41,10 +41,22 @@
 # ---- summaries ----------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("bad", [
-    summary(pressure=math.nan), summary(pressure=math.inf), summary(pressure=-1.0), summary(pressure=1e30),
-    summary(left=math.nan), summary(spent=1e300), summary(spent=-0.5), summary(doubts=[(5, -1)]),
-    summary(doubts=[(5, 1 << 60)]), summary(levels=[(-1, 3)]), summary(sequence=-3)])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        summary(pressure=math.nan),
+        summary(pressure=math.inf),
+        summary(pressure=-1.0),
+        summary(pressure=1e30),
+        summary(left=math.nan),
+        summary(spent=1e300),
+        summary(spent=-0.5),
+        summary(doubts=[(5, -1)]),
+        summary(doubts=[(5, 1 << 60)]),
+        summary(levels=[(-1, 3)]),
+        summary(sequence=-3),
+    ],
+)
 def test_values_that_cannot_be_are_refused_and_what_was_heard_before_holds(summaries, bad):
     assert summaries.take(NOW, "a", summary(0, pressure=2.0))
     assert not summaries.take(NOW, "a", bad)
@@ -75,13 +87,36 @@
 
 def test_the_fullest_message_goes_in_one_piece_and_a_fuller_one_is_turned_down():
     worker, age = (1 << 64) - 1, (1 << 48) - 1
-    full = Summary(age, age, age, 1e6, [(1 << 20, 100)] * CELLS_MOST, 1e9, 1e9,
-                   [(worker, age)] * DOUBTS_MOST, [(worker, age)] * DOUBTS_MOST)
+    full = Summary(
+        age,
+        age,
+        age,
+        1e6,
+        [(1 << 20, 100)] * CELLS_MOST,
+        1e9,
+        1e9,
+        [(worker, age)] * DOUBTS_MOST,
+        [(worker, age)] * DOUBTS_MOST,
+    )
     rumors, room = [], 500
     while (room := room - Rumor("n" * 64, Standing.ALIVE, age, "a" * 64).size()) > 0:
         rumors.append(Rumor("n" * 64, Standing.ALIVE, age, "a" * 64))
-    packet = Packet(Kind.ACK, "n" * 64, "a" * 64, age, Standing.LEFT, age, age, "b" * 64, age, "c" * 64,
-                    rumors, full, 1 << 20, 1 << 20)
+    packet = Packet(
+        Kind.ACK,
+        "n" * 64,
+        "a" * 64,
+        age,
+        Standing.LEFT,
+        age,
+        age,
+        "b" * 64,
+        age,
+        "c" * 64,
+        rumors,
+        full,
+        1 << 20,
+        1 << 20,
+    )
     assert len(encode(packet, b"key")) <= PACKET_MOST
     more = Packet(Kind.BEAT, "n", "a", 1, summary=summary(doubts=[(1, 1)] * (DOUBTS_MOST + 1)))
     with pytest.raises(BadPacketError):
@@ -107,7 +142,7 @@
 def test_all_that_hear_the_same_come_to_the_same_level(true, lie, data):
     voices = [*true, lie]
     at = data.draw(st.integers(0, len(true) - 1))
-    assert agreed(voices[at], voices[:at] + voices[at + 1:]) == agreed(voices[0], voices[1:])
+    assert agreed(voices[at], voices[:at] + voices[at + 1 :]) == agreed(voices[0], voices[1:])
 
 
 def test_one_or_two_voices_agree_on_nothing():
@@ -164,10 +199,19 @@
     machines = machines or {name: SharedDoubts(name, PERIOD) for name in NAMES}
     made = {}
     for name in NAMES:
-        heard = {other: Heard(at, doubts=own.get(other, {}), well=(known or {}).get(other, {}))
-                 for other in NAMES if other != name}
-        made[name] = machines[name].decide(at, own.get(name, {}), (well or {}).get(name, {}), heard,
-                                           [other for other in NAMES if other != name], workers)
+        heard = {
+            other: Heard(at, doubts=own.get(other, {}), well=(known or {}).get(other, {}))
+            for other in NAMES
+            if other != name
+        }
+        made[name] = machines[name].decide(
+            at,
+            own.get(name, {}),
+            (well or {}).get(name, {}),
+            heard,
+            [other for other in NAMES if other != name],
+            workers,
+        )
     return made
 
 
@@ -249,6 +293,7 @@
 @STEADY
 def test_owners_move_only_with_the_member_that_goes(seed):
     """Rendezvous: of 200 workers only those of the one that has gone get another."""
+
     def owners(names):
         found = {}
         for name in names:
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -27,8 +27,11 @@
         for number in range(len(relay.homes)):
             folder = tmp_path / f"n{number}"
             folder.mkdir()
-            worlds.append(stack.enter_context(World(
-                folder, name=f"n{number}", file=relay.file(number, period, key_file), **more)))
+            worlds.append(
+                stack.enter_context(
+                    World(folder, name=f"n{number}", file=relay.file(number, period, key_file), **more)
+                )
+            )
         for world in worlds:
             wait_for(world, members_alive=len(worlds), members_suspect=0)
         yield worlds
@@ -155,8 +158,10 @@
     key = tmp_path / "key"
     key.write_text("a secret of some length\n")
     relay = Relay(2)
-    with fleet(tmp_path, relay, key_file=str(key)) as worlds, \
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+    with (
+        fleet(tmp_path, relay, key_file=str(key)) as worlds,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger,
+    ):
         from carthinge.fleet.codec import encode
         from carthinge.fleet.packets import Kind, Packet
 
@@ -184,12 +189,25 @@
 
 def test_off_it_is_not_loaded():
     """Nothing of it, and no library that only it needs."""
-    code = ("import sys, carthinge.scheduler.program\n"
-            "print([name for name in sys.modules if name.startswith('carthinge.fleet.') or "
-            "name == 'carthinge.scheduler.fleet_link' or name == 'hmac'])")
+    code = (
+        "import sys, carthinge.scheduler.program\n"
+        "print([name for name in sys.modules if name.startswith('carthinge.fleet.') or "
+        "name == 'carthinge.scheduler.fleet_link' or name == 'hmac'])"
+    )
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, text=True).stdout
-    talk = ("membership", "talk", "voice", "packets", "codec", "passing", "agreement", "fleet_link",
-            "summary", "doubts_shared", "hmac")
+    talk = (
+        "membership",
+        "talk",
+        "voice",
+        "packets",
+        "codec",
+        "passing",
+        "agreement",
+        "fleet_link",
+        "summary",
+        "doubts_shared",
+        "hmac",
+    )
     assert not [name for name in talk if name in loaded], loaded
 
 
@@ -198,8 +216,11 @@
 
 @pytest.fixture
 def dispatcher():
-    settings = io.Settings(classes=(io.JobClass(objective=300_000, deadline=5_000_000),), instances=2,
-                           tenants=(io.Tenant(0.5, 10.0), io.Tenant(0.5, 10.0)))
+    settings = io.Settings(
+        classes=(io.JobClass(objective=300_000, deadline=5_000_000),),
+        instances=2,
+        tenants=(io.Tenant(0.5, 10.0), io.Tenant(0.5, 10.0)),
+    )
     made = Dispatcher(settings, seed=1)
     entries = tuple(io.WorkerEntry(worker=number) for number in (101, 102))
     made.handle(1_000_000, [io.WorkerList(io.Listing.CACHED, entries)])
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -43,12 +43,17 @@
 def agreed(net):
     awake = {name: machine for name, machine in net.nodes.items() if name not in net.stopped}
     return all(view(machine) == set(awake) for machine in awake.values()) and not any(
-        other.standing is Standing.SUSPECT for machine in awake.values() for other in machine.here())
+        other.standing is Standing.SUSPECT for machine in awake.values() for other in machine.here()
+    )
 
 
 def dead_at(net):
-    return {(name, other) for name, machine in net.nodes.items()
-            for other, standing in machine.news if standing is Standing.DEAD}
+    return {
+        (name, other)
+        for name, machine in net.nodes.items()
+        for other, standing in machine.news
+        if standing is Standing.DEAD
+    }
 
 
 @given(size=st.integers(2, 7), seed=st.integers(0, 10**6), loss=st.floats(0, 0.1), twice=st.floats(0, 0.3))
@@ -128,14 +133,20 @@
         for name in self.names[:2]:  # where all that knew each other are gone, the seeds must be there
             if name not in self.net.nodes:
                 member(self.net, name, self.names, 9000)
-        assert self.net.run(2 * FOUND_WITHIN * PERIOD, lambda: agreed(self.net)), \
-            {name: machine.counts() for name, machine in self.net.nodes.items()}
+        assert self.net.run(2 * FOUND_WITHIN * PERIOD, lambda: agreed(self.net)), {
+            name: machine.counts() for name, machine in self.net.nodes.items()
+        }
         assert self.net.longest <= PACKET_MOST
 
 
 TestFleet = Fleet.TestCase
-TestFleet.settings = settings(max_examples=25, stateful_step_count=12, deadline=None, derandomize=True,
-                              suppress_health_check=list(HealthCheck))
+TestFleet.settings = settings(
+    max_examples=25,
+    stateful_step_count=12,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
 
 
 @pytest.mark.parametrize("size", [2, 3, 20, 60])
@@ -201,9 +212,13 @@
     left = {f"n{number}" for number in range(5)}
     cut = True
     net.passes = lambda sender, to: not cut or (sender in left) == (to in left)
-    assert net.run(2 * FOUND_WITHIN * PERIOD, lambda: all(
-        view(machine) == (left if name in left else set(net.nodes) - left)
-        for name, machine in net.nodes.items()))
+    assert net.run(
+        2 * FOUND_WITHIN * PERIOD,
+        lambda: all(
+            view(machine) == (left if name in left else set(net.nodes) - left)
+            for name, machine in net.nodes.items()
+        ),
+    )
     cut = False
     assert net.run(FOUND_WITHIN * PERIOD, lambda: agreed(net))
 
@@ -214,9 +229,13 @@
     net = fleet(size, seed)
     left = {f"n{number}" for number in range(0, size, 20)}
     net.passes = lambda sender, to: (sender in left) == (to in left)
-    assert net.run(size * 6 // 10 * PERIOD, lambda: all(
-        view(machine) == (left if name in left else set(net.nodes) - left)
-        for name, machine in net.nodes.items())), f"seed {seed}"
+    assert net.run(
+        size * 6 // 10 * PERIOD,
+        lambda: all(
+            view(machine) == (left if name in left else set(net.nodes) - left)
+            for name, machine in net.nodes.items()
+        ),
+    ), f"seed {seed}"
 
 
 def test_while_few_messages_are_lost_nobody_pings_more():
@@ -279,10 +298,19 @@
         decode(bytes(sealed), b"secret")
 
 
-@pytest.mark.parametrize("packet", [
-    Packet(Kind.PING, "", "a", 1), Packet(Kind.PING, "n" * 65, "a", 1), Packet(Kind.PING, "n", "a", -1),
-    Packet(Kind.PING, "n", "a", 1 << 48), Packet(Kind.PING, "n", "a" * 65, 1), Packet(99, "n", "a", 1),
-    Packet(Kind.ASK, "n", "a", 1, units=-1), Packet(Kind.BEAT, "n", "a", 1, rumors=[PACKET.rumors[0]] * 129)])
+@pytest.mark.parametrize(
+    "packet",
+    [
+        Packet(Kind.PING, "", "a", 1),
+        Packet(Kind.PING, "n" * 65, "a", 1),
+        Packet(Kind.PING, "n", "a", -1),
+        Packet(Kind.PING, "n", "a", 1 << 48),
+        Packet(Kind.PING, "n", "a" * 65, 1),
+        Packet(99, "n", "a", 1),
+        Packet(Kind.ASK, "n", "a", 1, units=-1),
+        Packet(Kind.BEAT, "n", "a", 1, rumors=[PACKET.rumors[0]] * 129),
+    ],
+)
 def test_values_out_of_their_range_are_turned_down(packet):
     with pytest.raises(BadPacketError):
         decode(encode(packet, b""), b"")
@@ -290,8 +318,9 @@
 
 def test_a_message_is_never_longer_than_goes_in_one_piece():
     with pytest.raises(ValueError, match="bytes"):
-        encode(Packet(Kind.BEAT, "n", "a", 1, rumors=[Rumor("n" * 60, Standing.ALIVE, 1, "a" * 60)] * 20),
-               b"")
+        encode(
+            Packet(Kind.BEAT, "n", "a", 1, rumors=[Rumor("n" * 60, Standing.ALIVE, 1, "a" * 60)] * 20), b""
+        )
     with pytest.raises(BadPacketError, match="too long"):
         decode(b"c1" + bytes(PACKET_MOST), b"")
 
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -73,17 +73,26 @@
             nonlocal looks
             looks += 1
             return of(*arguments)
+
         return call
 
     monkeypatch.setattr(Worker, "strength", counted(Worker.strength))
     monkeypatch.setattr(Pick, "may_repeat", counted(Pick.may_repeat))
-    config = settings(io.JobClass(objective=100_000, deadline=5_000_000, late_worth=0.5), instances=COUNT,
-                      position=3, may_copy=False, kinds=3)
+    config = settings(
+        io.JobClass(objective=100_000, deadline=5_000_000, late_worth=0.5),
+        instances=COUNT,
+        position=3,
+        may_copy=False,
+        kinds=3,
+    )
     module = Dispatcher(config, 5)
     module.handle(0, [listing(*(io.WorkerEntry(number, kind=number % 3) for number in range(1, COUNT + 1)))])
-    sent, = [a for a in module.handle(1000, [arrival(now=1000)]) if isinstance(a, io.Send)]
-    again, = [a for a in module.handle(2000, [outcome(1, 0, sent.worker, io.Result.RESET)])
-              if isinstance(a, io.Send)]
+    (sent,) = [a for a in module.handle(1000, [arrival(now=1000)]) if isinstance(a, io.Send)]
+    (again,) = [
+        a
+        for a in module.handle(2000, [outcome(1, 0, sent.worker, io.Result.RESET)])
+        if isinstance(a, io.Send)
+    ]
     assert again.worker != sent.worker
     assert looks < COUNT / 10
 
@@ -94,8 +103,17 @@
     drawn = {0: 0, 1: 0}
     for seed in range(400):
         module = Dispatcher(config, seed)
-        module.handle(0, [listing(*(io.WorkerEntry(n, kind=int(n > 20), rating=1.0 if n > 20 else 4.0)
-                                    for n in range(1, 101)))])
+        module.handle(
+            0,
+            [
+                listing(
+                    *(
+                        io.WorkerEntry(n, kind=int(n > 20), rating=1.0 if n > 20 else 4.0)
+                        for n in range(1, 101)
+                    )
+                )
+            ],
+        )
         pool = module.fleet.pool(-1)
         for worker in module.pick.candidates(None, pool, []):
             drawn[worker.entry.kind] += 1
--- a/tests/test_fleet_talk.py
+++ b/tests/test_fleet_talk.py
@@ -61,8 +61,10 @@
     net.run(30 * SECOND, lambda: not within_the_whole(net))
     for told in net.told.values():
         told.facts["left"] = {1: 0.5}
-    assert net.run(30 * SECOND, lambda: within_the_whole(net) and all(
-        talk.view.parts[1] == 1.0 for talk in net.nodes.values()))
+    assert net.run(
+        30 * SECOND,
+        lambda: within_the_whole(net) and all(talk.view.parts[1] == 1.0 for talk in net.nodes.values()),
+    )
 
 
 def test_further_attempts_pass_to_the_busy_and_none_comes_of_nothing(net):
@@ -95,11 +97,10 @@
         net.told[name].facts["doubted"] = {9: 1}
     assert net.run(5 * SECOND, lambda: all(talk.view.ruling.doubted == 1 for talk in net.nodes.values()))
     net.run(3 * SECOND)
-    owner, = (name for name, talk in net.nodes.items() if talk.view.ruling.mine)
+    (owner,) = (name for name, talk in net.nodes.items() if talk.view.ruling.mine)
     assert sum(9 in talk.view.ruling.alone for talk in net.nodes.values()) == 4
     net.told[owner].facts.update(doubted={}, well={9: net.now})
-    assert net.run(10 * SECOND, lambda: not any(
-        talk.view.ruling.doubted for talk in net.nodes.values()))
+    assert net.run(10 * SECOND, lambda: not any(talk.view.ruling.doubted for talk in net.nodes.values()))
 
 
 def test_one_that_lies_in_every_way_moves_nothing_beyond_one_voice(net):
@@ -108,12 +109,28 @@
     for name in net.nodes:
         net.told[name].facts.update(levels={5: 2}, pressure=1.0, left={1: 0.0})
     for step in range(1, 40):
-        said = Summary(99, step * 10**6 if step % 7 else 1, 7, 1e6 if step % 3 else float("nan"), [(5, 100)],
-                       doubts=[(number, 0) for number in range(8)], well=[(9, 0)])
+        said = Summary(
+            99,
+            step * 10**6 if step % 7 else 1,
+            7,
+            1e6 if step % 3 else float("nan"),
+            [(5, 100)],
+            doubts=[(number, 0) for number in range(8)],
+            well=[(9, 0)],
+        )
         for name in net.nodes:
-            for packet in (Packet(Kind.BEAT, "n4", "n4", liar.membership.voice.incarnation, summary=said),
-                           Packet(Kind.GRANT, "n4", "n4", liar.membership.voice.incarnation, number=step,
-                                  purse=1, units=1 << 20)):
+            for packet in (
+                Packet(Kind.BEAT, "n4", "n4", liar.membership.voice.incarnation, summary=said),
+                Packet(
+                    Kind.GRANT,
+                    "n4",
+                    "n4",
+                    liar.membership.voice.incarnation,
+                    number=step,
+                    purse=1,
+                    units=1 << 20,
+                ),
+            ):
                 net.send("n4", [(name, packet)])
         net.run(SECOND / 4)
     for talk in net.nodes.values():
@@ -125,12 +142,36 @@
 LIVES, FLOATS = st.integers(0, LIFE_MOST - 1), st.floats(min_value=0)
 NAMES = st.one_of(st.sampled_from(["n0", "n1", "n2"]), st.text(min_size=1, max_size=64))
 AGED = st.lists(st.tuples(st.integers(0, 2**64 - 1), LIVES), max_size=8)
-SUMMARIES = st.builds(Summary, LIVES, LIVES, st.sampled_from([7, 8]), st.floats(), st.lists(
-    st.tuples(st.integers(0, 1 << 20), st.integers(0, 100)), max_size=32), FLOATS, FLOATS, AGED, AGED)
+SUMMARIES = st.builds(
+    Summary,
+    LIVES,
+    LIVES,
+    st.sampled_from([7, 8]),
+    st.floats(),
+    st.lists(st.tuples(st.integers(0, 1 << 20), st.integers(0, 100)), max_size=32),
+    FLOATS,
+    FLOATS,
+    AGED,
+    AGED,
+)
 RUMORS = st.builds(Rumor, NAMES, st.sampled_from(Standing), LIVES, st.one_of(NAMES, st.just("")))
-PACKETS = st.builds(Packet, st.sampled_from(Kind), NAMES, NAMES, LIVES, st.sampled_from(Standing), LIVES,
-                    LIVES, NAMES, LIVES, st.one_of(NAMES, st.just("")), st.lists(RUMORS, max_size=5),
-                    st.one_of(st.none(), SUMMARIES), st.sampled_from([0, 1, 9]), st.integers(0, 1 << 20))
+PACKETS = st.builds(
+    Packet,
+    st.sampled_from(Kind),
+    NAMES,
+    NAMES,
+    LIVES,
+    st.sampled_from(Standing),
+    LIVES,
+    LIVES,
+    NAMES,
+    LIVES,
+    st.one_of(NAMES, st.just("")),
+    st.lists(RUMORS, max_size=5),
+    st.one_of(st.none(), SUMMARIES),
+    st.sampled_from([0, 1, 9]),
+    st.integers(0, 1 << 20),
+)
 
 
 @given(st.lists(PACKETS, min_size=1, max_size=30))
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -77,8 +77,10 @@
 def test_gateways_have_own_orders_that_cover_all_workers_alike():
     fleets = [fleet_of(range(1, 61)) for _ in range(120)]
     told = [settings(position=position, instances=120) for position in range(120)]
-    orders = [[worker.id for worker in fleet.order(fleet.pool(-1), own)]
-              for fleet, own in zip(fleets, told, strict=True)]
+    orders = [
+        [worker.id for worker in fleet.order(fleet.pool(-1), own)]
+        for fleet, own in zip(fleets, told, strict=True)
+    ]
     assert all(sorted(order) == list(range(1, 61)) for order in orders)
     assert set(Counter(order[0] for order in orders).values()) == {2}
     assert len({tuple(order[1:6]) for order in orders}) > 100
--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -10,8 +10,14 @@
 import durable  # noqa: E402
 from harness import Fleet, Run  # noqa: E402
 
-BROKEN = ("lost", "answered_twice", "keyed_repeats_in_window", "run_again_after_window", "unsafe_run_twice",
-          "served_by_nobody")
+BROKEN = (
+    "lost",
+    "answered_twice",
+    "keyed_repeats_in_window",
+    "run_again_after_window",
+    "unsafe_run_twice",
+    "served_by_nobody",
+)
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -21,15 +27,24 @@
     assert not any(verdict[name] for name in BROKEN), f"seed {seed}: {verdict}"
 
 
-@pytest.mark.parametrize("breach, name", [
-    (lambda audit, fleet, final: final.pop("k1"), "lost"),
-    (lambda audit, fleet, final: final.update(k1=(410, b"")), "lost"),
-    (lambda audit, fleet, final: audit.answered("k1", 200, b"another"), "answered_twice"),
-    (lambda audit, fleet, final: fleet.runs.append(Run("s-1", "r", "k1", 5.0)), "keyed_repeats_in_window"),
-    (lambda audit, fleet, final: fleet.runs.append(Run("s-1", "r", "k1", 50.0)), "run_again_after_window"),
-    (lambda audit, fleet, final: fleet.runs.append(Run("s-1", "r", "u1", 50.0)), "unsafe_run_twice"),
-    (lambda audit, fleet, final: fleet.runs.clear(), "served_by_nobody"),
-])
+@pytest.mark.parametrize(
+    "breach, name",
+    [
+        (lambda audit, fleet, final: final.pop("k1"), "lost"),
+        (lambda audit, fleet, final: final.update(k1=(410, b"")), "lost"),
+        (lambda audit, fleet, final: audit.answered("k1", 200, b"another"), "answered_twice"),
+        (
+            lambda audit, fleet, final: fleet.runs.append(Run("s-1", "r", "k1", 5.0)),
+            "keyed_repeats_in_window",
+        ),
+        (
+            lambda audit, fleet, final: fleet.runs.append(Run("s-1", "r", "k1", 50.0)),
+            "run_again_after_window",
+        ),
+        (lambda audit, fleet, final: fleet.runs.append(Run("s-1", "r", "u1", 50.0)), "unsafe_run_twice"),
+        (lambda audit, fleet, final: fleet.runs.clear(), "served_by_nobody"),
+    ],
+)
 def test_the_auditor_sees_each_breach(breach, name):
     """An auditor that cannot fail would show nothing."""
     fleet = Fleet(0, lambda draw: 0.0)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -26,8 +26,15 @@
     (folder / "test_it.py").write_text(RUN.format(passes=passes))
     (folder / "conftest.py").write_text('pytest_plugins = ["known_red"]\n')
     command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", "--rootdir", str(folder)]
-    done = subprocess.run(command, cwd=folder, env={**os.environ, "PYTHONPATH": str(TESTS)},
-                          capture_output=True, text=True, timeout=60, check=False)
+    done = subprocess.run(
+        command,
+        cwd=folder,
+        env={**os.environ, "PYTHONPATH": str(TESTS)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     return done.returncode, done.stdout + done.stderr
 
 
@@ -45,13 +52,17 @@
     assert run(tmp_path)[0] == 1
 
 
-@pytest.mark.parametrize(("lines", "why"), [
-    ([RED] * 4, "4 lines, 3 at the most"),
-    (["test_it.py::test_none | a fault | 9"], "there is no such test"),
-    (["test_none.py::test_red | a fault | 9"], "there is no such test"),
-    (["test_it.py | a fault | 9"], "there is no such test"),
-    (["test_it.py::test_red | a fault"], "wanted 'test | cause | issue'"),
-    (["test_it.py::test_red | | 9"], "wanted 'test | cause | issue'")])
+@pytest.mark.parametrize(
+    ("lines", "why"),
+    [
+        ([RED] * 4, "4 lines, 3 at the most"),
+        (["test_it.py::test_none | a fault | 9"], "there is no such test"),
+        (["test_none.py::test_red | a fault | 9"], "there is no such test"),
+        (["test_it.py | a fault | 9"], "there is no such test"),
+        (["test_it.py::test_red | a fault"], "wanted 'test | cause | issue'"),
+        (["test_it.py::test_red | | 9"], "wanted 'test | cause | issue'"),
+    ],
+)
 def test_a_list_that_is_not_in_order_fails_the_run(tmp_path, lines, why):
     code, printed = run(tmp_path, *lines)
     assert code not in (0, 1) and why in printed
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -64,8 +64,12 @@
     floor = {part: at for at, parts in enumerate(FLOORS) for part in parts}
     seen = modules()
     assert {part_of(module) for module in seen} == set(floor), "FLOORS and the folders differ"
-    upward = [f"{module} imports {other}" for module, others in seen.items() for other in sorted(others)
-              if part_of(other) != part_of(module) and floor[part_of(other)] <= floor[part_of(module)]]
+    upward = [
+        f"{module} imports {other}"
+        for module, others in seen.items()
+        for other in sorted(others)
+        if part_of(other) != part_of(module) and floor[part_of(other)] <= floor[part_of(module)]
+    ]
     assert not upward, upward
 
 
@@ -78,15 +82,24 @@
 
 
 def test_no_file_is_longer_than_can_be_read_at_one_go():
-    longer = {str(file.relative_to(HOUSE)) for folder in ("carthinge", "tests", "benchmarks")
-              for file in HOUSE.glob(f"{folder}/**/*.py") if len(file.read_text().splitlines()) > LONGEST}
+    longer = {
+        str(file.relative_to(HOUSE))
+        for folder in ("carthinge", "tests", "benchmarks")
+        for file in HOUSE.glob(f"{folder}/**/*.py")
+        if len(file.read_text().splitlines()) > LONGEST
+    }
     assert not longer, longer
 
 
 def test_a_start_loads_nothing_that_is_off():
     """Durable jobs cost no import where none is set; a plain start needs neither command line nor model."""
-    loaded = subprocess.run([sys.executable, "-c", "import carthinge.serving, sys; print(*sys.modules)"],
-                            cwd=HOUSE, capture_output=True, text=True, check=True).stdout.split()
+    loaded = subprocess.run(
+        [sys.executable, "-c", "import carthinge.serving, sys; print(*sys.modules)"],
+        cwd=HOUSE,
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout.split()
     assert "carthinge.scheduler.program" in loaded
     durable = {module for module in loaded if module.startswith("carthinge.durable.")}
     assert durable == {"carthinge.durable.errors"}  # which says that there is no store
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -38,8 +38,10 @@
 
 def test_a_peer_that_does_not_read_is_cut_off_before_its_answers_fill_the_memory():
     loop, owner = Loop(), Owner()
-    with socket.create_server(("127.0.0.1", 0)) as listener, \
-            socket.create_connection(listener.getsockname()) as there:
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        socket.create_connection(listener.getsockname()) as there,
+    ):
         stream = Stream(loop, listener.accept()[0], owner)
         for _ in range(1000):
             stream.write(b"x" * 65536)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -40,24 +40,53 @@
 MS = timedelta(milliseconds=1)
 SPEC = io.JobClass(objective=300_000, deadline=3_000_000, stretch=1.75)
 WORLD = World(
-    settings=settings(SPEC, may_copy=False, may_cancel=True, may_advise=True, max_retry_after=400_000,
-                      tells_start=True, progress=200_000, try_limit=4),
-    kinds=(WorkerKind(0.5, cores=2, speed=1.5, queue=6, cancel=Cancels.NONE, drops_expired=False),
-           WorkerKind(0.5, cores=1, speed=0.8, queue=3, cancel=Cancels.ALL, error_rate=0.1)),
-    sorts=(JobSort(SPEC, 1.0, 100 * MS, noise=0.3),), loads=(Load(3 * timedelta(seconds=1), 1.3),),
-    schedulers=2, workers=4, clients=Clients(retries=1.5, backoff=60 * MS),
-    troubles=(Trouble(Ill.HANG, 700 * MS, 900 * MS, 0.25), Trouble(Ill.SILENT, 1800 * MS, 900 * MS, 0.25),
-              Trouble(Ill.REFUSES, 2200 * MS, 600 * MS, 0.25)), hints=0.3)
+    settings=settings(
+        SPEC,
+        may_copy=False,
+        may_cancel=True,
+        may_advise=True,
+        max_retry_after=400_000,
+        tells_start=True,
+        progress=200_000,
+        try_limit=4,
+    ),
+    kinds=(
+        WorkerKind(0.5, cores=2, speed=1.5, queue=6, cancel=Cancels.NONE, drops_expired=False),
+        WorkerKind(0.5, cores=1, speed=0.8, queue=3, cancel=Cancels.ALL, error_rate=0.1),
+    ),
+    sorts=(JobSort(SPEC, 1.0, 100 * MS, noise=0.3),),
+    loads=(Load(3 * timedelta(seconds=1), 1.3),),
+    schedulers=2,
+    workers=4,
+    clients=Clients(retries=1.5, backoff=60 * MS),
+    troubles=(
+        Trouble(Ill.HANG, 700 * MS, 900 * MS, 0.25),
+        Trouble(Ill.SILENT, 1800 * MS, 900 * MS, 0.25),
+        Trouble(Ill.REFUSES, 2200 * MS, 600 * MS, 0.25),
+    ),
+    hints=0.3,
+)
 
 worlds = st.builds(
     lambda ill, cancel, expires, reports, load, part, schedulers, retries: replace(
-        WORLD, schedulers=schedulers, loads=(Load(2 * timedelta(seconds=1), load),),
-        clients=replace(WORLD.clients, retries=retries), herds=(Herd(900 * MS, part, 300 * MS, 200 * MS),),
+        WORLD,
+        schedulers=schedulers,
+        loads=(Load(2 * timedelta(seconds=1), load),),
+        clients=replace(WORLD.clients, retries=retries),
+        herds=(Herd(900 * MS, part, 300 * MS, 200 * MS),),
         settings=replace(WORLD.settings, reports=reports, report_fields=("free_slots",)),
         kinds=tuple(replace(kind, cancel=cancel, drops_expired=expires) for kind in WORLD.kinds),
-        troubles=(Trouble(ill, 300 * MS, 800 * MS, 0.5, size=2.0, noticed=400 * MS),)),
-    st.sampled_from(Ill), st.sampled_from(Cancels), st.booleans(), st.sampled_from(io.Reports),
-    st.floats(0.3, 2.5), st.floats(0, 1), st.integers(1, 5), st.floats(0, 3))
+        troubles=(Trouble(ill, 300 * MS, 800 * MS, 0.5, size=2.0, noticed=400 * MS),),
+    ),
+    st.sampled_from(Ill),
+    st.sampled_from(Cancels),
+    st.booleans(),
+    st.sampled_from(io.Reports),
+    st.floats(0.3, 2.5),
+    st.floats(0, 1),
+    st.integers(1, 5),
+    st.floats(0, 3),
+)
 
 
 @limits(max_examples=25, deadline=None, suppress_health_check=[HealthCheck.too_slow])
@@ -66,6 +95,7 @@
     begin = ModelWorker._start
     tallies = []
     with pytest.MonkeyPatch.context() as patch:
+
         def checked(worker):
             begin(worker)
             assert len(worker.running) <= worker.kind.cores
@@ -142,8 +172,10 @@
 
     def start(self, module, listed):
         self.module = module
-        self.targets = {entry.worker: real.EgressTarget(str(entry.worker), entry.worker, ("127.0.0.1", 1))
-                        for entry in listed}
+        self.targets = {
+            entry.worker: real.EgressTarget(str(entry.worker), entry.worker, ("127.0.0.1", 1))
+            for entry in listed
+        }
         self.book = Book(VirtualLoop(self), module, self.targets, Counters())
         self.book.target, self.book.watch = self, lambda: None
         self.book.tell(io.WorkerList(io.Listing.CACHED, listed))
@@ -210,8 +242,14 @@
     class Recorded(Dispatcher):
         def handle(self, now, events):
             actions = super().handle(now, events)
-            seen.append((now, self.desk.settings.position, [repr(event) for event in events],
-                         [repr(action) for action in actions]))
+            seen.append(
+                (
+                    now,
+                    self.desk.settings.position,
+                    [repr(event) for event in events],
+                    [repr(action) for action in actions],
+                )
+            )
             return actions
 
     play = Play(WORLD, seed, Recorded)
@@ -241,13 +279,21 @@
 
     def __init__(self, kind, **more):
         self.agenda, self.news, self.sent = Agenda(), [], []
-        self.worker = ModelWorker(self.agenda, Tally(kind.cores), kind, io.WorkerEntry(1), Random(1),
-                                  settings(SPEC, **more), lambda: 100)
+        self.worker = ModelWorker(
+            self.agenda,
+            Tally(kind.cores),
+            kind,
+            io.WorkerEntry(1),
+            Random(1),
+            settings(SPEC, **more),
+            lambda: 100,
+        )
 
     def send(self, *works, due=60_000_000):
         for work in works:
-            attempt = type("Sent", (), {"work": work, "due": due, "open": True, "key": 0,
-                                    "number": len(self.sent)})()
+            attempt = type(
+                "Sent", (), {"work": work, "due": due, "open": True, "key": 0, "number": len(self.sent)}
+            )()
             self.sent.append(attempt)
             self.worker.take(attempt, self)
         return self
@@ -274,8 +320,9 @@
     assert home.after(200_000) == [(0, 0.6), (0, "OK"), (1, "begun"), (1, "OK")]
 
 
-@pytest.mark.parametrize(("cancel", "ran"), [(Cancels.NONE, 120_000), (Cancels.QUEUED, 100_000),
-                                             (Cancels.ALL, 50_000)])
+@pytest.mark.parametrize(
+    ("cancel", "ran"), [(Cancels.NONE, 120_000), (Cancels.QUEUED, 100_000), (Cancels.ALL, 50_000)]
+)
 def test_what_a_withdrawal_spares_a_worker(cancel, ran):
     home = Home(replace(KIND, cancel=cancel)).send(200_000, 40_000)
     home.agenda.run(50_000)
@@ -324,15 +371,19 @@
 
 @pytest.mark.parametrize("honour", [0.0, 1.0])
 def test_refused_clients_come_again_as_told_or_as_they_like_and_count_once(honour):
-    world = replace(WORLD, schedulers=1, clients=Clients(retries=2.0, backoff=100 * MS, honour=honour),
-                    loads=(Load(20 * MS, 5.0),))
+    world = replace(
+        WORLD,
+        schedulers=1,
+        clients=Clients(retries=2.0, backoff=100 * MS, honour=honour),
+        loads=(Load(20 * MS, 5.0),),
+    )
     play = Play(world, 3, Refuses)
     tally = play.run()
     came = play.schedulers[0].module.came
     first = [time for time, give_up in came if abs(give_up - time + ANSWER_MARGIN - SPEC.deadline) < 2000]
     assert len(first) == play.clients.jobs == sum(tally.ends().values()) > 0
     assert len(came) == 3 * len(first) and sum(s.tries for s in tally.seconds) == 2 * len(first)
-    again = [time for time, _ in came[len(first):]]
+    again = [time for time, _ in came[len(first) :]]
     assert min(again) >= min(first) + (700_000 if honour else 50_000)
     assert max(again) > 1_400_000 if honour else max(again) < 400_000
 
@@ -340,12 +391,19 @@
 def test_the_benchmark_ends_with_its_figures_as_json():
     bench = Path(__file__).parent.parent / "benchmarks" / "fleet_overload.py"
     command = [sys.executable, bench, "--quick", "--schedulers", "3", "--workers", "3", "--family", "blind"]
-    shown = subprocess.run(command, capture_output=True, text=True, check=True, cwd=bench.parent.parent,
-                           env={**os.environ, "PYTHONPATH": "."}).stdout
+    shown = subprocess.run(
+        command,
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=bench.parent.parent,
+        env={**os.environ, "PYTHONPATH": "."},
+    ).stdout
     figures = json.loads(shown.splitlines()[-1])["blind"]
     assert {"calm", "herd"} < figures["on"].keys()
     for state in ("off", "on"):
         assert 0 < figures[state]["worth_share"] < 1 <= figures[state]["attempts_per_job_peak"]
         assert {"recovery_s", "retry_after_peak_ratio"} < figures[state].keys()
         assert {f"{ill}_{count}" for ill in ("refuses", "silent") for count in (20, 200)} < set(
-            figures[state]["probes_per_bad_worker_s"])
+            figures[state]["probes_per_bad_worker_s"]
+        )
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -38,11 +38,19 @@
         assert world.operate("/ready")[0] == 503
 
 
-@pytest.mark.parametrize(("method", "path", "status"), [
-    ("POST", "/ready", 405), ("GET", "/workers/disable?who=s-0", 405), ("GET", "/nowhere", 404),
-    ("POST", "/workers/disable", 400), ("POST", "/workers/disable?who=", 400),
-    ("POST", "/workers/disable?who=s-0&who=s-1", 400), ("POST", "/workers/disable?who=nobody", 404),
-    ("POST", "/workers/enable?who=nobody", 404)])
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("POST", "/ready", 405),
+        ("GET", "/workers/disable?who=s-0", 405),
+        ("GET", "/nowhere", 404),
+        ("POST", "/workers/disable", 400),
+        ("POST", "/workers/disable?who=", 400),
+        ("POST", "/workers/disable?who=s-0&who=s-1", 400),
+        ("POST", "/workers/disable?who=nobody", 404),
+        ("POST", "/workers/enable?who=nobody", 404),
+    ],
+)
 def test_what_cannot_be_done_is_answered_no(world, method, path, status):
     assert world.operate(path, method)[0] == status
     assert world.metrics()["workers_excluded"] == 0
@@ -81,10 +89,24 @@
 
 def test_jobs_are_counted_by_class_and_attempts_once_written(world):
     assert world.metrics() == {
-        "served": counts(), "refused": counts(), "failed": counts(), "attempts": 0, "in_flight": 0,
-        "workers_known": 2, "workers_excluded": 0, "reloads_ok": 0, "reloads_failed": 0,
-        "overload": {"level_up": 0, "level_rises": 0, "shed_by_level": 0, "attempts_waiting": 0,
-                     "budget_left": 1.0, "budget_spent": 0}}
+        "served": counts(),
+        "refused": counts(),
+        "failed": counts(),
+        "attempts": 0,
+        "in_flight": 0,
+        "workers_known": 2,
+        "workers_excluded": 0,
+        "reloads_ok": 0,
+        "reloads_failed": 0,
+        "overload": {
+            "level_up": 0,
+            "level_rises": 0,
+            "shed_by_level": 0,
+            "attempts_waiting": 0,
+            "budget_left": 1.0,
+            "budget_spent": 0,
+        },
+    }
     for number in range(3):
         client = world.submit(f"a{number}")
         serve_next(world, f"a{number}")
@@ -115,8 +137,14 @@
 
 def test_workers_are_counted_as_listed(world):
     peer, _ = world.watched()
-    peer.answer(200, told(8, member("s-0", world.workers[0].port, phase="Terminating"),
-                          member("s-1", world.workers[1].port, phase="Gone")))
+    peer.answer(
+        200,
+        told(
+            8,
+            member("s-0", world.workers[0].port, phase="Terminating"),
+            member("s-1", world.workers[1].port, phase="Gone"),
+        ),
+    )
     peer.read()
     assert world.metrics()["workers_known"] == 1
 
@@ -167,8 +195,11 @@
     watch, _ = world.watched()
     assert world.by_hand("disable", "s-0") == 200
     port = world.workers[0].port
-    news = [(member("s-0", port, phase="Gone"),), (member("s-0", port),),
-            (member("s-0", port, up_since_ms=int(time.time() * 1000)),)]
+    news = [
+        (member("s-0", port, phase="Gone"),),
+        (member("s-0", port),),
+        (member("s-0", port, up_since_ms=int(time.time() * 1000)),),
+    ]
     for revision, members in enumerate(news, 8):
         watch.answer(200, told(revision, *members))
         watch.read()
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -36,29 +36,40 @@
     assert said(tmp_path, "[leases]\nduration = 'PT2M'").leases.duration == timedelta(minutes=2)
 
 
-@pytest.mark.parametrize("text, named", [
-    ("[durable]\nfoldr = 'x'", "durable.foldr: no such key; did you mean 'folder'?"),
-    ("[nonsense]", "nonsense: no such key; known are durable, leases"),
-    ("[durable]\nmax_open = 'many'", "durable.max_open: Expected `int`, got `str`"),
-    ("[durable]\nmax_open = 0", "durable.max_open: Expected `int` >= 1"),
-    ("[durable]\nfolder = 'x'\nclasses = [1]", "durable.classes[0]: Expected `str`, got `int`"),
-    ("[durable]\nclasses = ['reindex']", "durable.folder: expected a folder"),
-    ("durable = 3", "durable: Expected `object`, got `int`"),
-    ("[leases]\nduration = true", "leases.duration: Expected `duration`, got `bool`"),
-    ("[leases]\nduration = 0", "leases.duration: expected a span of at least 0.1 s"),
-    ("[leases]\nduration = 1e300", "out of range"),
-    ("[leases", "not TOML"),
-    ("[fleet]\nperiod = 2", "fleet.listen: expected an address"),
-    ("[fleet]\nlisten = 'here:7946'", "fleet.listen: expected the address of one machine"),
-    ("[fleet]\nlisten = '10.0.0.7:0'", "fleet.listen: expected the address of one machine"),
-    ("[fleet]\nlisten = '0.0.0.0:7946'", "fleet.advertise: expected the address of one machine"),
-    ("[fleet]\nlisten = '10.0.0.7:7946'\nmembers = ['10.0.0.8:7946', '10.0.0.9']",
-     "fleet.members[1]: expected the address of one machine, such as 10.0.0.7:7946, got '10.0.0.9'"),
-    ("[fleet]\nlisten = '10.0.0.7:7946'\nperiod = 0.01", "fleet.period: expected a span of at least 0.1 s"),
-    ("[fleet]\nlisten = '10.0.0.7:7946'\nperiod = 3600", "fleet.period: expected a span of at most 60 s"),
-    ("[fleet]\nlisten = '10.0.0.7:7946'\nkey_file = '/nowhere'", "fleet.key_file: No such file"),
-    ("[fleet]\nlisten = '10.0.0.7:7946'\nkey_file = '/dev/null'", "fleet.key_file: expected a secret of at"),
-])
+@pytest.mark.parametrize(
+    "text, named",
+    [
+        ("[durable]\nfoldr = 'x'", "durable.foldr: no such key; did you mean 'folder'?"),
+        ("[nonsense]", "nonsense: no such key; known are durable, leases"),
+        ("[durable]\nmax_open = 'many'", "durable.max_open: Expected `int`, got `str`"),
+        ("[durable]\nmax_open = 0", "durable.max_open: Expected `int` >= 1"),
+        ("[durable]\nfolder = 'x'\nclasses = [1]", "durable.classes[0]: Expected `str`, got `int`"),
+        ("[durable]\nclasses = ['reindex']", "durable.folder: expected a folder"),
+        ("durable = 3", "durable: Expected `object`, got `int`"),
+        ("[leases]\nduration = true", "leases.duration: Expected `duration`, got `bool`"),
+        ("[leases]\nduration = 0", "leases.duration: expected a span of at least 0.1 s"),
+        ("[leases]\nduration = 1e300", "out of range"),
+        ("[leases", "not TOML"),
+        ("[fleet]\nperiod = 2", "fleet.listen: expected an address"),
+        ("[fleet]\nlisten = 'here:7946'", "fleet.listen: expected the address of one machine"),
+        ("[fleet]\nlisten = '10.0.0.7:0'", "fleet.listen: expected the address of one machine"),
+        ("[fleet]\nlisten = '0.0.0.0:7946'", "fleet.advertise: expected the address of one machine"),
+        (
+            "[fleet]\nlisten = '10.0.0.7:7946'\nmembers = ['10.0.0.8:7946', '10.0.0.9']",
+            "fleet.members[1]: expected the address of one machine, such as 10.0.0.7:7946, got '10.0.0.9'",
+        ),
+        (
+            "[fleet]\nlisten = '10.0.0.7:7946'\nperiod = 0.01",
+            "fleet.period: expected a span of at least 0.1 s",
+        ),
+        ("[fleet]\nlisten = '10.0.0.7:7946'\nperiod = 3600", "fleet.period: expected a span of at most 60 s"),
+        ("[fleet]\nlisten = '10.0.0.7:7946'\nkey_file = '/nowhere'", "fleet.key_file: No such file"),
+        (
+            "[fleet]\nlisten = '10.0.0.7:7946'\nkey_file = '/dev/null'",
+            "fleet.key_file: expected a secret of at",
+        ),
+    ],
+)
 def test_a_mistake_is_named_by_the_path_of_its_key(tmp_path, text, named):
     with pytest.raises(FileError) as fault:
         said(tmp_path, text)
@@ -78,6 +89,7 @@
 
 def test_check_config_covers_it(tmp_path, monkeypatch):
     from carthinge.cli import app
+
     monkeypatch.delenv("RELAY_CONFIG", raising=False)
     path = tmp_path / "file.toml"
     path.write_text("[durable]\nfoldr = 'x'")
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -27,8 +27,10 @@
 
 def filled(most, fresh=0, kept=0, busy=0):
     places = Places(most)
-    groups = [[Connection(idle) for _ in range(count)]
-              for count, idle in ((kept, True), (busy, False), (fresh, True))]
+    groups = [
+        [Connection(idle) for _ in range(count)]
+        for count, idle in ((kept, True), (busy, False), (fresh, True))
+    ]
     for number, connection in enumerate(connection for group in groups for connection in group):
         places.enter(connection, timedelta(seconds=number))
     for connection in groups[0] + groups[1]:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -96,8 +96,9 @@
     gateway.handle(1, [arrival(1)])
     gateway.handle(2, [outcome(1, 0, 1, R.OK, report=(0.0,))])
     gateway.handle(3, [arrival(2)])
-    actions = gateway.handle(4, [listing(io.WorkerEntry(1, state=io.State.GONE), io.WorkerEntry(7),
-                                         kind=io.Listing.CHANGES)])
+    actions = gateway.handle(
+        4, [listing(io.WorkerEntry(1, state=io.State.GONE), io.WorkerEntry(7), kind=io.Listing.CHANGES)]
+    )
     assert [action.worker for action in of(io.Send, actions)] == [7]
 
 
@@ -136,8 +137,10 @@
 
 def test_keys_go_to_the_homes_that_gateways_agree_on():
     config = settings(price_fetch=0.1)
-    picks = {of(io.Send, started(config, *range(1, 40), seed=seed).handle(1, [arrival(key=77)]))[0].worker
-             for seed in range(8)}
+    picks = {
+        of(io.Send, started(config, *range(1, 40), seed=seed).handle(1, [arrival(key=77)]))[0].worker
+        for seed in range(8)
+    }
     assert len(picks) == 1
 
 
@@ -145,8 +148,15 @@
     gateway = started(settings(), 1)
     sent = of(io.Send, gateway.handle(1, [arrival()]))[0].worker
     gateway.handle(2, [outcome(1, 0, sent, R.OK)])
-    strange = [outcome(1, 0, sent, R.ERROR), outcome(9, 3, 44, R.OK), io.Abandoned(1), io.Note(9, 0, 1, 0.5),
-               io.StreamStarted(9, 0, 1), io.ProbeResult(99, R.OK, 5), io.Timer(123)]
+    strange = [
+        outcome(1, 0, sent, R.ERROR),
+        outcome(9, 3, 44, R.OK),
+        io.Abandoned(1),
+        io.Note(9, 0, 1, 0.5),
+        io.StreamStarted(9, 0, 1),
+        io.ProbeResult(99, R.OK, 5),
+        io.Timer(123),
+    ]
     assert not [a for a in gateway.handle(3, strange) if not isinstance(a, io.SetTimer)]
 
 
@@ -194,16 +204,25 @@
 
 def blind(**more):
     """Settings of one of so many gateways that next to nothing at a worker is its own."""
-    return settings(SAFE, instances=200, weights=io.Weights.ROUGH, may_copy=False, idle_close=5_000_000,
-                    reports=io.Reports.ANSWERS, report_fields=("free_slots",), **more)
+    return settings(
+        SAFE,
+        instances=200,
+        weights=io.Weights.ROUGH,
+        may_copy=False,
+        idle_close=5_000_000,
+        reports=io.Reports.ANSWERS,
+        report_fields=("free_slots",),
+        **more,
+    )
 
 
 def test_what_hundreds_draw_blindly_adds_up_to_what_each_kind_can_do():
     """Drawn alike, slow small workers got as much as fast large ones, and jobs queued there (split+mass)."""
     got = {0: 0, 1: 0}
     for position in range(200):
-        gateway = started(blind(position=position), *(io.WorkerEntry(n, kind=n % 2) for n in range(1, 41)),
-                          seed=position)
+        gateway = started(
+            blind(position=position), *(io.WorkerEntry(n, kind=n % 2) for n in range(1, 41)), seed=position
+        )
         gateway.fleet.kinds[0].slots, gateway.fleet.kinds[0].pace = 3, 0.4
         gateway.fleet.kinds[1].slots, gateway.fleet.kinds[1].pace = 2, 1.6
         for send in of(io.Send, gateway.handle(1, [arrival(n) for n in range(3)])):
@@ -301,8 +320,14 @@
     assert len(refusals) == 8 and refusals[0].stay_away > 3_000_000 > refusals[-1].stay_away
 
 
-REPORTED = settings(replace(SAFE, worth=8.0), SAFE, may_copy=False, cold_time=2_000_000,
-                    reports=io.Reports.ANSWERS, report_fields=("free_slots",))
+REPORTED = settings(
+    replace(SAFE, worth=8.0),
+    SAFE,
+    may_copy=False,
+    cold_time=2_000_000,
+    reports=io.Reports.ANSWERS,
+    report_fields=("free_slots",),
+)
 
 
 def with_slots_shown():
--- a/tests/test_policy_attempts.py
+++ b/tests/test_policy_attempts.py
@@ -178,9 +178,10 @@
     assert not of(io.Cancel, gateway.handle(2_000_000, [io.Timer(0)]))
 
 
-
-@pytest.mark.parametrize(("served", "reports", "allowed"), [
-    (0, io.Reports.OFF, 1), (20, io.Reports.OFF, 3), (0, io.Reports.ANSWERS, None)])
+@pytest.mark.parametrize(
+    ("served", "reports", "allowed"),
+    [(0, io.Reports.OFF, 1), (20, io.Reports.OFF, 3), (0, io.Reports.ANSWERS, None)],
+)
 def test_silence_everywhere_costs_no_more_attempts_than_what_was_served_allows(served, reports, allowed):
     """Guards against a storm: what is called off may be done all the same, and makes others late.
 
--- a/tests/test_policy_workers.py
+++ b/tests/test_policy_workers.py
@@ -44,8 +44,9 @@
         return of(io.Send, gateway.handle(now, [arrival(request, now=now)]))[0].worker
 
     def ends(request, now, worker, result):
-        gateway.handle(now, [io.Note(request, 0, worker), outcome(request, 0, worker, result),
-                             io.Abandoned(request)])
+        gateway.handle(
+            now, [io.Note(request, 0, worker), outcome(request, 0, worker, result), io.Abandoned(request)]
+        )
 
     sent, now = [], 0
     for request in range(40):
@@ -96,8 +97,16 @@
     serve(gateway, 200, 20_000)
     gateway.fleet.kinds[0].pace = gateway.fleet.workers[1].pace = 1.0  # jobs take what their hints say
     now = 4_000_000
-    gateway.handle(now, [listing(io.WorkerEntry(1, started=now), io.WorkerEntry(2, state=io.State.GONE),
-                                 kind=io.Listing.CHANGES)])
+    gateway.handle(
+        now,
+        [
+            listing(
+                io.WorkerEntry(1, started=now),
+                io.WorkerEntry(2, state=io.State.GONE),
+                kind=io.Listing.CHANGES,
+            )
+        ],
+    )
     gateway.fleet.workers[1].cap = 10**9
     sent, running = 0, []
     for step in range(190):
@@ -139,8 +148,16 @@
     gateway.handle(now, [io.ByHand(1, True)])
     gateway.handle(now + 1, [io.ByHand(1, False)])
     gateway.handle(now + 2, [listing(1, 2, kind=io.Listing.WHOLE)])  # as it was listed before
-    sent = [send.worker for step in range(100) for send in of(io.Send, gateway.handle(
-        now + 3 + step * 20_000, [arrival(1000 + step, now=now + 3 + step * 20_000, hint=20_000)]))]
+    sent = [
+        send.worker
+        for step in range(100)
+        for send in of(
+            io.Send,
+            gateway.handle(
+                now + 3 + step * 20_000, [arrival(1000 + step, now=now + 3 + step * 20_000, hint=20_000)]
+            ),
+        )
+    ]
     cold = settings().cold_start_share
     assert sent.count(1) and sent.count(1) * 20_000 < 2_000_000 * cold * settings().fall_multiple
 
@@ -169,8 +186,9 @@
     gateway = started(hall, 1, 2)
     for step in range(40):
         sends = of(io.Send, gateway.handle(step * 20_000, [arrival(step, now=step * 20_000)]))
-        gateway.handle(step * 20_000 + 1, [outcome(step, 0, s.worker, io.Result.OK, report=(3.0,))
-                                           for s in sends])
+        gateway.handle(
+            step * 20_000 + 1, [outcome(step, 0, s.worker, io.Result.OK, report=(3.0,)) for s in sends]
+        )
     for worker, out in ((1, True), (1, False), (2, True)):
         gateway.handle(1_000_000, [io.ByHand(worker, out)])
     sent, running = 0, []
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -90,18 +90,28 @@
 
 
 BROKEN = {
-    "empty": "", "cut off": json.dumps({"settings": SETTINGS})[:-40], "no object": "[]",
-    "no settings": {}, "a class lacks its window": without(["services", 1, "window"]),
-    "no attempts": without(["caps", "try_limit"]), "no cold time": without(["rules", "cold"]),
-    "no tenants": without(["tenants"]), "no classes": changed([]),
+    "empty": "",
+    "cut off": json.dumps({"settings": SETTINGS})[:-40],
+    "no object": "[]",
+    "no settings": {},
+    "a class lacks its window": without(["services", 1, "window"]),
+    "no attempts": without(["caps", "try_limit"]),
+    "no cold time": without(["rules", "cold"]),
+    "no tenants": without(["tenants"]),
+    "no classes": changed([]),
     "a text for a number": with_class(value="1"),
-    "a number for a flag": changed(cancel=1), "an unknown effect": with_class(effect="maybe"),
-    "a deadline of zero": with_class(hard_limit=0), "a deadline below zero": with_class(hard_limit=-5),
-    "a deadline of null": with_class(hard_limit=None), "a name twice": with_class(name="query"),
-    "attempts of zero": changed(try_limit=0), "attempts below zero": changed(try_limit=-1),
+    "a number for a flag": changed(cancel=1),
+    "an unknown effect": with_class(effect="maybe"),
+    "a deadline of zero": with_class(hard_limit=0),
+    "a deadline below zero": with_class(hard_limit=-5),
+    "a deadline of null": with_class(hard_limit=None),
+    "a name twice": with_class(name="query"),
+    "attempts of zero": changed(try_limit=0),
+    "attempts below zero": changed(try_limit=-1),
     "attempts that are not finite": changed(try_limit="1e999"),  # written without its quotes
     "attempts that are no number": changed(try_limit=float("nan")),
-    "true for a number": changed(try_limit=True), "a late worth below zero": with_class(late_worth=-1),
+    "true for a number": changed(try_limit=True),
+    "a late worth below zero": with_class(late_worth=-1),
 }
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,8 +13,16 @@
 
 DEADLINE = 3_000_000
 CLASSES = tuple(
-    io.JobClass(objective=200_000, deadline=DEADLINE, effect=effect, scope=scope, window=window,
-                stretch=stretch, late_worth=late, kind=kind)
+    io.JobClass(
+        objective=200_000,
+        deadline=DEADLINE,
+        effect=effect,
+        scope=scope,
+        window=window,
+        stretch=stretch,
+        late_worth=late,
+        kind=kind,
+    )
     for effect, scope, window, stretch, late, kind in (
         (io.Effect.SAFE, io.Scope.ALL, 0, 1.5, 0.3, -1),
         (io.Effect.SAFE, io.Scope.ALL, 0, 2.0, 0.0, 1),
@@ -22,7 +30,8 @@
         (io.Effect.KEYED, io.Scope.ZONE, 800_000, 1.5, 0.0, -1),
         (io.Effect.KEYED, io.Scope.CELL, 800_000, 0.0, 0.3, -1),
         (io.Effect.UNSAFE, io.Scope.ALL, 0, 1.5, 0.3, -1),
-    ))
+    )
+)
 
 
 @dataclass
@@ -73,7 +82,8 @@
             if isinstance(action, io.Refuse) and any(t.may_have_run for t in request.tries):
                 spec = request.spec
                 assert spec.effect is io.Effect.SAFE or (
-                    spec.effect is io.Effect.KEYED and spec.scope is io.Scope.ALL), "rule 2: refused"
+                    spec.effect is io.Effect.KEYED and spec.scope is io.Scope.ALL
+                ), "rule 2: refused"
             request.ended = True
         elif isinstance(action, io.Cancel):
             assert self.config.may_cancel
@@ -116,8 +126,11 @@
         assert sum(window) <= 2 * fair + 4 * largest, "rule 4: poured in"
 
     def overdue(self):
-        return [r for r in self.requests.values()
-                if not r.ended and self.now > r.give_up + self.config.answer_grace]
+        return [
+            r
+            for r in self.requests.values()
+            if not r.ended and self.now > r.give_up + self.config.answer_grace
+        ]
 
     def end(self, number, attempt, result):
         request = self.requests[number]
@@ -153,10 +166,16 @@
             assert not self.overdue(), "rule 1: unanswered"
 
 
-WORKER = st.builds(io.WorkerEntry, worker=st.integers(1, 9), zone=st.integers(0, 1), kind=st.integers(0, 1),
-                   cell=st.integers(0, 1), rating=st.floats(0, 10),
-                   state=st.sampled_from([*[io.State.READY] * 5, io.State.DRAINING, io.State.GONE]),
-                   started=st.sampled_from([0, 0, 0, 1, 500_000, 1_500_000]))
+WORKER = st.builds(
+    io.WorkerEntry,
+    worker=st.integers(1, 9),
+    zone=st.integers(0, 1),
+    kind=st.integers(0, 1),
+    cell=st.integers(0, 1),
+    rating=st.floats(0, 10),
+    state=st.sampled_from([*[io.State.READY] * 5, io.State.DRAINING, io.State.GONE]),
+    started=st.sampled_from([0, 0, 0, 1, 500_000, 1_500_000]),
+)
 STEP = st.one_of(
     st.tuples(st.just("arrive"), st.integers(0, 5), st.integers(0, 3), st.sampled_from([0, 20_000, 900_000])),
     st.tuples(st.just("end"), st.integers(0, 50), st.sampled_from(io.Result)),
@@ -171,13 +190,25 @@
 @st.composite
 def configs(draw):
     return settings(
-        *CLASSES, may_copy=draw(st.booleans()), may_cancel=draw(st.booleans()), may_probe=draw(st.booleans()),
-        may_tell=draw(st.booleans()), tells_start=draw(st.booleans()), try_limit=draw(st.integers(1, 5)),
-        reports=draw(st.sampled_from(io.Reports)), report_fields=("free_slots", "held"),
-        weights=draw(st.sampled_from(io.Weights)), instances=draw(st.integers(1, 40)),
-        price_fetch=draw(st.sampled_from([0.0, 0.1])), price_connection=draw(st.sampled_from([0.0, 0.1])),
-        progress=draw(st.sampled_from([0, 300_000])), position=0, subscribe=draw(st.booleans()),
-        cold_time=2_000_000, fall_window=500_000)
+        *CLASSES,
+        may_copy=draw(st.booleans()),
+        may_cancel=draw(st.booleans()),
+        may_probe=draw(st.booleans()),
+        may_tell=draw(st.booleans()),
+        tells_start=draw(st.booleans()),
+        try_limit=draw(st.integers(1, 5)),
+        reports=draw(st.sampled_from(io.Reports)),
+        report_fields=("free_slots", "held"),
+        weights=draw(st.sampled_from(io.Weights)),
+        instances=draw(st.integers(1, 40)),
+        price_fetch=draw(st.sampled_from([0.0, 0.1])),
+        price_connection=draw(st.sampled_from([0.0, 0.1])),
+        progress=draw(st.sampled_from([0, 300_000])),
+        position=0,
+        subscribe=draw(st.booleans()),
+        cold_time=2_000_000,
+        fall_window=500_000,
+    )
 
 
 def play(config, workers, steps):
@@ -197,8 +228,10 @@
         elif kind == "list":
             whole = rest[1]
             if whole:
-                world.listed = {k: io.WorkerEntry(k, v.zone, v.kind, v.cell, io.State.GONE)
-                                for k, v in world.listed.items()}
+                world.listed = {
+                    k: io.WorkerEntry(k, v.zone, v.kind, v.cell, io.State.GONE)
+                    for k, v in world.listed.items()
+                }
             world.listed.update({w.worker: w for w in rest[0]})
             world.tell(io.WorkerList(io.Listing.WHOLE if whole else io.Listing.CHANGES, tuple(rest[0])))
         elif kind == "end" and sent:
@@ -209,10 +242,14 @@
             world.tell(io.Note(request, attempt, worker, 0.5 if rest[1] else None))
         elif kind == "odd" and number:
             oldest = world.requests[1 + rest[0] % number]
-            odd = [io.Abandoned(1 + rest[0] % number), io.WorkerList(io.Listing.FAILED), io.Timer(5),
-                   io.Outcome(10**6, 0, 1, io.Result.OK, 1, True),
-                   io.ProbeResult(3, io.Result.OK, 9, (2.0, 1.0)),
-                   io.Message(0, b"\x01\x02\x03\x04")][rest[0]]
+            odd = [
+                io.Abandoned(1 + rest[0] % number),
+                io.WorkerList(io.Listing.FAILED),
+                io.Timer(5),
+                io.Outcome(10**6, 0, 1, io.Result.OK, 1, True),
+                io.ProbeResult(3, io.Result.OK, 9, (2.0, 1.0)),
+                io.Message(0, b"\x01\x02\x03\x04"),
+            ][rest[0]]
             if isinstance(odd, io.Abandoned):
                 oldest.ended = True
             world.tell(odd)
@@ -221,9 +258,16 @@
     assert not world.gateway.jobs, "bookkeeping is left behind"
 
 
-@example_settings(derandomize=True, max_examples=300, deadline=None,
-                  suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large])
-@given(configs(), st.lists(WORKER, min_size=1, max_size=6, unique_by=lambda w: w.worker),
-       st.lists(STEP, max_size=60))
+@example_settings(
+    derandomize=True,
+    max_examples=300,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+@given(
+    configs(),
+    st.lists(WORKER, min_size=1, max_size=6, unique_by=lambda w: w.worker),
+    st.lists(STEP, max_size=60),
+)
 def test_rules_hold_under_any_sequence(config, workers, steps):
     play(config, workers, steps)
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -98,15 +98,25 @@
     (job("a1", X_Long="x" * 40000), 400),
     (b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n[]", 400),
     (b"POST /api HTTP/1.1\r\nX-Endless: " + b"x" * 150_000, 400),
-    *((job("a1").replace(b"Content-Length: 2", lengths), status) for lengths, status in [
-        (b"Content-Length: 5\r\nTransfer-Encoding: chunked", 400),  # one of them hides another request
-        (b"Transfer-Encoding: chunked\r\nContent-Length: 5", 400),
-        (b"Transfer-Encoding: xchunked", 400), (b"Transfer-Encoding: chunked, identity", 400),
-        (b"Transfer-Encoding : chunked", 400), (b"X: a\r\n Transfer-Encoding: chunked", 400),
-        (b"Content-Length: 2\r\nContent-Length: 2", 400), (b"Content-Length: 2\r\nContent-Length: 9", 400),
-        (b"Content-Length: -2", 400), (b"Content-Length: +2", 400), (b"Content-Length: 2, 2", 400),
-        (b"Content-Length: 18446744073709551617", 400), (b"Content-Length: 60000000", 413)]),
-    (b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{\"id\":\"a\xff", 400),
+    *(
+        (job("a1").replace(b"Content-Length: 2", lengths), status)
+        for lengths, status in [
+            (b"Content-Length: 5\r\nTransfer-Encoding: chunked", 400),  # one of them hides another request
+            (b"Transfer-Encoding: chunked\r\nContent-Length: 5", 400),
+            (b"Transfer-Encoding: xchunked", 400),
+            (b"Transfer-Encoding: chunked, identity", 400),
+            (b"Transfer-Encoding : chunked", 400),
+            (b"X: a\r\n Transfer-Encoding: chunked", 400),
+            (b"Content-Length: 2\r\nContent-Length: 2", 400),
+            (b"Content-Length: 2\r\nContent-Length: 9", 400),
+            (b"Content-Length: -2", 400),
+            (b"Content-Length: +2", 400),
+            (b"Content-Length: 2, 2", 400),
+            (b"Content-Length: 18446744073709551617", 400),
+            (b"Content-Length: 60000000", 413),
+        ]
+    ),
+    (b'POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{"id":"a\xff', 400),
 ]
 
 
--- a/tests/test_serve_attempts.py
+++ b/tests/test_serve_attempts.py
@@ -28,8 +28,10 @@
         assert peer.ended() and time.monotonic() - since < 3  # by the settings, not some span of its own
 
 
-@pytest.mark.parametrize(("state", "counter"), [
-    ("failed", "attempt_error"), ("returned", "attempt_full"), ("lost", "attempt_reset")])
+@pytest.mark.parametrize(
+    ("state", "counter"),
+    [("failed", "attempt_error"), ("returned", "attempt_full"), ("lost", "attempt_reset")],
+)
 def test_what_a_worker_gives_back_is_tried_elsewhere(world, state, counter):
     client = world.submit("a1")
     first, _ = serve_next(world, "a1", state=state)
@@ -39,10 +41,18 @@
         assert second != first and client.read()[2] == b"second"
 
 
-@pytest.mark.parametrize(("status", "headers", "counter"), [
-    (503, {"Srv-Declined": "1"}, "attempt_full"), (504, {"Srv-Declined": "1"}, "attempt_full"),
-    (503, {}, "attempt_error"), (500, {"Srv-Declined": "1"}, "attempt_error"), (500, {}, "attempt_error"),
-    (200, {}, "attempt_error"), (429, {}, "attempt_error")])
+@pytest.mark.parametrize(
+    ("status", "headers", "counter"),
+    [
+        (503, {"Srv-Declined": "1"}, "attempt_full"),
+        (504, {"Srv-Declined": "1"}, "attempt_full"),
+        (503, {}, "attempt_error"),
+        (500, {"Srv-Declined": "1"}, "attempt_error"),
+        (500, {}, "attempt_error"),
+        (200, {}, "attempt_error"),
+        (429, {}, "attempt_error"),
+    ],
+)
 def test_answers_other_than_202_end_the_attempt(world, status, headers, counter):
     client = world.submit("a1")
     world.take()[1].answer(status, **headers)
--- a/tests/test_settings_carried.py
+++ b/tests/test_settings_carried.py
@@ -16,10 +16,16 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 QUICK = replace(SAFE, objective=10_000, deadline=400_000)
-MACHINES = {**SETTINGS, "machine_types": ["plain", "press"],
-            "extra": {**SETTINGS["extra"], "class_kind": [0, 1, -1]}}
-SWAPPED = {**SETTINGS, "machine_types": ["press", "plain"],
-           "extra": {**SETTINGS["extra"], "class_kind": [1, 0, -1]}}
+MACHINES = {
+    **SETTINGS,
+    "machine_types": ["plain", "press"],
+    "extra": {**SETTINGS["extra"], "class_kind": [0, 1, -1]},
+}
+SWAPPED = {
+    **SETTINGS,
+    "machine_types": ["press", "plain"],
+    "extra": {**SETTINGS["extra"], "class_kind": [1, 0, -1]},
+}
 
 
 def of_kind(name, port, kind):
@@ -49,7 +55,10 @@
     desk, signs = gateway.desk, gateway.signs
     assert desk.mean_work == fresh.desk.mean_work and gateway.spans == fresh.spans
     assert (signs.patience, signs.run_patience, signs.prompt) == (
-        fresh.signs.patience, fresh.signs.run_patience, fresh.signs.prompt)
+        fresh.signs.patience,
+        fresh.signs.run_patience,
+        fresh.signs.prompt,
+    )
     assert desk.level.bearable == fresh.desk.level.bearable
     assert desk.budget.most == fresh.desk.budget.most and desk.budget.left <= desk.budget.most
     assert desk.carried.per_s == desk.served.per_s == desk.arrivals.per_s == 0
@@ -107,8 +116,9 @@
     gateway.handle(0, [listing(*entries)])
     gateway.fleet.kinds[0].pace, gateway.fleet.kinds[1].pace = 3.0, 0.5
     swapped = [replace(entry, kind=1 - entry.kind) for entry in entries]
-    gateway.handle(1, [io.Retune(settings(SAFE, kinds=2), [0], [0, 1], [1, 0]),
-                       listing(*swapped, kind=io.Listing.WHOLE)])
+    gateway.handle(
+        1, [io.Retune(settings(SAFE, kinds=2), [0], [0, 1], [1, 0]), listing(*swapped, kind=io.Listing.WHOLE)]
+    )
     assert gateway.fleet.kinds[1].pace == gateway.fleet.workers[1].pool.pace == 3.0
     assert gateway.fleet.kinds[0].pace == gateway.fleet.workers[2].pool.pace == 0.5
 
@@ -131,8 +141,7 @@
     swapped = started(settings(UNSAFE, SAFE))
     swapped.handle(30_000_000, [io.Inherit(memory, [1, 0], [1, 0], [0, 1])])
     assert swapped.spans == [memory.spans[1], memory.spans[0]]
-    assert [bucket.level for bucket in swapped.tenants.quotas] == [
-        memory.quotas[1][0], memory.quotas[0][0]]
+    assert [bucket.level for bucket in swapped.tenants.quotas] == [memory.quotas[1][0], memory.quotas[0][0]]
     assert swapped.desk.mean_work == gateway.desk.mean_work
     other = started(settings(QUICK, SAFE))
     fresh = other.desk.mean_work
@@ -169,8 +178,11 @@
 @pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
 def test_no_name_of_a_deployment_is_in_the_code_or_in_the_deploy_file(path):
     site = tomllib.loads(path.read_text())
-    names = {site["name"], *site["net"]["zones"], *(part["name"] for key in ("class", "tenant")
-                                                    for part in site[key])}
+    names = {
+        site["name"],
+        *site["net"]["zones"],
+        *(part["name"] for key in ("class", "tenant") for part in site[key]),
+    }
     names |= {kind["name"] for tier in site["tier"] for kind in tier["kind"]}
     files = [*(ROOT / "carthinge").rglob("*.py"), ROOT / "deploy" / "balancer.toml"]
     found = {name for name in names for file in files if name in file.read_text()}
--- a/tests/test_socket_faults.py
+++ b/tests/test_socket_faults.py
@@ -85,7 +85,7 @@
         let_pass(program, timedelta(milliseconds=20))
         program.loop.turn(idle=False)
     reading(taken(worker, program), program)
-    only, = (held for held in program.dispatcher.fleet.workers.values() if held.ready)
+    (only,) = (held for held in program.dispatcher.fleet.workers.values() if held.ready)
     assert program.counters.attempts == 1 and only.strikes == 0
     client.close()
 
@@ -101,7 +101,7 @@
         program.book.decide()
         let_pass(program, timedelta(milliseconds=100))
     assert reading(client, program)[0].startswith("HTTP/1.1 50")  # once, and in its time
-    only, = (held for held in program.dispatcher.fleet.workers.values() if held.ready)
+    (only,) = (held for held in program.dispatcher.fleet.workers.values() if held.ready)
     assert only.strikes == 0 and program.counters.attempt_moot == program.counters.attempts > 0
 
 
--- a/tests/test_spans.py
+++ b/tests/test_spans.py
@@ -74,9 +74,19 @@
 # ---- load reports and probes --------------------------------------------------------------------
 
 
-@pytest.mark.parametrize(("raw", "report"), [
-    (b"queue=3,x0=2", (3.0, 2.0)), (b"x0=2", (0.0, 2.0)), (b"queue=3", ()), (b"", ()), (b"x0=nan", ()),
-    (b"queue=,x0 = 2,,", (0.0, 2.0)), (b'{"queue":null,"x0":2}', (0.0, 2.0)), (b'{"x0"', ())])
+@pytest.mark.parametrize(
+    ("raw", "report"),
+    [
+        (b"queue=3,x0=2", (3.0, 2.0)),
+        (b"x0=2", (0.0, 2.0)),
+        (b"queue=3", ()),
+        (b"", ()),
+        (b"x0=nan", ()),
+        (b"queue=,x0 = 2,,", (0.0, 2.0)),
+        (b'{"queue":null,"x0":2}', (0.0, 2.0)),
+        (b'{"x0"', ()),
+    ],
+)
 def test_the_free_slots_of_a_report_count_whatever_else_is_in_it(serve, raw, report):
     program = serve(settings=site(load_info={"how": "inline", "fields": ["queue", "x0"]}))
     assert program.egress.report(read_load(raw)) == report
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -85,8 +85,10 @@
     assert run("check", tmp_path, code=1)["faults"] == ["job 1: its body is damaged"]
 
 
-@pytest.mark.parametrize("change, message", [("PRAGMA user_version=99", "of format 99"),
-                                             ("PRAGMA application_id=1", "not a store")])
+@pytest.mark.parametrize(
+    "change, message",
+    [("PRAGMA user_version=99", "of format 99"), ("PRAGMA application_id=1", "not a store")],
+)
 def test_other_formats_and_other_files_are_refused(tmp_path, change, message):
     opened(tmp_path).close()
     with sqlite3.connect(tmp_path / "jobs.db") as database:
@@ -100,7 +102,7 @@
     store.apply([accepted(1, give_up=60_000_000), granted(5, 1)], at(50_000_000, "first", wall=1_000_000_000))
     store.close()
     store = opened(tmp_path, at(7_000_000, "second", wall=1_003_000_000))  # 3 s later by the wall
-    job, = store.open_jobs(0, 10).jobs
+    (job,) = store.open_jobs(0, 10).jobs
     assert job.accepted.give_up == 7_000_000 + 10_000_000 - 3_000_000
     assert job.attempts[0].sent == 0 and job.attempts[0].state is AttemptState.OUT
     store.close()
@@ -186,8 +188,12 @@
 
 
 def run(command, folder, code=0):
-    ran = subprocess.run([sys.executable, "-m", "carthinge", "store", command, str(folder), "--json"],
-                         capture_output=True, check=False, timeout=30)
+    ran = subprocess.run(
+        [sys.executable, "-m", "carthinge", "store", command, str(folder), "--json"],
+        capture_output=True,
+        check=False,
+        timeout=30,
+    )
     assert ran.returncode == code, ran.stderr
     return json.loads(ran.stdout) if ran.stdout else ran.stderr.decode()
 
@@ -198,8 +204,10 @@
     with pytest.raises(StoreError, match="in use by process"):
         opened(tmp_path)
     seen = run("show", tmp_path)
-    assert seen["open"][0]["out_at"] == "s-0" and {row["state"]: row["jobs"] for row in seen["jobs"]} == \
-        {"open": 1, "served": 1}
+    assert seen["open"][0]["out_at"] == "s-0" and {row["state"]: row["jobs"] for row in seen["jobs"]} == {
+        "open": 1,
+        "served": 1,
+    }
     assert run("check", tmp_path) == {"jobs": 2, "faults": []}
     assert "in use" in run("compact", tmp_path, code=2)
     store.close()
--- a/tests/test_store_batches.py
+++ b/tests/test_store_batches.py
@@ -28,8 +28,10 @@
         self.store.close()
         shutil.rmtree(self.folder)
 
-    @rule(keys=st.lists(st.sampled_from([None, b"k1", b"k2", b"k3"]), min_size=1, max_size=20),
-          twice=st.booleans())
+    @rule(
+        keys=st.lists(st.sampled_from([None, b"k1", b"k2", b"k3"]), min_size=1, max_size=20),
+        twice=st.booleans(),
+    )
     def accept(self, keys, twice):
         batch, taken = [], set()
         for key in keys:
@@ -107,8 +109,9 @@
         assert sorted(open_jobs) == sorted(n for n, job in self.jobs.items() if job[0] is JobState.OPEN)
         for number, job in open_jobs.items():
             assert job.accepted.body == self.jobs[number][1] and job.accepted.key == self.jobs[number][2]
-            assert {(sent.token, sent.state) for sent in job.attempts} == \
-                {(token, state) for token, (of, state) in self.attempts.items() if of == number}
+            assert {(sent.token, sent.state) for sent in job.attempts} == {
+                (token, state) for token, (of, state) in self.attempts.items() if of == number
+            }
         for number, (state, result, _, forget_at) in self.jobs.items():
             found = self.store.find(number)
             assert found.state is state and (forget_at is None or found.result == result)
--- a/tests/test_turn_order.py
+++ b/tests/test_turn_order.py
@@ -72,7 +72,7 @@
     peer = dial(program).send(job("a1", deadline="5000m"))
     time.sleep(0.05)  # the loop is elsewhere
     turns(program, lambda: program.book.exchanges)
-    exchange, = program.book.exchanges.values()
+    (exchange,) = program.book.exchanges.values()
     latest = first + timedelta(seconds=5)
     assert exchange.give_up <= latest < program.loop.now + timedelta(seconds=5)
     peer.close()
@@ -87,7 +87,7 @@
     timer.start()
     while not program.book.exchanges:
         program.loop.turn()
-    exchange, = program.book.exchanges.values()
+    (exchange,) = program.book.exchanges.values()
     assert exchange.give_up == program.loop.now + timedelta(seconds=5) - ANSWER_MARGIN
     timer.join()
 
@@ -127,8 +127,10 @@
     assert (len(program.book.exchanges), counters.shed, counters.shed_for_room) == (8, 1, 1)
     first, headers, _ = peers[-1].read()
     assert " 503 " in first and headers["connection"] == "close" and float(headers["retry-after"]) > 0
-    caller = dial(program).send(b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 39\r\n\r\n"
-                                b'{"id":"a0","from":"s-0","state":"done"}')
+    caller = dial(program).send(
+        b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 39\r\n\r\n"
+        b'{"id":"a0","from":"s-0","state":"done"}'
+    )
     turns(program, lambda: counters.job_events)
     assert caller.status() == 204
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -205,8 +205,10 @@
                     continue
                 event = json.dumps({"id": headers["req-id"], "from": name, "state": "done"}).encode()
                 with socket.create_connection((world.held.getsockname()), WAIT) as back:
-                    back.sendall(b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s"
-                                 % (len(event), event))
+                    back.sendall(
+                        b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s"
+                        % (len(event), event)
+                    )
                     assert back.recv(1000).startswith(b"HTTP/1.1 204")
 
     def ask(name):
@@ -221,8 +223,9 @@
         except (OSError, EOFError) as fault:
             faults.append(fault)
 
-    threads = [threading.Thread(target=work, args=pair)
-               for pair in zip(world.workers, world.names, strict=True)]
+    threads = [
+        threading.Thread(target=work, args=pair) for pair in zip(world.workers, world.names, strict=True)
+    ]
     threads += [threading.Thread(target=ask, args=(f"c{number}",)) for number in range(6)]
     for thread in threads:
         thread.start()
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -65,9 +65,16 @@
     assert told <= clock.now()
 
 
-@given(st.lists(st.tuples(st.timedeltas(timedelta(), timedelta(minutes=5)),
-                          st.timedeltas(-timedelta(days=2), timedelta(days=2))), max_size=8),
-       st.integers(0, 2**44))
+@given(
+    st.lists(
+        st.tuples(
+            st.timedeltas(timedelta(), timedelta(minutes=5)),
+            st.timedeltas(-timedelta(days=2), timedelta(days=2)),
+        ),
+        max_size=8,
+    ),
+    st.integers(0, 2**44),
+)
 def test_no_reading_is_in_the_future_or_before_all_time(steps, reading):
     with pytest.MonkeyPatch.context() as monkeypatch:
         machine = Machine(monkeypatch)
@@ -97,14 +104,14 @@
     table = RouteTable(read_site(Facts.from_nested(SETTINGS)), clock)
     machine.passes(30 * S)
     named = Listed(revision=1, members=[Member(**member("s-0", 1, up_since_ms=machine.wall_ms()))])
-    first, = table.take(named, Listing.WHOLE).entries
+    (first,) = table.take(named, Listing.WHOLE).entries
     machine.passes(4 * S)
     machine.step(step)
     clock.check_for_step(clock.now())
-    again, = table.take(named, Listing.WHOLE).entries
+    (again,) = table.take(named, Listing.WHOLE).entries
     assert again.started == first.started == (clock.now() - 4 * S) // MICROSECOND
     anew = Listed(revision=2, members=[Member(**member("s-0", 1, up_since_ms=machine.wall_ms()))])
-    restarted, = table.take(anew, Listing.WHOLE).entries
+    (restarted,) = table.take(anew, Listing.WHOLE).entries
     assert restarted.started == clock.now() // MICROSECOND
 
 
@@ -130,7 +137,7 @@
     real = time.time_ns
     monkeypatch.setattr(time, "time_ns", lambda: real() + step // MICROSECOND * 1000)
     monkeypatch.setattr(time, "time", lambda: time.time_ns() / 1e9)
-    exchange, = program.book.exchanges.values()
+    (exchange,) = program.book.exchanges.values()
     left, due = exchange.give_up - program.loop.clock.now(), program.loop._timers[0][0]
     assert timedelta(seconds=4) < left < timedelta(seconds=5)
     for _ in range(5):
@@ -151,6 +158,9 @@
 
     allowed = {"net/clock.py", "durable/jobs.py", "scheduler/fleet_link.py"}
     folder = Path(__file__).parent.parent / "carthinge"
-    reads = {str(file.relative_to(folder)) for file in folder.rglob("*.py")
-             if any(word in file.read_text() for word in ("time.time", ".wall()", "datetime.now", "utcnow"))}
+    reads = {
+        str(file.relative_to(folder))
+        for file in folder.rglob("*.py")
+        if any(word in file.read_text() for word in ("time.time", ".wall()", "datetime.now", "utcnow"))
+    }
     assert reads == allowed, json.dumps(sorted(reads ^ allowed))
--- a/tests/world.py
+++ b/tests/world.py
@@ -85,14 +85,29 @@
 
 
 def member(name, port, phase="Ready", up_since_ms=0, zone="hall", cell=0):
-    return {"id": name, "host_port": f"127.0.0.1:{port}", "locality": zone, "flavor": "m", "cell": cell,
-            "phase": phase, "size": 1.0, "up_since_ms": up_since_ms}
+    return {
+        "id": name,
+        "host_port": f"127.0.0.1:{port}",
+        "locality": zone,
+        "flavor": "m",
+        "cell": cell,
+        "phase": phase,
+        "size": 1.0,
+        "up_since_ms": up_since_ms,
+    }
 
 
 def job(req_id, kind="query", deadline="5000m", body=b"{}", path="/api?x=1", **more):
-    lines = [f"POST {path} HTTP/1.1", "Host: app.svc", f"Req-Id: {req_id}",
-             f"Req-Kind: {kind}", "Req-Owner: acme", f"Req-Deadline: {deadline}", "Req-Cost: 20000",
-             f"Content-Length: {len(body)}"]
+    lines = [
+        f"POST {path} HTTP/1.1",
+        "Host: app.svc",
+        f"Req-Id: {req_id}",
+        f"Req-Kind: {kind}",
+        "Req-Owner: acme",
+        f"Req-Deadline: {deadline}",
+        "Req-Cost: 20000",
+        f"Content-Length: {len(body)}",
+    ]
     lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
@@ -100,8 +115,18 @@
 class World:
     """A started scheduler with stub workers and a stub discovery."""
 
-    def __init__(self, tmp_path, workers=1, settings=None, sockets=1024, known=True, extra_ports=(),
-                 held=False, file=None, name="n0"):
+    def __init__(
+        self,
+        tmp_path,
+        workers=1,
+        settings=None,
+        sockets=1024,
+        known=True,
+        extra_ports=(),
+        held=False,
+        file=None,
+        name="n0",
+    ):
         """``held``: the listening socket is opened here and inherited, as a platform does for upgrades.
 
         ``file``: what the operator's own file says; ``{folder}`` in it stands for a store's folder."""
@@ -113,14 +138,21 @@
         self.opened = []
         self.kept = {}  # workers' sockets, each with its worker's number and its connection
         zones = (settings or SETTINGS)["zones"] or ["hall"]
-        members = [member(name, worker.port, zone=zones[number % len(zones)], cell=number % len(zones))
-                   for number, (name, worker) in enumerate(zip(self.names, self.workers, strict=True))]
+        members = [
+            member(name, worker.port, zone=zones[number % len(zones)], cell=number % len(zones))
+            for number, (name, worker) in enumerate(zip(self.names, self.workers, strict=True))
+        ]
         members += [member(f"s-extra-{port}", port) for port in extra_ports]
-        config = {"name": name, "listen": f"{HOST}:{self.port}", "seed": "8c1f",
-                  "discovery": f"127.0.0.1:{self.discovery.port}", "operator": f"{HOST}:{self.operator}",
-                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-                  "known": {"revision": 7, "complete": True, "members": members if known else []},
-                  "settings": settings or SETTINGS}
+        config = {
+            "name": name,
+            "listen": f"{HOST}:{self.port}",
+            "seed": "8c1f",
+            "discovery": f"127.0.0.1:{self.discovery.port}",
+            "operator": f"{HOST}:{self.operator}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": {"revision": 7, "complete": True, "members": members if known else []},
+            "settings": settings or SETTINGS,
+        }
         self.config = config
         self.config_path = tmp_path / "config.json"
         self.config_path.write_text(json.dumps(config))
@@ -136,14 +168,20 @@
     def start(self, **environment):
         """Another process of this scheduler."""
         command = [sys.executable, "-m", "carthinge", "serve", "--log-level", "debug"]
-        environment = {**os.environ, "RELAY_CONFIG": str(self.config_path), "TMPDIR": str(self.temporary),
-                       "RELAY_DISCOVERY": self.config["discovery"], "CARTHINGE_FILE": str(self.file_path),
-                       **environment}
+        environment = {
+            **os.environ,
+            "RELAY_CONFIG": str(self.config_path),
+            "TMPDIR": str(self.temporary),
+            "RELAY_DISCOVERY": self.config["discovery"],
+            "CARTHINGE_FILE": str(self.file_path),
+            **environment,
+        }
         if self.held is not None:
             environment["RELAY_FD"] = str(self.held.fileno())
         with self.log_path.open("ab") as log:
-            process = subprocess.Popen(command, env=environment, stderr=log,
-                                       pass_fds=[self.held.fileno()] if self.held else [])
+            process = subprocess.Popen(
+                command, env=environment, stderr=log, pass_fds=[self.held.fileno()] if self.held else []
+            )
         self.processes.append(process)
         return process
 
