--- a/carthinge/durable/check.py
+++ b/carthinge/durable/check.py
@@ -13,8 +13,9 @@
 from carthinge.durable import wal
 from carthinge.durable.errors import StoreError
 from carthinge.durable.records import JobState
+from carthinge.durable.rows import body_crc, result_crc
 from carthinge.durable.schema import APPLICATION, FORMAT, PAGE
-from carthinge.durable.store import DATABASE, Store, body_crc, result_crc
+from carthinge.durable.store import DATABASE, Store
 
 AT_ONCE: Final = 200  # rows read between two steps of the progress
 
--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import gc
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
@@ -17,26 +16,21 @@
 
 from carthinge import interface as io
 from carthinge.durable.admission import Admission
-from carthinge.durable.errors import StoreError
 from carthinge.durable.held import Ending, Held, Waiter
 from carthinge.durable.limits import Limits
+from carthinge.durable.read_back import ReadBack
 from carthinge.durable.records import (
     Accepted,
-    AttemptState,
     Collected,
     Ended,
     Found,
     JobState,
-    OpenJobs,
-    StoredJob,
 )
-from carthinge.durable.recovery import Entrance
 from carthinge.durable.register import Register
 from carthinge.durable.seal import job_name, job_number
 from carthinge.durable.store import Store, Time
 from carthinge.durable.tenure import Tenure
 from carthinge.durable.writer import Writer
-from carthinge.net import log
 from carthinge.net.book import Book
 from carthinge.net.exchange import Attempt, Job, Terms
 from carthinge.net.http import Address
@@ -44,7 +38,6 @@
 from carthinge.net.route_table import EgressTarget
 from carthinge.operator_file import Options
 
-LOADED_AT_ONCE: Final = 500  # jobs, between two turns of the loop
 EPOCH_BITS: Final = 31  # of a number that counts within one opening of the store
 
 
@@ -74,42 +67,50 @@
         )
         self.register = Register(self.limits)
         self.tenure = Tenure(loop, options.leases.duration, entry_of, target_of, book.expire)
-        self.entrance: Entrance[Held] = Entrance(durable.recover_per_s)
-        self.late_results = self.stale_calls = self.recovered = 0
-        self.loaded = False
+        self.late_results = self.stale_calls = 0
         self.writer: Writer | None = None
         self._book = book
-        self._terms_of = terms_of
         self._admission = Admission(self, loop, book, self.limits, self.register, terms_of)
         self._options = durable
         self._boot = boot
         self._store = Store(Path(durable.folder), durable.max_store_bytes)
-        self._deferred: list[Callable[[], None]] = []
+        self.reading = ReadBack(
+            self,
+            loop,
+            book,
+            self.register,
+            self.tenure,
+            durable.recover_per_s,
+            self._store.path,
+            terms_of,
+        )
         self._postponed: list[Callable[[], None]] = []  # what came up while the store was to leave
-        self.damaged: set[int] = set()  # numbers of open jobs whose records cannot be read
         self._count = 0
         self.leaving = False  #: another process is to have the store, or has it
         self._stopped = False
 
+    @property
+    def loaded(self) -> bool:
+        """All open jobs are known."""
+        return self.reading.loaded
+
     # ---- start and end --------------------------------------------------------------------
 
     def open(self) -> None:
         """Takes the store; StoreError where that cannot be had.  Open jobs follow turn by turn."""
         self._store.open(self.time())
-        self.loaded = self.leaving = self._stopped = False
-        gc.disable()  # until all is read back: it would go through that again and again, for 0.2 s each
-        self._count = self.recovered = 0
-        self.damaged.clear()
+        self.leaving = self._stopped = False
+        self._count = 0
         self.writer = Writer(self._store, self.time, lambda sock, call: self.loop.register(sock, READ, call))
-        self._load(0)
+        self.reading.begin(self.writer)
 
     def close(self, patience: timedelta = timedelta(seconds=5)) -> bool:
         """Writes down what has come up and lets go of the store; False where the disk would not take it."""
         writer, self.writer = self.writer, None
         if writer is None:
             return True
-        self._stopped, self.loaded = True, False
-        gc.enable()
+        self._stopped = True
+        self.reading.stop()
         whole = writer.stop(patience)
         writer.deliver()
         self.loop.forget(writer.wake_in)
@@ -126,7 +127,7 @@
             if held.exchange is not None:
                 self._book.give_away(held.exchange)
             self.register.drop(held)
-            self.entrance.drop(held)
+            self.reading.entrance.drop(held)
         self.tenure.clear()
         self._postponed.clear()
 
@@ -149,14 +150,14 @@
         return {
             "open": self.limits.open,
             "open_bytes": self.limits.bytes,
-            "waiting_to_enter": len(self.entrance),
+            "waiting_to_enter": len(self.reading.entrance),
             "leases": len(self.tenure.leases),
             "leases_expired": self.tenure.expired,
             "late_results": self.late_results,
             "stale_calls": self.stale_calls,
-            "recovered": self.recovered,
+            "recovered": self.reading.recovered,
             "loaded": self.loaded,
-            "damaged": len(self.damaged),
+            "damaged": len(self.reading.damaged),
             "shed": self._admission.shed_for,
             "failing": bool(writer and writer.failing),
             "failures": writer.failures if writer else 0,
@@ -181,78 +182,13 @@
         assert self._count < 1 << EPOCH_BITS
         return self._store.epoch << EPOCH_BITS | self._count
 
-    # ---- recovery -------------------------------------------------------------------------
-
-    def _load(self, after: int) -> None:
-        assert self.writer is not None
-        self.writer.ask(lambda store: store.open_jobs(after, LOADED_AT_ONCE), self._read_back)
-
-    def _read_back(self, found: object) -> None:
-        if self._stopped:
-            return
-        if isinstance(found, StoreError):
-            # What cannot be read cannot be answered, and more must not be put on top of it.
-            log.logger().error("store_unreadable", why=str(found))
-            raise found
-        assert isinstance(found, OpenJobs)
-        for stored in found.jobs:
-            self._recover(stored)
-        for number in found.damaged:  # it stays as it is for whoever mends it, and harms no other
-            self.damaged.add(number)
-            log.logger().error("job_damaged", job=f"{number:x}", path=str(self._store.path))
-        if found.last:
-            self._load(found.last)
-            return
-        self.loaded = True
-        gc.enable()
-        log.logger().info("store_loaded", jobs=self.recovered, path=str(self._store.path))
-        deferred, self._deferred = self._deferred, []
-        for call in deferred:
-            call()
-        self._enter()
-
-    def _recover(self, stored: StoredJob) -> None:
-        accepted = stored.accepted
-        held = Held(self, accepted, on_disk=True, restored=stored.attempts)
-        held.last_token = max((sent.token for sent in stored.attempts), default=0)
-        self.recovered += 1
-        self.register.enter(held)
-        if any(sent.state is AttemptState.OUT for sent in stored.attempts):
-            self._restore(held)
-        else:
-            self.entrance.park(held, accepted.give_up * MICROSECOND)
-
-    def _enter(self) -> None:
-        now = self.loop.clock.now()
-        for held in self.entrance.enter(now):
-            self._restore(held)
-        due = self.entrance.due(now)
-        if due is not None:
-            self.loop.call_at(due, self._enter)
-
-    def _restore(self, held: Held) -> None:
-        """The book takes it on, with the attempts that it has had."""
-        accepted = held.accepted
-        left = accepted.give_up * MICROSECOND - self.loop.now
-        terms = self._terms_of(accepted, left)
-        if terms is None:
-            self.end(held, Ending(JobState.FAILED, b"its class or tenant is no longer served\n"))
-            return
-        stored, held.restored = held.restored, []
-        held.exchange = self._book.restore(
-            held.job(), terms, held, held, [self.tenure.read_back(attempt) for attempt in stored]
-        )
-        for attempt, known in zip(held.exchange.attempts, stored, strict=True):
-            if attempt.open and known.until:
-                self.tenure.resume(attempt)
-
     # ---- taking jobs on -------------------------------------------------------------------
 
     def take(self, job: Job, terms: Terms, key: bytes | None, waiter: Waiter) -> None:
         """A whole request for a durable job; ``waiter`` hears what becomes of it."""
         if not self.loaded:  # whether its key is known cannot be told yet
             arrived = self.loop.now
-            self._deferred.append(lambda: self._admission.take(job, terms, key, waiter, arrived))
+            self.reading.defer(lambda: self._admission.take(job, terms, key, waiter, arrived))
         else:
             self._admission.take(job, terms, key, waiter, self.loop.now)
 
@@ -262,12 +198,12 @@
         """The job of that name, open or ended; else 404 where there never was one, 410 once it is forgotten,
         and 503 where that cannot be told just now."""
         if not self.loaded:
-            self._deferred.append(lambda: self.ask(name, done))
+            self.reading.defer(lambda: self.ask(name, done))
             return
         number = job_number(name, self._store.secret)
         if number is None:
             done(HTTPStatus.NOT_FOUND)
-        elif number in self.damaged:
+        elif number in self.reading.damaged:
             done(HTTPStatus.INTERNAL_SERVER_ERROR)
         elif (held := self.register.by_number.get(number)) is not None and held.on_disk:
             done(held)
@@ -382,7 +318,7 @@
     def when_loaded(self, call: Callable[[], None]) -> bool:
         """Makes the call once all open jobs are known; False where they are, and the call is not made."""
         if not self.loaded and not self.leaving:
-            self._deferred.append(call)
+            self.reading.defer(call)
             return True
         return False
 
@@ -393,7 +329,7 @@
         if held.ending is not None:
             return
         held.ending = ending
-        self.entrance.drop(held)
+        self.reading.entrance.drop(held)
         now = self.loop.now
         waited_for = held.waiters and ending.state is JobState.SERVED
         keep = self._options.keep_collected if waited_for else self._options.keep_results
--- a/carthinge/durable/store.py
+++ b/carthinge/durable/store.py
@@ -16,15 +16,14 @@
 import os
 import secrets
 import sqlite3
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
-from functools import lru_cache
 from pathlib import Path
-from typing import Any, Final
-from zlib import crc32
+from typing import Final
 
 import msgspec
 
+from carthinge.durable.database import Connect, Database, connect
 from carthinge.durable.errors import StoreError
 from carthinge.durable.records import (
     Accepted,
@@ -40,20 +39,17 @@
     Renewed,
     StoredAttempt,
     StoredJob,
-    Terms,
 )
+from carthinge.durable.rows import FOUND_COLUMNS, body_crc, found_job, result_crc, stored_job
 from carthinge.durable.schema import APPLICATION, FORMAT, PAGE, TABLES
 from carthinge.durable.wal import examine
 
 DATABASE: Final = "jobs.db"
 LOCK: Final = "owner.lock"
-CHUNKS: Final = (1, 2, 4, 8, 16, 32, 64, 128, 256)  # rows of one statement: few texts, all kept prepared
 WAL_PAGES: Final = 1000  # after so many the log is folded into the database
 FORGET_AT_ONCE: Final = 500  # jobs of one transaction, which must not hold up the next commit for long
-LOCKED_FOR: Final = 0.2  # seconds to wait for another writer: there is to be none
 LONG_AGO: Final = 0
 SPACE_PAGES: Final = 256  # given back at once
-Connect = Callable[[str], sqlite3.Connection]
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,24 +69,17 @@
     bytes_free: int  #: of the file, to be used before it grows
 
 
-def connect(path: str) -> sqlite3.Connection:
-    """An ordinary connection; transactions are begun and ended by hand."""
-    return sqlite3.connect(
-        path, timeout=LOCKED_FOR, isolation_level=None, check_same_thread=False, cached_statements=128
-    )
-
-
-class Store:
+class Store(Database):
     """One owner's hold of a folder.  ``open`` first; then from one thread at a time."""
 
     def __init__(self, folder: str | Path, max_bytes: int, connect: Connect = connect) -> None:
+        super().__init__()
         self.folder = Path(folder)
         self.path = self.folder / DATABASE
         self.secret = b""
         self.epoch = 0  #: one higher at each opening
         self._max_pages = max(64, max_bytes // PAGE)
         self._connect = connect
-        self._database: sqlite3.Connection | None = None
         self._lock: int | None = None
         self._told: Time | None = None
 
@@ -280,8 +269,10 @@
         for start in range(0, len(keys), 500):
             part = keys[start : start + 500]
             marks = ",".join("?" * len(part))
-            for key, *rest in self._all(f"SELECT key, {_FOUND} FROM jobs WHERE key IN ({marks})", part):
-                found = _found(rest)
+            for key, *rest in self._all(
+                f"SELECT key, {FOUND_COLUMNS} FROM jobs WHERE key IN ({marks})", part
+            ):
+                found = found_job(rest)
                 if keyed[key].number != found.number:  # else this batch is applied for the second time
                     others[keyed[key].number] = found
         self._rows(
@@ -349,7 +340,7 @@
         ):
             last = row[0]
             try:
-                jobs[last] = _stored(row)
+                jobs[last] = stored_job(row)
             except (ValueError, TypeError, msgspec.MsgspecError):
                 damaged.append(last)
         if jobs:
@@ -365,11 +356,11 @@
 
     def find(self, number: int) -> Found | None:
         """A job by its number; StoreError where it is damaged."""
-        rows = self._all(f"SELECT {_FOUND}, crc FROM jobs WHERE number = ?", (number,))
+        rows = self._all(f"SELECT {FOUND_COLUMNS}, crc FROM jobs WHERE number = ?", (number,))
         if not rows:
             return None
         *rest, crc = rows[0]
-        found = _found(rest)
+        found = found_job(rest)
         if found.state is not JobState.OPEN and crc != result_crc(number, found.state, found.result):
             raise StoreError(f"{self.path}: job {number:x} is damaged")
         return found
@@ -382,77 +373,3 @@
     def usage(self) -> Usage:
         pages, free = self._one("PRAGMA page_count"), self._one("PRAGMA freelist_count")
         return Usage((pages - free) * PAGE, free * PAGE)
-
-    # ---- SQLite ---------------------------------------------------------------------------
-
-    def _run(self, text: str, values: Sequence[Any] = ()) -> None:
-        assert self._database is not None, "the store is not open"
-        self._database.execute(text, values)
-
-    def _all(self, text: str, values: Sequence[Any] = ()) -> list[tuple[Any, ...]]:
-        assert self._database is not None, "the store is not open"
-        return self._database.execute(text, values).fetchall()
-
-    def _one(self, text: str) -> Any:
-        return self._all(text)[0][0]
-
-    def _rows(self, before: str, row: str, after: str, rows: list[tuple[Any, ...]]) -> None:
-        """One statement for up to 256 rows, filled up by the last one: what it does may be done again."""
-        for start in range(0, len(rows), CHUNKS[-1]):
-            part = rows[start : start + CHUNKS[-1]]
-            size = next(size for size in CHUNKS if size >= len(part))
-            part += part[-1:] * (size - len(part))
-            self._run(_text(before, row, size, after), [value for values in part for value in values])
-
-    def _roll_back(self) -> None:
-        if self._database is not None and self._database.in_transaction:
-            self._database.rollback()
-
-
-@lru_cache(maxsize=128)
-def _text(before: str, row: str, size: int, after: str) -> str:
-    """The same object each time: SQLite's cache of statements goes by it."""
-    return before + ",".join([row] * size) + after
-
-
-def body_crc(number: int, subject: bytes, body: bytes) -> int:
-    return crc32(body, crc32(subject, number & 0xFFFFFFFF))
-
-
-def result_crc(number: int, state: int, result: bytes) -> int:
-    return crc32(result, crc32(bytes((state,)), number & 0xFFFFFFFF))
-
-
-_FOUND: Final = "number, state, digest, result, token, timed_out, req_id"
-_HEADERS: Final[msgspec.msgpack.Decoder[tuple[tuple[str, bytes], ...]]] = msgspec.msgpack.Decoder(
-    tuple[tuple[str, bytes], ...]
-)
-_TERMS: Final[msgspec.msgpack.Decoder[Terms]] = msgspec.msgpack.Decoder(Terms)
-
-
-def _stored(row: Sequence[Any]) -> StoredJob:
-    """ValueError, TypeError or MsgspecError where the record is damaged."""
-    number, req_id, tenant, name, key, digest, subject, body, headers, terms, came, give_up, crc = row
-    if crc != body_crc(number, subject, body):
-        raise ValueError(f"job {number:x} is damaged")
-    return StoredJob(
-        Accepted(
-            number,
-            req_id,
-            tenant,
-            name,
-            key,
-            digest,
-            subject,
-            body,
-            _HEADERS.decode(headers),
-            _TERMS.decode(terms),
-            came,
-            give_up,
-        )
-    )
-
-
-def _found(row: Sequence[Any]) -> Found:
-    number, state, digest, result, token, timed_out, req_id = row
-    return Found(number, JobState(state), digest, result or b"", token, bool(timed_out), req_id)
--- a/carthinge/fleet/membership.py
+++ b/carthinge/fleet/membership.py
@@ -9,31 +9,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from datetime import timedelta
-from heapq import heappop, heappush
 from random import Random
-from typing import Final
 
+from carthinge.fleet import membership_limits as limits
+from carthinge.fleet.agenda import Agenda
 from carthinge.fleet.packets import LIFE_MOST, Kind, Packet, Rumor, Standing
 from carthinge.fleet.voice import HERE, Member, Sending, Voice
 
-MEMBERS_MOST: Final = 4096  # known ones; the longest dead make room
-THROUGH: Final = 3  # members that are asked to check another one
-AGAIN_AFTER: Final = 0.15  # of a period, from a ping to the next one of the same check
-THROUGH_AFTER: Final = 0.3  # of a period, until others are asked
-VERDICT_AFTER: Final = 0.6  # of a period, from the first ping: one that answers within that has passed
-CHECKS: Final = 3  # own ones in a row that a suspected member must fail to be dead
-FANOUT: Final = 8  # members that a beat goes to, a period
-AWAY: Final = 5  # periods without a turn: this process was stopped, and what it holds is out of date
-REMEMBERED: Final = 3600  # periods for which the dead are known: old news must not bring them back
-SYNC_EVERY: Final = 8  # periods, from one page of somebody's list to the next
-FORGET_EVERY: Final = 64  # periods
-JUMP: Final = 1 << 20  # by which the word of a third one may raise an incarnation at once
-ABOVE: Final = LIFE_MOST // 2  # a member takes any incarnation below that from others, so that it may return
-
-Call = Callable[[timedelta], None]
-
 
 class Membership:
     """One scheduler's view of all.  Every span follows from ``period``; only what is returned is sent."""
@@ -62,8 +46,8 @@
         self._seeds = [other for other in seeds if other != address]
         self._contacts: list[str] = []  # whom it knew before it was stopped
         self._rng = Random(seed)
-        self._agenda: list[tuple[timedelta, int, Call]] = []
-        self._count = self._numbers = self._rounds = 0
+        self._agenda = Agenda()
+        self._numbers = self._rounds = 0
         self._order: list[str] = []  # of this round's pings; beats go through one of their own
         self._beats: list[str] = []
         self._checks: dict[int, Member] = {}  # who is asked just now whether it is there
@@ -72,13 +56,13 @@
         self._page_asked = False
         self._joining = True  # the whole list is wanted
         self._seen_at = now
-        self._at(now, self._round)
+        self._agenda.at(now, self._round)
 
     # ---- what it is asked --------------------------------------------------------------------
 
     def due(self) -> timedelta:
         """When ``tick`` is wanted next."""
-        return self._agenda[0][0]
+        return self._agenda.due()
 
     def here(self) -> list[Member]:
         """The others that are not held for dead."""
@@ -97,8 +81,7 @@
     def tick(self, now: timedelta) -> list[Sending]:
         """Does what is due by now; returns what is to be sent, with the addresses."""
         self._wake(now)
-        while self._agenda and self._agenda[0][0] <= now:
-            heappop(self._agenda)[2](now)
+        self._agenda.run(now)
         return self.voice.sent()
 
     def hear(self, now: timedelta, packet: Packet) -> list[Sending]:
@@ -119,18 +102,15 @@
         self.left = True
         for member in self.here():
             self.voice.say(Kind.LEAVE, member)
-        self._agenda = [(now + self.period * REMEMBERED, 0, lambda later: None)]
+        self._agenda.clear()
+        self._agenda.at(now + self.period * limits.REMEMBERED, lambda later: None)
         return self.voice.sent()
 
     # ---- rounds ------------------------------------------------------------------------------
 
-    def _at(self, due: timedelta, call: Call) -> None:
-        self._count += 1
-        heappush(self._agenda, (due, self._count, call))
-
     def _wake(self, now: timedelta) -> None:
         """Guards against a process that was stopped: verdicts on the others would be about itself."""
-        away, self._seen_at = now - self._seen_at > AWAY * self.period, now
+        away, self._seen_at = now - self._seen_at > limits.AWAY * self.period, now
         if away:
             self._contacts = [member.address for member in self.here()]
             self.news.extend((member.name, Standing.LEFT) for member in self.here())
@@ -141,30 +121,32 @@
             self._checks.clear()
             self._agenda.clear()
             self._page_from, self._page_asked, self._joining = 0, False, True
-            self._at(now, self._round)
+            self._agenda.at(now, self._round)
 
     def _round(self, now: timedelta) -> None:
         """Once a period: a ping, beats, a knock at the door of one that is away, and some of a list."""
         if self.left:
             return
         self._rounds += 1
-        self._at(now + self.period, self._round)
+        self._agenda.at(now + self.period, self._round)
         self._ping_some(now)
         told: set[str] = set()
-        for _ in range(FANOUT):
+        for _ in range(limits.FANOUT):
             if (member := self._next(self._beats)) is None or member.name in told:
                 break
             told.add(member.name)
             self.voice.say(Kind.BEAT, member)
         self._knock()
         again = self._page_asked  # its answer was lost
-        if again or self._rounds % SYNC_EVERY == 0:
+        if again or self._rounds % limits.SYNC_EVERY == 0:
             if not (again or self._joining):
                 self._page_from = self._rng.randrange(max(1, len(self.members)))
             if here := self.here():
                 self._pull(self._rng.choice(here))
-        if self._rounds % FORGET_EVERY == 0:
-            for member in [one for one in self._away.values() if now - one.since > self.period * REMEMBERED]:
+        if self._rounds % limits.FORGET_EVERY == 0:
+            for member in [
+                one for one in self._away.values() if now - one.since > self.period * limits.REMEMBERED
+            ]:
                 self._drop(member)
 
     def _ping_some(self, now: timedelta) -> None:
@@ -181,7 +163,7 @@
 
     def _burst(self) -> int:
         """Checks at once, at the most: where a great part of the fleet has gone together all are wanted."""
-        return max(FANOUT, len(self.members) // 32)
+        return max(limits.FANOUT, len(self.members) // 32)
 
     def _next(self, order: list[str]) -> Member | None:
         """The next of a round through all, in an order drawn anew for each round."""
@@ -198,7 +180,7 @@
         """Whoever is away may be back, and a cut may have healed: some that are not here are asked."""
         if self._here:
             self._contacts = []
-        for address in self._rng.sample(self._contacts, min(FANOUT, len(self._contacts))):
+        for address in self._rng.sample(self._contacts, min(limits.FANOUT, len(self._contacts))):
             self.voice.knock(address)
         dead = [member for member in self._away.values() if member.standing is Standing.DEAD]
         seeds = [address for address in self._seeds if self._home(address) is None]
@@ -232,9 +214,9 @@
         number = self._numbers
         self._checks[number] = member
         self.voice.say(Kind.PING, member, number=number)
-        self._at(now + AGAIN_AFTER * self.period, lambda later: self._ping_again(number))
-        self._at(now + THROUGH_AFTER * self.period, lambda later: self._through_others(number))
-        self._at(now + VERDICT_AFTER * self.period, lambda later: self._verdict(later, number))
+        self._agenda.at(now + limits.AGAIN_AFTER * self.period, lambda later: self._ping_again(number))
+        self._agenda.at(now + limits.THROUGH_AFTER * self.period, lambda later: self._through_others(number))
+        self._agenda.at(now + limits.VERDICT_AFTER * self.period, lambda later: self._verdict(later, number))
 
     def _ping_again(self, number: int) -> None:
         if member := self._checks.get(number):
@@ -243,7 +225,7 @@
     def _through_others(self, number: int) -> None:
         if member := self._checks.get(number):
             others = [other for other in self._here.values() if other is not member]
-            for other in self._rng.sample(others, min(THROUGH, len(others))):
+            for other in self._rng.sample(others, min(limits.THROUGH, len(others))):
                 self.voice.say(Kind.CHECK, other, number=number, about=member.address)
 
     def _verdict(self, now: timedelta, number: int) -> None:
@@ -255,7 +237,7 @@
         if member.standing is Standing.ALIVE:
             self._suspect(now, member)
         elif member.standing is Standing.SUSPECT:
-            if member.failed >= CHECKS and now - member.since >= self._patience():
+            if member.failed >= limits.CHECKS and now - member.since >= self._patience():
                 self._stand(now, member, Standing.DEAD)
             else:
                 self._again(now, member, member.incarnation)
@@ -266,13 +248,13 @@
         self.voice.spread(member)
         incarnation = member.incarnation
         wait = self._patience() * self._rng.uniform(0.8, 1.2)
-        self._at(now + wait, lambda later: self._again(later, member, incarnation))
+        self._agenda.at(now + wait, lambda later: self._again(later, member, incarnation))
 
     def _again(self, now: timedelta, member: Member, incarnation: int) -> None:
         if member.standing is not Standing.SUSPECT or member.incarnation != incarnation:
             return
         if len(self._checks) >= self._burst():
-            self._at(now + self.period / 2, lambda later: self._again(later, member, incarnation))
+            self._agenda.at(now + self.period / 2, lambda later: self._again(later, member, incarnation))
         elif not self._asked(member):
             self._check(now, member)
 
@@ -285,7 +267,7 @@
     def _refute(self, held: Standing, incarnation: int) -> None:
         """Somebody holds this one for away, or knows it from a life before."""
         own = self.voice.incarnation
-        if incarnation >= LIFE_MOST - 1 or incarnation > max(own + JUMP, ABOVE):
+        if incarnation >= LIFE_MOST - 1 or incarnation > max(own + limits.JUMP, limits.ABOVE):
             return
         if incarnation > own or held is not Standing.ALIVE and incarnation == own:
             self.voice.deny(incarnation)
@@ -315,7 +297,7 @@
             if rumor.address:
                 self._enter(now, rumor.name, rumor.address, rumor.incarnation)
             return
-        if rumor.incarnation > member.incarnation + JUMP:
+        if rumor.incarnation > member.incarnation + limits.JUMP:
             return
         if rumor.incarnation > member.incarnation:
             self._move(member, rumor.address or member.address)
@@ -360,7 +342,7 @@
         if member is None:
             return
         if packet.about == member.name:
-            if member.incarnation < packet.about_at <= member.incarnation + JUMP:
+            if member.incarnation < packet.about_at <= member.incarnation + limits.JUMP:
                 self._back(now, member, packet.about_at)
         elif packet.about or sender is not member:
             return
@@ -373,7 +355,7 @@
     # ---- standings ---------------------------------------------------------------------------
 
     def _enter(self, now: timedelta, name: str, address: str, incarnation: int) -> Member | None:
-        if len(self.members) >= MEMBERS_MOST:
+        if len(self.members) >= limits.MEMBERS_MOST:
             if not self._away:
                 return None
             self._drop(min(self._away.values(), key=lambda member: member.since))
--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -13,6 +13,10 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from carthinge.handover_memory import AttemptMemory as AttemptMemory
+from carthinge.handover_memory import JobMemory as JobMemory
+from carthinge.handover_memory import Memory as Memory
+from carthinge.handover_memory import WorkerMemory as WorkerMemory
 from carthinge.rules import Effect as Effect
 from carthinge.rules import JobClass as JobClass
 from carthinge.rules import Reports as Reports
@@ -20,23 +24,10 @@
 from carthinge.rules import Settings as Settings
 from carthinge.rules import Tenant as Tenant
 from carthinge.rules import Weights as Weights
-
-
-class Listing(IntEnum):
-    """How a worker list relates to the one held before."""
-
-    CHANGES = 0
-    WHOLE = 1
-    CACHED = 2
-    FAILED = 3
-
-
-class State(IntEnum):
-    """A worker's state in the list."""
-
-    GONE = 0
-    READY = 1
-    DRAINING = 2
+from carthinge.worker_list import Listing as Listing
+from carthinge.worker_list import State as State
+from carthinge.worker_list import WorkerEntry as WorkerEntry
+from carthinge.worker_list import WorkerList as WorkerList
 
 
 class Result(IntEnum):
@@ -59,27 +50,6 @@
 # ---- events -----------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class WorkerEntry:
-    """One line of the worker list."""
-
-    worker: int
-    zone: int = 0
-    kind: int = 0
-    cell: int = 0
-    state: State = State.READY
-    rating: float = 1.0
-    started: int = 0  #: time of the latest start, 0 for long ago
-
-
-@dataclass(slots=True)
-class WorkerList:
-    """What discovery says."""
-
-    listing: Listing
-    entries: Sequence[WorkerEntry] = ()
-
-
 @dataclass(slots=True)
 class ByHand:
     """Operators take a worker out, or put it back; no list undoes that."""
@@ -88,42 +58,6 @@
     out: bool
 
 
-@dataclass(slots=True)
-class WorkerMemory:
-    """What was learned of one worker; its load is not part of that."""
-
-    entry: WorkerEntry
-    started: int
-    back: int
-    listed: bool
-    ready: bool
-    cap: float
-    pace: float
-    free: float
-    free_at: int
-    avoid_until: int
-    strikes: int
-    refusals: int
-    errors: int
-    heard_at: int
-    well_at: int
-    cold_slot: int
-    cold_left: float
-
-
-@dataclass(slots=True)
-class Memory:
-    """What a dispatcher has learned, for another one on the same clock that takes its place."""
-
-    out: list[int]  #: workers out by hand
-    workers: list[WorkerMemory]
-    kinds: list[tuple[int, float, float, float]]  #: number, pace, slots and size of each
-    meters: dict[str, float]
-    rates: dict[str, tuple[float, int]]  #: per second, and since when
-    spans: list[int]  #: of each class
-    quotas: list[tuple[float, int]]  #: of each tenant the level, and since when
-
-
 @dataclass(slots=True)
 class Inherit:
     """Another dispatcher's memory, before anything else is told.
@@ -138,40 +72,6 @@
     kinds: Sequence[int]
 
 
-@dataclass(slots=True)
-class AttemptMemory:
-    """One send of a job that is handed over; ``expected`` is 0 where that is not known any more."""
-
-    worker: int
-    entry: WorkerEntry
-    sent: int
-    expected: float
-    begun: int
-    open: bool
-    alone: bool
-    may_have_run: bool
-
-
-@dataclass(slots=True)
-class JobMemory:
-    """A job that is handed over; its tenant goes by name, outside."""
-
-    spec: JobClass
-    key: int
-    give_up: int
-    came: int
-    work: float
-    slots: float
-    cost: float
-    rank: float
-    tries: int
-    waiting: bool
-    silent: bool
-    hedged: bool
-    bearable: float
-    attempts: list[AttemptMemory]
-
-
 @dataclass(slots=True)
 class TakeOver:
     """A job that another dispatcher took, with what that knew of it; its answer is now owed here."""
--- a/carthinge/net/deadlines.py
+++ b/carthinge/net/deadlines.py
@@ -17,6 +17,13 @@
 LEAST_TOLD: Final = MILLISECOND  # a worker is never told that there is no time at all
 
 
+STILL_ARRIVING: Final = timedelta(milliseconds=600)  # after SIGTERM clients are sent here for up to 0.4 s
+MUST_BE_ANSWERED: Final = timedelta(milliseconds=700)  # what comes later than that, before SIGKILL
+LONGEST_GRACE: Final = timedelta(seconds=3)  # SIGKILL may come so long after that, or a deadline if shorter
+LAST_ANSWERS: Final = timedelta(milliseconds=300)  # before SIGKILL may come
+LAST_MOVES: Final = timedelta(seconds=1)  # before that: clients turn to other schedulers, if there are any
+
+
 @dataclass(frozen=True, slots=True)
 class Drain:
     """Up to when what is done, once the program is to end."""
@@ -26,6 +33,19 @@
     kept_until: timedelta  #: from then on every answer ends its connection, so that clients turn elsewhere
 
 
+def drain_schedule(told: timedelta, longest: timedelta, alone: bool, leaving: bool) -> Drain:
+    """Of a program that was ``told`` to end no earlier than then; ``longest``: deadline of its classes.
+
+    ``alone``: clients have no other scheduler to turn to, and in a rolling restart the one before this one
+    may not serve again yet.  ``leaving``: connections move to the process that has taken over.
+    """
+    arriving_until = told + STILL_ARRIVING
+    grace = min(longest, LONGEST_GRACE)
+    last = told + MUST_BE_ANSWERED + grace - min(LAST_ANSWERS, grace / 2)  # some of a short one is left
+    kept_until = last if alone or leaving else max(arriving_until, last - LAST_MOVES)
+    return Drain(arriving_until, last, kept_until)
+
+
 def patience_left(asked: timedelta, came: timedelta, now: timedelta, drain: Drain | None) -> timedelta:
     """What is left now of a client's patience; the request's last byte was here no earlier than ``came``.
 
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -23,7 +23,7 @@
 from carthinge.net.channel import State
 from carthinge.net.config import Config, ConfigError
 from carthinge.net.counters import Counters
-from carthinge.net.deadlines import Drain
+from carthinge.net.deadlines import drain_schedule
 from carthinge.net.discovery import DiscoveryWatch
 from carthinge.net.egress import Egress
 from carthinge.net.exchange import Terms
@@ -45,11 +45,6 @@
 SPARE_SOCKETS: Final = 48  # of the limit: for the listener, discovery, the log and what the runtime holds
 BACKLOG: Final = 1024
 EGRESS_SHARE: Final = 0.4  # of the rest: a call holds its connection only until the 202
-STILL_ARRIVING: Final = timedelta(milliseconds=600)  # after SIGTERM clients are sent here for up to 0.4 s
-MUST_BE_ANSWERED: Final = timedelta(milliseconds=700)  # what comes later than that, before SIGKILL
-LONGEST_GRACE: Final = timedelta(seconds=3)  # SIGKILL may come so long after that, or a deadline if shorter
-LAST_ANSWERS: Final = timedelta(milliseconds=300)  # before SIGKILL may come
-LAST_MOVES: Final = timedelta(seconds=1)  # before that: clients turn to other schedulers, if there are any
 QUIET: Final = timedelta(milliseconds=300)  # with nothing owed, before the program ends
 SETTLE: Final = timedelta(milliseconds=1)  # any wait will do: processor time that is owed comes due in it
 BOOT: Final = Path("/proc/sys/kernel/random/boot_id")
@@ -364,19 +359,14 @@
             self.fleet.close(leave=not self.upgrade.leaving)
         decisions = self.config.site.decisions
         longest = max(spec.deadline for spec in decisions.classes) * MICROSECOND
-        told = self.loop.since  # the signal came no earlier: SIGKILL follows it, however late it was heard
-        arriving_until = told + STILL_ARRIVING
-        grace = min(longest, LONGEST_GRACE)
-        last = told + MUST_BE_ANSWERED + grace - min(LAST_ANSWERS, grace / 2)  # some of a short one is left
-        # Guards against clients with nobody to turn to: a lone scheduler's have none, and in a rolling
-        # restart the scheduler before this one may not serve again yet.
-        kept_until = last if decisions.instances == 1 else max(arriving_until, last - LAST_MOVES)
-        if self.upgrade.leaving:  # connections move to the process that has taken over
-            kept_until = last
-        self.ingress.draining = Drain(arriving_until, last, kept_until)
+        # The signal came no earlier than that: SIGKILL follows it, however late it was heard.
+        drain = drain_schedule(
+            self.loop.since, longest, alone=decisions.instances == 1, leaving=self.upgrade.leaving
+        )
+        self.ingress.draining = drain
         if self.ingress.durable is not None:  # what is open goes on after the next start
-            self.loop.call_at(last, self.ingress.durable.let_go)
-        self.loop.call_at(self.loop.now if self.upgrade.leaving else kept_until, self._check_over)
+            self.loop.call_at(drain.answered_by, self.ingress.durable.let_go)
+        self.loop.call_at(self.loop.now if self.upgrade.leaving else drain.kept_until, self._check_over)
 
     def _check_over(self) -> None:
         """Ends once nothing has been under way for a little while: what is on its way here is taken still."""
--- /dev/null
+++ b/carthinge/worker_list.py
@@ -0,0 +1,45 @@
+"""The list of workers as a dispatcher is told of it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class Listing(IntEnum):
+    """How a worker list relates to the one held before."""
+
+    CHANGES = 0
+    WHOLE = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class State(IntEnum):
+    """A worker's state in the list."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerEntry:
+    """One line of the worker list."""
+
+    worker: int
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    state: State = State.READY
+    rating: float = 1.0
+    started: int = 0  #: time of the latest start, 0 for long ago
+
+
+@dataclass(slots=True)
+class WorkerList:
+    """What discovery says."""
+
+    listing: Listing
+    entries: Sequence[WorkerEntry] = ()
--- a/tests/test_durable_handover.py
+++ b/tests/test_durable_handover.py
@@ -129,14 +129,14 @@
 
 def test_a_hand_over_waits_until_all_open_jobs_are_read_back(program):
     """Begun before that, it would let go of a store whose jobs it has not seen."""
-    program.durable.loaded = False
+    program.durable.reading.loaded = False
     ended = []
     HandOver(program.durable, lambda attempt: False, ended.append)
     for _ in range(20):
         let_pass(program, CALM_WITHIN)
         program.loop.turn(idle=False)
     assert not ended and program.durable.writer is not None
-    program.durable.loaded = True
+    program.durable.reading.loaded = True
     let_pass(program, CALM_WITHIN)
     turns(program, lambda: ended)
     assert ended == [True] and program.durable.writer is None
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -13,7 +13,8 @@
 from virtual_net import SECOND, Net, Rough  # noqa: E402
 
 from carthinge.fleet.codec import BadPacketError, decode, encode  # noqa: E402
-from carthinge.fleet.membership import AWAY, REMEMBERED, Membership  # noqa: E402
+from carthinge.fleet.membership import Membership  # noqa: E402
+from carthinge.fleet.membership_limits import AWAY, REMEMBERED  # noqa: E402
 from carthinge.fleet.packets import PACKET_MOST, Kind, Packet, Rumor, Standing  # noqa: E402
 
 PERIOD = SECOND
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -25,7 +25,8 @@
     ("fleet",),
     ("records", "settings"),
     ("interface",),
-    ("rules", "operator_file", "leases", "meters"),
+    ("handover_memory",),
+    ("rules", "operator_file", "leases", "meters", "worker_list"),
 )
 
 
