--- a/benchmarks/durable.py
+++ b/benchmarks/durable.py
@@ -14,16 +14,17 @@
 import shutil
 import sys
 import time
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 sys.path.insert(0, str(Path(__file__).parent))
-import msgspec  # noqa: E402
-from harness import WINDOW, Connection, Fleet, FleetProcess, Scheduler, percentile  # noqa: E402
+import msgspec
+from harness import WINDOW, Connection, Fleet, FleetProcess, Scheduler, percentile
 
-from carthinge.durable.records import Accepted, Terms  # noqa: E402
-from carthinge.durable.store import Store, Time  # noqa: E402
+from carthinge.durable.records import Accepted, Terms
+from carthinge.durable.store import Store, Time
 
 OPTIONS = """
 [durable]
@@ -53,9 +54,7 @@
         runs: dict[str, list[float]] = {}
         for run in fleet.runs:
             runs.setdefault(run.key, []).append(run.began)
-        gaps = [
-            later - first for begun in runs.values() for first, later in zip(begun, begun[1:], strict=False)
-        ]
+        gaps = [later - first for begun in runs.values() for first, later in pairwise(begun)]
         served = [key for key, (status, _) in final.items() if status == 200]
         return {
             "accepted": len(self.accepted),
@@ -77,7 +76,7 @@
         }
 
 
-async def kills(count: int, seed: int) -> dict[str, Any]:
+async def kills(count: int, seed: int) -> dict[str, Any]:  # noqa: PLR0915  (a script, step by step)
     """Kills the scheduler at points drawn by seed, while clients hand in jobs, and audits what came of it."""
     rng = random.Random(seed)
     fleet = Fleet(6, lambda draw: draw.choice((0.0, 0.005, 0.02, 0.2)), seed)
--- a/benchmarks/fleet_overload.py
+++ b/benchmarks/fleet_overload.py
@@ -44,8 +44,8 @@
 
 from carthinge import Dispatcher
 from carthinge import interface as io
-from carthinge.fleet import comeback, doubts
-from carthinge.fleet.levels import Level
+from carthinge.fleet import probe_backoff, retry_after
+from carthinge.fleet.load_shedding import SheddingLevel
 from carthinge.model import (
     Cancels,
     Clients,
@@ -239,9 +239,9 @@
 def off() -> Iterator[None]:
     """Meanwhile modules decide as if none of this were there."""
     with (
-        mock.patch.object(Level, "kept", lambda *_: 1.0),
-        mock.patch.object(comeback, "stay_away", lambda room, least, most, point: most),
-        mock.patch.object(doubts, "owners", lambda sharers: 1.0),
+        mock.patch.object(SheddingLevel, "kept", lambda *_: 1.0),
+        mock.patch.object(retry_after, "stay_away", lambda room, least, most, point: most),
+        mock.patch.object(probe_backoff, "factor", lambda sharers: 1.0),
     ):
         yield
 
--- a/benchmarks/fleet_size.py
+++ b/benchmarks/fleet_size.py
@@ -26,7 +26,7 @@
 from carthinge import interface as io
 from carthinge.net.discovery import _LISTS
 from carthinge.net.loop import Clock
-from carthinge.net.route_table import RouteTable
+from carthinge.net.worker_directory import WorkerDirectory
 from carthinge.settings import Facts, read_site
 
 SIZES = (200, 500, 1100)
@@ -77,7 +77,7 @@
             {**SITE, "instances": size, "machine_types": ["m0", "m1", "m2"], "prices": {"handshake": price}}
         )
     )
-    table, module = RouteTable(site, Clock()), Dispatcher(site.decisions, 7)
+    table, module = WorkerDirectory(site, Clock()), Dispatcher(site.decisions, 7)
     now = 100_000_000
 
     def take(body: bytes, listing: io.Listing) -> None:
--- a/benchmarks/fleet_talk.py
+++ b/benchmarks/fleet_talk.py
@@ -23,7 +23,7 @@
 from carthinge.fleet.codec import encode  # noqa: E402
 from carthinge.fleet.membership import Membership  # noqa: E402
 from carthinge.fleet.packets import Kind, Packet, Rumor, Standing, Summary  # noqa: E402
-from carthinge.fleet.passing import BASE  # noqa: E402
+from carthinge.fleet.quota_lending import BASE  # noqa: E402
 from carthinge.fleet.talk import Facts, Talk  # noqa: E402
 
 KEY = b"k" * 32
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -310,7 +310,7 @@
         )
         assert self._process.stdout is not None
         named = json.loads(self._process.stdout.readline())
-        self.names: list[tuple[str, str]] = [(name, address) for name, address in named]
+        self.names: list[tuple[str, str]] = [tuple(pair) for pair in named]
 
     def serve(self, host: str, port: int) -> None:
         """Where it calls back from now on."""
--- a/benchmarks/ledger_world.py
+++ b/benchmarks/ledger_world.py
@@ -9,9 +9,9 @@
 from datetime import timedelta
 from random import Random
 
-from carthinge.fleet.budget import Budget
-from carthinge.fleet.gifts import UNITS, Gifts
-from carthinge.fleet.passing import BASE, LENDABLE, SPAN, Ledger
+from carthinge.fleet.budget_transfer import UNITS, BudgetTransfer
+from carthinge.fleet.quota_lending import BASE, LENDABLE, SPAN, Ledger
+from carthinge.fleet.retry_budget import RetryBudget
 
 PERIOD = timedelta(seconds=1)
 
@@ -125,8 +125,8 @@
 
     def __init__(self, size: int, seed: int) -> None:
         super().__init__(size, seed)
-        self.budgets: dict[str, Budget] = {}
-        self.gifts: dict[str, Gifts] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.gifts: dict[str, BudgetTransfer] = {}
         self.due = 0.0  # attempts that all starts and all served jobs have brought, less those spent
         for name in self.names:
             self.start(name)
@@ -134,7 +134,7 @@
     def start(self, name: str) -> None:
         """As after a crash: what its life before had left is gone, and so are its asks."""
         self.lives += 1000
-        self.budgets[name], self.gifts[name] = Budget(len(self.names)), Gifts(self.lives)
+        self.budgets[name], self.gifts[name] = RetryBudget(len(self.names)), BudgetTransfer(self.lives)
         self.gifts[name].retune(self.budgets[name].most)
         self.due += self.budgets[name].left
 
@@ -167,7 +167,7 @@
         left = [budget.left for budget in self.budgets.values()]
         assert sum(left) <= self.due + 1e-6, (self.time, left, self.due)
         assert all(0 <= each <= budget.most for each, budget in zip(left, self.budgets.values(), strict=True))
-        assert sum(left) <= Budget.bound(len(self.names))
+        assert sum(left) <= RetryBudget.bound(len(self.names))
 
 
 def spent(size: int, splits: Sequence[list[list[str]]], busy: Sequence[int], seed: int) -> Stores:
--- a/benchmarks/stores.py
+++ b/benchmarks/stores.py
@@ -26,12 +26,12 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 sys.path.insert(0, str(Path(__file__).parent))
-import lmdb  # noqa: E402
-import msgspec  # noqa: E402
-from harness import percentile  # noqa: E402
+import lmdb
+import msgspec
+from harness import percentile
 
-from carthinge.durable.records import Accepted, Ended, Granted, JobState, Terms  # noqa: E402
-from carthinge.durable.store import Store, Time  # noqa: E402
+from carthinge.durable.records import Accepted, Ended, Granted, JobState, Terms
+from carthinge.durable.store import Store, Time
 
 NOW = Time(1, 1, "boot")
 BODY = b"x" * 200
--- a/benchmarks/talking_play.py
+++ b/benchmarks/talking_play.py
@@ -49,7 +49,7 @@
         return self.insight.look(workers, self.play.agenda.now)
 
     def repeats(self) -> float:
-        return float(self.module.desk.budget.left)
+        return float(self.module.context.budget.left)
 
     def hear(self, packet: Packet) -> None:
         if self.scheduler.module is self.module:
--- a/carthinge/benchlink.py
+++ b/carthinge/benchlink.py
@@ -49,7 +49,7 @@
     521: Result.CONNECT_FAILED,
     520: Result.RESET,
     444: Result.CANCELLED,
-    409: Result.MOOT,
+    409: Result.NOT_SENT,
 }
 
 
--- a/carthinge/desk.py
+++ b/carthinge/dispatch_context.py
@@ -7,49 +7,49 @@
 from typing import TYPE_CHECKING, Final
 
 from carthinge import interface as io
-from carthinge.fleet import comeback
-from carthinge.fleet.budget import Budget
-from carthinge.fleet.levels import Level, standing
+from carthinge.fleet import retry_after
+from carthinge.fleet.load_shedding import SheddingLevel, standing
+from carthinge.fleet.retry_budget import RetryBudget
 from carthinge.meters import Heat, Queue, Rate
 from carthinge.records import Attempt, Job, Worker, mix
-from carthinge.roster import Fleet, Loads
 from carthinge.timers import Timers
+from carthinge.worker_registry import Fleet, Loads
 
 if TYPE_CHECKING:
-    from carthinge.fleet.levels_shared import SharedLevel
+    from carthinge.fleet.shared_shedding import SharedSheddingLevel
 
 WARM_LEAST: Final = 0.01  # guards against settings that tell no share, or 0: paces are divided by warmth
 
 
-class Desk:
-    """Each part is handed the desk of its dispatcher, and the parts that it asks.  No decisions."""
+class DispatchContext:
+    """Each part is handed the context of its dispatcher, and the parts that it asks.  No decisions."""
 
     __slots__ = (
-        "settings",
-        "rng",
-        "now",
+        "_warm",
+        "_warm_part",
+        "_warm_until",
         "actions",
-        "jobs",
+        "after",
+        "arrivals",
+        "budget",
+        "carried",
         "fleet",
         "freed",
-        "timers",
-        "after",
+        "heat",
+        "jobs",
+        "level",
         "mean_work",
+        "now",
+        "queue",
+        "rng",
         "served",
-        "level",
+        "settings",
         "shared",
-        "budget",
-        "arrivals",
-        "heat",
-        "queue",
-        "carried",
-        "_warm_part",
-        "_warm",
-        "_warm_until",
+        "timers",
     )
 
     def __init__(
-        self, settings: io.Settings, seed: int, part: Callable[[Desk, list[Worker]], list[Worker]]
+        self, settings: io.Settings, seed: int, part: Callable[[DispatchContext, list[Worker]], list[Worker]]
     ) -> None:
         self.settings = settings
         self.rng = Random(seed)
@@ -64,8 +64,8 @@
         self.after = self.timers.add
         self.mean_work = float(self.shortest())
         self.served, self.arrivals = Rate(), Rate()
-        self.level, self.budget = Level(self.shortest()), Budget(settings.instances)
-        self.shared: SharedLevel | None = None  # with schedulers that talk
+        self.level, self.budget = SheddingLevel(self.shortest()), RetryBudget(settings.instances)
+        self.shared: SharedSheddingLevel | None = None  # with schedulers that talk
         self.heat, self.queue = Heat(), Queue()
         self.carried = Rate()  # work that a mean warm worker has served for this one
         self._warm_part, self._warm, self._warm_until = 1.0, 0, 0
@@ -150,9 +150,9 @@
     def agree(self, levels: Mapping[tuple[int, int], int]) -> None:
         """What all that talk have come to; from the first time on this one keeps what it needs for that."""
         if self.shared is None:
-            from carthinge.fleet.levels_shared import SharedLevel
+            from carthinge.fleet.shared_shedding import SharedSheddingLevel
 
-            self.shared = SharedLevel()
+            self.shared = SharedSheddingLevel()
         self.shared.agreed = levels
 
     def levels(self, now: int) -> dict[tuple[int, int], int]:
@@ -188,10 +188,10 @@
     def away(self, job: Job) -> int:
         """How long a client that is refused stays away; 0 where the settings have it told nothing."""
         settings = self.settings
-        room = comeback.until_room(len(self.jobs) * self.mean_work, self.served.left(self.now))
+        room = retry_after.until_room(len(self.jobs) * self.mean_work, self.served.left(self.now))
         point = mix(settings.position << 40 ^ job.id)
         most = settings.max_retry_after * settings.may_advise
-        return comeback.stay_away(room, job.spec.objective, most, point)
+        return retry_after.stay_away(room, job.spec.objective, most, point)
 
     def watch(self) -> None:
         self.actions.append(io.Watch())
--- a/carthinge/durable/admission.py
+++ b/carthinge/durable/admission.py
@@ -10,14 +10,14 @@
 
 from carthinge.durable import records
 from carthinge.durable.held import Ending, Held, HeldBy, Waiter
+from carthinge.durable.job_names import key_digest, request_digest
 from carthinge.durable.limits import Limits, Shed
 from carthinge.durable.records import Accepted, Found, JobState
 from carthinge.durable.register import Register
-from carthinge.durable.seal import key_digest, request_digest
 from carthinge.durable.writer import Writer
-from carthinge.net.book import Book
-from carthinge.net.exchange import Job, Terms
 from carthinge.net.loop import MICROSECOND, Loop, Timer
+from carthinge.net.request_tracker import RequestTracker
+from carthinge.net.tracked_request import Job, Terms
 
 ACCEPTED_WITHIN: Final = timedelta(seconds=1)  # else a job is shed: its client must not wait for a sick disk
 ACCEPTED_SHARE: Final = 0.5  # of its client's time, if that is less
@@ -45,7 +45,7 @@
         self,
         jobs: Jobs,
         loop: Loop,
-        book: Book,
+        tracker: RequestTracker,
         limits: Limits,
         register: Register,
         terms_of: Callable[[Accepted, timedelta], Terms | None],
@@ -53,7 +53,7 @@
         self.shed_for: dict[str, int] = dict.fromkeys((why.name.lower() for why in Shed), 0)
         self._jobs = jobs
         self._loop = loop
-        self._book = book
+        self._tracker = tracker
         self._limits = limits
         self._register = register
         self._terms_of = terms_of
@@ -126,7 +126,7 @@
         if terms is None:
             held.reject()
             return
-        held.exchange = self._book.take(held.job(), terms, held, held)
+        held.tracked = self._tracker.take(held.job(), terms, held, held)
         for waiter in list(held.waiters):
             waiter.accepted(accepted.number)
 
--- a/carthinge/durable/tenure.py
+++ b/carthinge/durable/attempt_leases.py
@@ -13,15 +13,15 @@
 from carthinge.durable.writer import Writer
 from carthinge.leases import Leases
 from carthinge.net import log
-from carthinge.net.exchange import Attempt, Sent
 from carthinge.net.http import Address
 from carthinge.net.loop import MICROSECOND, Loop, Timer
-from carthinge.net.route_table import EgressTarget
+from carthinge.net.tracked_request import Attempt, Sent
+from carthinge.net.worker_directory import WorkerEndpoint
 
 _ENTRIES: Final[msgspec.msgpack.Decoder[io.WorkerEntry]] = msgspec.msgpack.Decoder(io.WorkerEntry)
 
 
-class Tenure:
+class AttemptLeases:
     """Who has which job, and until when."""
 
     def __init__(
@@ -29,7 +29,7 @@
         loop: Loop,
         duration: timedelta,
         entry_of: Callable[[int], io.WorkerEntry],
-        target_of: Callable[[str, Address], EgressTarget],
+        target_of: Callable[[str, Address], WorkerEndpoint],
         expired: Callable[[Attempt], None],
     ) -> None:
         """``entry_of``: a worker as it is listed; ``target_of``: the same by its name, listed or not;
@@ -83,7 +83,7 @@
             writer.write(HandedBack(attempt.token, state), soon=False)
 
     def read_back(self, stored: StoredAttempt) -> Sent:
-        """An attempt from before a crash, as the book and the module are told of it.
+        """An attempt from before a crash, as the tracker and the module are told of it.
 
         Granted and perhaps never sent: that cannot be told apart from running, and counts as that.
         """
@@ -127,7 +127,7 @@
         self._timer = None
         for attempt in self.leases.expire(self._loop.now):
             self.expired += 1
-            log.logger().info("lease_expired", worker=attempt.target.id, id=attempt.exchange.job.id)
+            log.logger().info("lease_expired", worker=attempt.target.id, id=attempt.tracked.job.id)
             self._tell_expired(attempt)
         due = self.leases.due()
         if due is not None:
--- a/carthinge/durable/handover.py
+++ b/carthinge/durable/handover.py
@@ -14,7 +14,7 @@
 from carthinge.durable.errors import StoreError
 from carthinge.durable.jobs import DurableJobs
 from carthinge.durable.writer import Writer
-from carthinge.net.exchange import Attempt
+from carthinge.net.tracked_request import Attempt
 
 CALM_WITHIN: Final = timedelta(milliseconds=500)  # of asking; what is under way then counts as perhaps sent
 CALM_CHECKED: Final = timedelta(milliseconds=10)
@@ -44,7 +44,7 @@
         writer = jobs.writer
         if writer is None or writer.failing or not jobs.leaving:
             self._done(False)
-        elif not jobs.loaded or jobs.under_way(self._busy) and jobs.loop.clock.now() < self._until:
+        elif not jobs.loaded or (jobs.under_way(self._busy) and jobs.loop.clock.now() < self._until):
             jobs.loop.call_after(CALM_CHECKED, self._wait_for_calm)
         else:
             self._until = jobs.loop.clock.now() + CALM_WITHIN
--- a/carthinge/durable/held.py
+++ b/carthinge/durable/held.py
@@ -1,4 +1,4 @@
-"""One durable job while it is open: what the book talks to, and who waits for its end."""
+"""One durable job while it is open: what the tracker talks to, and who waits for its end."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from carthinge import interface as io
 from carthinge.durable.limits import Shed
 from carthinge.durable.records import Accepted, JobState, StoredAttempt
-from carthinge.net.exchange import Attempt, Exchange, Job
+from carthinge.net.tracked_request import Attempt, Job, TrackedRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +45,7 @@
 
 
 class HeldBy(Protocol):
-    """Who carries out what the book says of a job."""
+    """Who carries out what the tracker says of a job."""
 
     def end(self, held: Held, ending: Ending) -> None: ...
 
@@ -58,12 +58,12 @@
 
 @dataclass(slots=True, eq=False)
 class Held:
-    """One durable job that is open here, or whose end is not on disk yet.  The book's client and keeper."""
+    """One durable job that is open here, or whose end is not on disk yet.  A client and keeper."""
 
     jobs: HeldBy
     accepted: Accepted
     waiters: list[Waiter] = field(default_factory=list)
-    exchange: Exchange | None = None  #: none while it waits for the disk, or to enter
+    tracked: TrackedRequest | None = None  #: none while it waits for the disk, or to enter
     on_disk: bool = False
     ending: Ending | None = None
     told: bool = False  #: its waiters know the ending
@@ -72,7 +72,7 @@
     calls: list[Callable[[int], None]] = field(default_factory=list)  #: call-backs to be answered at its end
     restored: list[StoredAttempt] = field(default_factory=list)
 
-    # ---- the book's client ----------------------------------------------------------------
+    # ---- the tracker's client ----------------------------------------------------------------
 
     def has_left(self) -> bool:
         """Never: a durable job goes on without its clients."""
@@ -90,7 +90,7 @@
     def reject(self) -> None:
         self.jobs.end(self, Ending(JobState.FAILED, b"no worker can use this request\n"))
 
-    # ---- the book's keeper ----------------------------------------------------------------
+    # ---- the tracker's keeper ----------------------------------------------------------------
 
     def grant(self, attempt: Attempt, go: Callable[[], None]) -> None:
         self.jobs.grant(self, attempt, go)
@@ -105,7 +105,7 @@
 
     def out(self) -> bool:
         """Somebody has the job now."""
-        return self.exchange is not None and self.exchange.current() is not None
+        return self.tracked is not None and self.tracked.current() is not None
 
     def add(self, waiter: Waiter) -> None:
         """``waiter`` hears of its end."""
@@ -113,6 +113,6 @@
         waiter.held = self
 
     def job(self) -> Job:
-        """What its client wants, for the book."""
+        """What its client wants, for the tracker."""
         accepted = self.accepted
         return Job(accepted.req_id, accepted.subject, accepted.body, accepted.headers)
--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -1,7 +1,7 @@
-"""The durable jobs of a running scheduler: between the fronts, the book and the store.
+"""The durable jobs of a running scheduler: between the fronts, the tracker and the store.
 
-A job is taken on once its record is on disk; only then does the book, and with it the decision module, hear
-of it.  An attempt is sent once its grant is on disk.  An end is told (to clients, and to the worker that
+A job is taken on once its record is on disk; only then does the tracker, and with it the decision module,
+hear of it.  An attempt is sent once its grant is on disk.  An end is told (to clients, and to the worker that
 called back) once it is on disk.  So whatever anybody outside has seen is there after a crash.
 """
 
@@ -16,7 +16,9 @@
 
 from carthinge import interface as io
 from carthinge.durable.admission import Admission
+from carthinge.durable.attempt_leases import AttemptLeases
 from carthinge.durable.held import Ending, Held, Waiter
+from carthinge.durable.job_names import job_name, job_number
 from carthinge.durable.limits import Limits
 from carthinge.durable.read_back import ReadBack
 from carthinge.durable.records import (
@@ -27,15 +29,13 @@
     JobState,
 )
 from carthinge.durable.register import Register
-from carthinge.durable.seal import job_name, job_number
 from carthinge.durable.store import Store, Time
-from carthinge.durable.tenure import Tenure
 from carthinge.durable.writer import Writer
-from carthinge.net.book import Book
-from carthinge.net.exchange import Attempt, Job, Terms
 from carthinge.net.http import Address
 from carthinge.net.loop import MICROSECOND, READ, Loop
-from carthinge.net.route_table import EgressTarget
+from carthinge.net.request_tracker import RequestTracker
+from carthinge.net.tracked_request import Attempt, Job, Terms
+from carthinge.net.worker_directory import WorkerEndpoint
 from carthinge.operator_file import Options
 
 EPOCH_BITS: Final = 31  # of a number that counts within one opening of the store
@@ -47,12 +47,12 @@
     def __init__(
         self,
         loop: Loop,
-        book: Book,
+        tracker: RequestTracker,
         options: Options,
         boot: str,
         terms_of: Callable[[Accepted, timedelta], Terms | None],
         entry_of: Callable[[int], io.WorkerEntry],
-        target_of: Callable[[str, Address], EgressTarget],
+        target_of: Callable[[str, Address], WorkerEndpoint],
     ) -> None:
         """``terms_of``: a stored job's class and tenant by the settings of now, None where they are gone."""
         durable = options.durable
@@ -66,20 +66,22 @@
             durable.max_backlog,
         )
         self.register = Register(self.limits)
-        self.tenure = Tenure(loop, options.leases.duration, entry_of, target_of, book.expire)
+        self.attempt_leases = AttemptLeases(
+            loop, options.leases.duration, entry_of, target_of, tracker.expire
+        )
         self.late_results = self.stale_calls = 0
         self.writer: Writer | None = None
-        self._book = book
-        self._admission = Admission(self, loop, book, self.limits, self.register, terms_of)
+        self._tracker = tracker
+        self._admission = Admission(self, loop, tracker, self.limits, self.register, terms_of)
         self._options = durable
         self._boot = boot
         self._store = Store(Path(durable.folder), durable.max_store_bytes)
         self.reading = ReadBack(
             self,
             loop,
-            book,
+            tracker,
             self.register,
-            self.tenure,
+            self.attempt_leases,
             durable.recover_per_s,
             self._store.path,
             terms_of,
@@ -124,20 +126,20 @@
         for held in list(self.register.by_number.values()):
             for waiter in held.waiters:
                 waiter.moved(held.accepted.number)
-            if held.exchange is not None:
-                self._book.give_away(held.exchange)
+            if held.tracked is not None:
+                self._tracker.give_away(held.tracked)
             self.register.drop(held)
             self.reading.entrance.drop(held)
-        self.tenure.clear()
+        self.attempt_leases.clear()
         self._postponed.clear()
 
     def under_way(self, busy: Callable[[Attempt], bool]) -> bool:
         """Something is on its way to a worker, or is about to be."""
         return any(
-            attempt.held_back and attempt.token or busy(attempt)
+            (attempt.held_back and attempt.token) or busy(attempt)
             for held in self.register.by_number.values()
-            if held.exchange is not None
-            for attempt in held.exchange.out()
+            if held.tracked is not None
+            for attempt in held.tracked.out()
         )
 
     def known(self, req_id: str) -> bool:
@@ -151,8 +153,8 @@
             "open": self.limits.open,
             "open_bytes": self.limits.bytes,
             "waiting_to_enter": len(self.reading.entrance),
-            "leases": len(self.tenure.leases),
-            "leases_expired": self.tenure.expired,
+            "leases": len(self.attempt_leases.leases),
+            "leases_expired": self.attempt_leases.expired,
             "late_results": self.late_results,
             "stale_calls": self.stale_calls,
             "recovered": self.reading.recovered,
@@ -230,10 +232,10 @@
         if held.ending is not None:
             return False
         held.calls.append(lambda _: done())
-        exchange = held.exchange
+        tracked = held.tracked
         self.end(held, Ending(JobState.GIVEN_UP))
-        if exchange is not None:
-            self._book.abandon(exchange)
+        if tracked is not None:
+            self._tracker.abandon(tracked)
         return True
 
     def collected(self, number: int) -> None:
@@ -242,14 +244,14 @@
             until = self.loop.clock.now() + self._options.keep_collected
             self.writer.write(Collected(number, until // MICROSECOND), soon=False)
 
-    # ---- the book's side ------------------------------------------------------------------
+    # ---- the tracker's side ------------------------------------------------------------------
 
     def grant(self, held: Held, attempt: Attempt, go: Callable[[], None]) -> None:
         if self.leaving:
             self.postpone(lambda: self.grant(held, attempt, go) if attempt.open else None)
         elif self.writer is not None:
             attempt.token = held.last_token = self.next()
-            self.tenure.grant(
+            self.attempt_leases.grant(
                 self.writer, held.accepted.number, attempt, lambda _: None if self._stopped else go()
             )
 
@@ -265,12 +267,12 @@
             call()
 
     def renew(self, attempt: Attempt, begun: bool) -> None:
-        self.tenure.renew(self.writer, attempt, begun)
+        self.attempt_leases.renew(self.writer, attempt, begun)
 
     def attempt_ended(self, held: Held, attempt: Attempt, result: io.Result) -> None:
         if result is io.Result.OK and held.ending is None:  # of two copies the first to end has the result
             held.winner = attempt.token
-        self.tenure.end(self.writer, attempt, result)
+        self.attempt_leases.end(self.writer, attempt, result)
 
     # ---- call-backs -----------------------------------------------------------------------
 
@@ -296,8 +298,8 @@
             self.late_results += 1
             held.winner = token
             held.calls.append(done)
-            if held.exchange is not None:
-                self._book.serve_late(held.exchange, result)
+            if held.tracked is not None:
+                self._tracker.serve_late(held.tracked, result)
             else:
                 held.serve(result)
         else:
--- a/carthinge/durable/read_back.py
+++ b/carthinge/durable/read_back.py
@@ -8,31 +8,31 @@
 from pathlib import Path
 from typing import Final
 
+from carthinge.durable.attempt_leases import AttemptLeases
 from carthinge.durable.errors import StoreError
 from carthinge.durable.held import Ending, Held, HeldBy
 from carthinge.durable.records import Accepted, AttemptState, JobState, OpenJobs, StoredJob
 from carthinge.durable.recovery import Entrance
 from carthinge.durable.register import Register
-from carthinge.durable.tenure import Tenure
 from carthinge.durable.writer import Writer
 from carthinge.net import log
-from carthinge.net.book import Book
-from carthinge.net.exchange import Terms
 from carthinge.net.loop import MICROSECOND, Loop
+from carthinge.net.request_tracker import RequestTracker
+from carthinge.net.tracked_request import Terms
 
 LOADED_AT_ONCE: Final = 500  # jobs, between two turns of the loop
 
 
 class ReadBack:
-    """Has the jobs of a store enter the book again; what needs all of them waits until then."""
+    """Has the jobs of a store enter the tracker again; what needs all of them waits until then."""
 
     def __init__(
         self,
         jobs: HeldBy,
         loop: Loop,
-        book: Book,
+        tracker: RequestTracker,
         register: Register,
-        tenure: Tenure,
+        attempt_leases: AttemptLeases,
         per_s: float,
         path: Path,
         terms_of: Callable[[Accepted, timedelta], Terms | None],
@@ -44,9 +44,9 @@
         self.entrance: Entrance[Held] = Entrance(per_s)
         self._jobs = jobs
         self._loop = loop
-        self._book = book
+        self._tracker = tracker
         self._register = register
-        self._tenure = tenure
+        self._tenure = attempt_leases
         self._path = path
         self._terms_of = terms_of
         self._writer: Writer | None = None
@@ -124,7 +124,7 @@
             self._loop.call_at(due, self._enter)
 
     def _restore(self, held: Held) -> None:
-        """The book takes it on, with the attempts that it has had."""
+        """The tracker takes it on, with the attempts that it has had."""
         accepted = held.accepted
         left = accepted.give_up * MICROSECOND - self._loop.now
         terms = self._terms_of(accepted, left)
@@ -132,9 +132,9 @@
             self._jobs.end(held, Ending(JobState.FAILED, b"its class or tenant is no longer served\n"))
             return
         stored, held.restored = held.restored, []
-        held.exchange = self._book.restore(
+        held.tracked = self._tracker.restore(
             held.job(), terms, held, held, [self._tenure.read_back(attempt) for attempt in stored]
         )
-        for attempt, known in zip(held.exchange.attempts, stored, strict=True):
+        for attempt, known in zip(held.tracked.attempts, stored, strict=True):
             if attempt.open and known.until:
                 self._tenure.resume(attempt)
--- a/carthinge/durable/register.py
+++ b/carthinge/durable/register.py
@@ -34,4 +34,4 @@
         if accepted.key is not None and self.by_key.get(accepted.key) is held:
             del self.by_key[accepted.key]
         self._limits.leave(accepted.tenant, len(accepted.body))
-        held.exchange = None  # else the two keep each other until the collector comes by
+        held.tracked = None  # else the two keep each other until the collector comes by
--- a/carthinge/fleet/gifts.py
+++ b/carthinge/fleet/budget_transfer.py
@@ -14,15 +14,15 @@
 from collections.abc import Sequence
 from typing import Final
 
-from carthinge.fleet.budget import SHARE
-from carthinge.fleet.passing import BUSY, IDLE, NEIGHBOURS, Asking, purse_of
+from carthinge.fleet.quota_lending import BUSY, IDLE, NEIGHBOURS, Asking, purse_of
+from carthinge.fleet.retry_budget import SHARE
 
 UNITS: Final = 1000  # of an attempt
 PIECES: Final = 8  # that the most in a store is passed on in
 OPEN: Final = 2 * NEIGHBOURS  # asks that are waited for: one that is older than two rounds is given up
 
 
-class Gifts:
+class BudgetTransfer:
     """One member's part of it."""
 
     def __init__(self, number: int) -> None:
--- a/carthinge/fleet/voice.py
+++ b/carthinge/fleet/gossip.py
@@ -73,7 +73,7 @@
         self._told[rumor.name] = told
 
 
-class Voice:
+class GossipSender:
     """Messages of one scheduler, gathered until they are taken."""
 
     def __init__(self, name: str, address: str, incarnation: int) -> None:
--- a/carthinge/fleet/levels.py
+++ b/carthinge/fleet/load_shedding.py
@@ -66,7 +66,7 @@
         return below + here < part * sum(self.work.values())
 
 
-class Level:
+class SheddingLevel:
     """One scheduler's level.  Times are microseconds on its caller's clock."""
 
     def __init__(self, bearable: float) -> None:
--- a/carthinge/fleet/membership.py
+++ b/carthinge/fleet/membership.py
@@ -15,8 +15,8 @@
 
 from carthinge.fleet import membership_limits as limits
 from carthinge.fleet.agenda import Agenda
+from carthinge.fleet.gossip import HERE, GossipSender, Member, Sending
 from carthinge.fleet.packets import LIFE_MOST, Kind, Packet, Rumor, Standing
-from carthinge.fleet.voice import HERE, Member, Sending, Voice
 
 
 class Membership:
@@ -35,7 +35,7 @@
         """``seeds``: addresses to begin with, the own one among them or not.  ``incarnation``: higher than
         that of this scheduler's life before, where that can be had (milliseconds since 1970, say)."""
         self.name, self.period = name, period
-        self.voice = Voice(name, address, incarnation)
+        self.voice = GossipSender(name, address, incarnation)
         self.members: dict[str, Member] = {}
         self._here: dict[str, Member] = {}  # of these the ones that are not held for dead
         self._away: dict[str, Member] = {}  # and those that are
@@ -269,7 +269,7 @@
         own = self.voice.incarnation
         if incarnation >= LIFE_MOST - 1 or incarnation > max(own + limits.JUMP, limits.ABOVE):
             return
-        if incarnation > own or held is not Standing.ALIVE and incarnation == own:
+        if incarnation > own or (held is not Standing.ALIVE and incarnation == own):
             self.voice.deny(incarnation)
 
     def _met(self, now: timedelta, packet: Packet) -> Member | None:
--- a/carthinge/fleet/passing.py
+++ b/carthinge/fleet/quota_lending.py
@@ -138,7 +138,7 @@
         """Units that this one hands out from now on; 0 for none, and then there is nothing to answer."""
         self._expire(now)
         known = self._answered.get(borrower)
-        if purse not in self.purses or now < self._whole_at or known is not None and number <= known[0]:
+        if purse not in self.purses or now < self._whole_at or (known is not None and number <= known[0]):
             return 0
         self._answered[borrower] = (number, now)
         room = LENDABLE - self._lent_of(purse)
--- a/carthinge/fleet/budget.py
+++ b/carthinge/fleet/retry_budget.py
@@ -7,7 +7,7 @@
 MOST_ALL: Final = 200.0  # and all of them together, where each may have one
 
 
-class Budget:
+class RetryBudget:
     """One scheduler's part of the fleet's budget for further attempts.
 
     All ``instances`` together never hold more than ``bound``, whoever has restarted: a start brings a part of
--- a/carthinge/fleet/doubts_shared.py
+++ b/carthinge/fleet/shared_ejections.py
@@ -1,4 +1,4 @@
-"""Doubts of workers, shared by all that hear of them from two, and who tries such a worker again.
+"""OutlierEjector of workers, shared by all that hear of them from two, and who tries such a worker again.
 
 A worker that two members doubt at first hand is left alone by all but one: the first in the order of the
 members' hashes with it.  When that one finds it well, it says so, and doubts from before that count no more:
@@ -17,7 +17,7 @@
 from datetime import timedelta
 from typing import Final
 
-from carthinge.fleet.passing import point
+from carthinge.fleet.quota_lending import point
 from carthinge.fleet.summary import Heard
 from carthinge.records import mix
 
--- a/carthinge/fleet/levels_shared.py
+++ b/carthinge/fleet/shared_shedding.py
@@ -12,14 +12,14 @@
 from collections.abc import Mapping
 from typing import Final
 
-from carthinge.fleet.levels import FIRST, LEAST, OFFERED, Offered, faded
+from carthinge.fleet.load_shedding import FIRST, LEAST, OFFERED, Offered, faded
 
 Cell = tuple[int, int]  #: a tenant and a class, by their positions
 FULL: Final = 100  # all of a cell's work is shed: levels are per cent
 FORGOTTEN: Final = 4 * OFFERED  # seconds without work, after which nothing is known of a cell
 
 
-class SharedLevel:
+class SharedSheddingLevel:
     """One scheduler's part of it.  Times are microseconds on its caller's clock."""
 
     def __init__(self) -> None:
--- a/carthinge/fleet/talk.py
+++ b/carthinge/fleet/talk.py
@@ -11,13 +11,13 @@
 from typing import Final, Protocol
 
 from carthinge.fleet.agreement import agreed, agreed_levels
-from carthinge.fleet.doubts_shared import Ruling, SharedDoubts
-from carthinge.fleet.gifts import UNITS, Gifts
+from carthinge.fleet.budget_transfer import UNITS, BudgetTransfer
+from carthinge.fleet.gossip import HERE, Member, Sending
 from carthinge.fleet.membership import Membership
 from carthinge.fleet.packets import CELLS_MOST, DOUBTS_MOST, LEVEL_MOST, Kind, Packet, Standing, Summary
-from carthinge.fleet.passing import BASE, Ledger
+from carthinge.fleet.quota_lending import BASE, Ledger
+from carthinge.fleet.shared_ejections import Ruling, SharedDoubts
 from carthinge.fleet.summary import BUDGET_MOST, MICROSECOND, PRESSURE_MOST, Summaries
-from carthinge.fleet.voice import HERE, Member, Sending
 
 FORGET_EVERY: Final = 64  # periods
 LEVELS_FRESH: Final = 3  # periods for which a word on levels counts: pressure changes in seconds
@@ -76,7 +76,7 @@
         self.membership, self.scheduler, self.period = membership, scheduler, membership.period
         self.summaries = Summaries(shape, self.period)
         self.ledger = Ledger(membership.name, purses, self.period, now, membership.voice.incarnation)
-        self.gifts = Gifts(membership.voice.incarnation)
+        self.gifts = BudgetTransfer(membership.voice.incarnation)
         self.doubts = SharedDoubts(membership.name, self.period)
         self.view = View(parts=dict.fromkeys(purses, 1.0))
         self.rounds = 0
--- a/carthinge/front/call_backs.py
+++ b/carthinge/front/call_backs.py
@@ -9,11 +9,11 @@
 import msgspec
 
 from carthinge.interface import Result
-from carthinge.net.book import Book
 from carthinge.net.counters import Counters
-from carthinge.net.egress import Egress
-from carthinge.net.exchange import Attempt
 from carthinge.net.http import BadRequestError
+from carthinge.net.request_tracker import RequestTracker
+from carthinge.net.tracked_request import Attempt
+from carthinge.net.worker_client import WorkerClient
 
 if TYPE_CHECKING:  # not loaded where no job is durable
     from carthinge.durable.held import Held
@@ -49,26 +49,28 @@
 
 
 class CallBacks:
-    """Finds the attempt that a call-back is about, and tells the book."""
+    """Finds the attempt that a call-back is about, and tells the tracker."""
 
-    def __init__(self, book: Book, egress: Egress, counters: Counters, elsewhere: Elsewhere) -> None:
+    def __init__(
+        self, tracker: RequestTracker, worker_client: WorkerClient, counters: Counters, elsewhere: Elsewhere
+    ) -> None:
         self.durable: DurableJobs | None = None
-        self._book = book
-        self._egress = egress
+        self._tracker = tracker
+        self._worker_client = worker_client
         self._counters = counters
         self._elsewhere = elsewhere
 
     def take(self, body: bytes, done: Callable[[int], None]) -> None:
         """A call-back; ``done`` hears the answer to it once it has got to where its job is."""
         event = self._read_event(body)
-        if event.id in self._book.by_id or not self._elsewhere.paired:
+        if event.id in self._tracker.by_id or not self._elsewhere.paired:
             self._job_event(event, done)
         else:
             self._counters.job_events_passed_on += 1
             self._elsewhere.pass_call_back(body, lambda known: self._passed_on(event, known, done))
 
     def _passed_on(self, event: JobEvent, known: bool, done: Callable[[int], None]) -> None:
-        """Guards against a call-back that crosses its exchange, which was on its way here."""
+        """Guards against a call-back that crosses its tracked request, which was on its way here."""
         if known:
             done(HTTPStatus.NO_CONTENT)
         else:
@@ -77,7 +79,7 @@
     def take_from_other(self, body: bytes, known: Callable[[bool], None]) -> None:
         """One that came to another process of this scheduler; ``known`` hears whether its job is here."""
         event = self._read_event(body)
-        if event.id in self._book.by_id:
+        if event.id in self._tracker.by_id:
             self._job_event(event, lambda status: None)
             known(True)
         elif self.durable is None or not self.durable.when_loaded(lambda: self.take_from_other(body, known)):
@@ -91,16 +93,16 @@
 
     def _job_event(self, event: JobEvent, done: Callable[[int], None]) -> None:
         """It counts only for the attempt that is out at its sender, and that has got there."""
-        exchange = self._book.by_id.get(event.id)
+        tracked = self._tracker.by_id.get(event.id)
         jobs = self.durable
-        if exchange is None and jobs is not None and jobs.when_loaded(lambda: self._job_event(event, done)):
+        if tracked is None and jobs is not None and jobs.when_loaded(lambda: self._job_event(event, done)):
             return
         self._counters.job_events += 1
         # Guards against the call-backs of a second copy being held against the first attempt, and dropped.
-        attempt = exchange.out_at(event.sender) if exchange is not None else None
+        attempt = tracked.out_at(event.sender) if tracked is not None else None
         if attempt is not None and (not attempt.arrived or event.token not in (0, attempt.token)):
             attempt = None
-        keeper = exchange.keeper if exchange is not None else None
+        keeper = tracked.keeper if tracked is not None else None
         if attempt is None:
             self._counters.job_events_stale += 1
             if jobs is not None and jobs.leaving:  # it may be about a job that is on its way to the other
@@ -122,12 +124,14 @@
     def _tell(self, attempt: Attempt, event: JobEvent) -> None:
         result = ENDINGS.get(event.state)
         if result is None:
-            self._book.note(
+            self._tracker.note(
                 attempt, event.share if event.state == "running" else None, begun=event.state != "heartbeat"
             )
             return
-        self._egress.forsake(attempt)
-        self._book.end(attempt, result, self._egress.report(_known(event.load)), event.result.encode())
+        self._worker_client.forsake(attempt)
+        self._tracker.end(
+            attempt, result, self._worker_client.report(_known(event.load)), event.result.encode()
+        )
 
 
 def _known(load: dict[str, float | None] | None) -> dict[str, float]:
--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -12,40 +12,40 @@
 
 import msgspec
 
-from carthinge.fleet.comeback import stay_away
+from carthinge.fleet.retry_after import stay_away
 from carthinge.front.call_backs import CALL_BACK, NO_ANSWER, CallBacks
 from carthinge.front.translator import JOBS, Translator
 from carthinge.net import log
-from carthinge.net.book import Book
 from carthinge.net.channel import Waiting
+from carthinge.net.connection_slots import ConnectionSlots
 from carthinge.net.counters import Counters
-from carthinge.net.exchange import Exchange
 from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes, call_bytes
 from carthinge.net.loop import MICROSECOND, Loop, Timer
-from carthinge.net.places import Places
+from carthinge.net.request_tracker import RequestTracker
 from carthinge.net.stream import Stream
+from carthinge.net.tracked_request import TrackedRequest
 from carthinge.records import mix
 
 if TYPE_CHECKING:  # not loaded where no job is durable
     from carthinge.front.durable_front import DurableFront, JobCall
 
 PIPELINED: Final = 8  # requests that may wait on one connection; clients of this protocol send one at a time
-WAITING_SHARE: Final = 0.75  # of all places: workers' call-backs need some, or no job would ever end
+WAITING_SHARE: Final = 0.75  # of all slots: workers' call-backs need some, or no job would ever end
 SLOW_REQUEST: Final = timedelta(seconds=10)  # from the first byte of a request to its last
 
 
 class Gate(Protocol):
-    """What a connection wants of the ingress that it came in by."""
+    """What a connection wants of the front end that it came in by."""
 
     loop: Loop
-    book: Book
+    tracker: RequestTracker
     counters: Counters
     translator: Translator
     call_backs: CallBacks
     durable: DurableFront | None
     max_retry_after: timedelta
-    places: Places
-    waiting: set[IngressConnection]  #: their clients wait for the answer to a job
+    slots: ConnectionSlots
+    waiting: set[ClientConnection]  #: their clients wait for the answer to a job
 
     def up(self) -> bool:
         """New jobs are welcome."""
@@ -57,22 +57,22 @@
         """What is left of a time, for a request that ``came`` then."""
 
 
-class IngressConnection:
+class ClientConnection:
     """One connection of a client or of a worker that calls back.  Answers go out in the order of requests."""
 
-    def __init__(self, ingress: Gate, sock: socket.socket, since: timedelta) -> None:
-        self._ingress = ingress
+    def __init__(self, frontend: Gate, sock: socket.socket, since: timedelta) -> None:
+        self._frontend = frontend
         self._since = since  # something may wait on it to be read since then
-        self._entered = ingress.loop.turns
+        self._entered = frontend.loop.turns
         self._reader = RequestReader()
         self._waiting: deque[Request] = deque()
         self._current: Request | None = None
-        self._exchange: Exchange | None = None
+        self._exchange: TrackedRequest | None = None
         self._call: JobCall | None = None
         self.put_off = False  # its request is for the other process
         self._finished = False
         self._slow: Timer | None = None  # for the rest of a later request
-        self._stream = Stream(ingress.loop, sock, self)
+        self._stream = Stream(frontend.loop, sock, self)
 
     def idle(self) -> bool:
         return not (
@@ -137,14 +137,14 @@
         """As where another process has read the request."""
         self._current = Request(b"POST", b"", {}, b"", keep_alive)
 
-    def owe(self, exchange: Exchange) -> None:
-        self._exchange = exchange
-        self._ingress.waiting.add(self)
+    def owe(self, tracked: TrackedRequest) -> None:
+        self._exchange = tracked
+        self._frontend.waiting.add(self)
 
     def release(self) -> socket.socket:
         """Lets go of the socket, for another process to go on with."""
-        self._ingress.places.leave(self)
-        self._ingress.waiting.discard(self)
+        self._frontend.slots.leave(self)
+        self._frontend.waiting.discard(self)
         return self._stream.release()
 
     def close(self) -> None:
@@ -156,7 +156,7 @@
     def received(self, data: bytes) -> None:
         try:
             requests = self._reader.feed(data)
-            loop = self._ingress.loop
+            loop = self._frontend.loop
             for request in requests:
                 request.came = self._since if loop.turns <= self._entered + 1 else loop.since
             self._waiting.extend(requests)
@@ -169,7 +169,7 @@
             self._reader.expects_go_ahead = False
             self._stream.write(GO_AHEAD)
         if requests:
-            self._ingress.places.used(self)
+            self._frontend.slots.used(self)
         self._watch_slow()
         self._next()
 
@@ -178,35 +178,35 @@
 
     def ended(self, why: str) -> None:
         """The client has gone; what it waited for is not owed any more."""
-        self._ingress.places.leave(self)
+        self._frontend.slots.leave(self)
         self._waiting.clear()
         if self._slow is not None:
             self._slow.cancel()
         self._abandon()
 
     def _abandon(self) -> None:
-        exchange, self._exchange = self._exchange, None
-        self._ingress.waiting.discard(self)
-        if exchange is not None:
-            self._ingress.book.abandon(exchange)
+        tracked, self._exchange = self._exchange, None
+        self._frontend.waiting.discard(self)
+        if tracked is not None:
+            self._frontend.tracker.abandon(tracked)
         call, self._call = self._call, None
         if call is not None:
             call.drop()
 
     def _watch_slow(self) -> None:
-        """Guards against clients that begin a request and never end it: they would hold their places."""
+        """Guards against clients that begin a request and never end it: they would hold their slots."""
         if not self._reader.under_way:
             if self._slow is not None:
                 self._slow.cancel()
                 self._slow = None
         elif self._slow is None:
             fault = BadRequestError(HTTPStatus.REQUEST_TIMEOUT, "the request took too long to arrive")
-            self._slow = self._ingress.loop.call_after(SLOW_REQUEST, lambda: self._turn_away(fault))
+            self._slow = self._frontend.loop.call_after(SLOW_REQUEST, lambda: self._turn_away(fault))
 
     def _turn_away(self, fault: BadRequestError) -> None:
         """Nothing more can be read here: all that waits on the connection is answered so, and it ends.
 
-        Guards against what cannot be read being left to wait behind an exchange that is under way.
+        Guards against what cannot be read being left to wait behind a tracked request that is under way.
         """
         self._abandon()
         refusal = answer_bytes(fault.status, f"{fault}\n".encode())
@@ -227,32 +227,32 @@
 
     def _handle(self, request: Request) -> None:
         path = request.target.split(b"?", 1)[0]
-        durable = self._ingress.durable
+        durable = self._frontend.durable
         if request.method == b"POST" and path == CALL_BACK:
-            self._ingress.call_backs.take(request.body, lambda status: self.reply(request, status))
+            self._frontend.call_backs.take(request.body, lambda status: self.reply(request, status))
         elif durable is not None and durable.concerns(request, path):
             if durable.jobs.leaving:
                 self.put_off = True
                 return
-            ingress = self._ingress
+            frontend = self._frontend
             call = durable.begin(
                 self,
                 request,
                 path,
-                ingress.translator,
-                lambda asked: ingress.patience(asked, request.came),
-                ingress.book.by_id.__contains__,
+                frontend.translator,
+                lambda asked: frontend.patience(asked, request.came),
+                frontend.tracker.by_id.__contains__,
             )
             if self._current is request:  # else it is answered already
                 self._call = call
         elif request.method == b"POST" and (path == JOBS or path.startswith(JOBS + b"/")):
             self._take(request)
         elif request.method == b"GET" and path == b"/up":
-            self._answer(HTTPStatus.OK if self._ingress.up() else HTTPStatus.SERVICE_UNAVAILABLE)
+            self._answer(HTTPStatus.OK if self._frontend.up() else HTTPStatus.SERVICE_UNAVAILABLE)
         elif request.method == b"GET" and path == b"/counters":
             self._answer(
                 HTTPStatus.OK,
-                msgspec.json.encode(self._ingress.counters),
+                msgspec.json.encode(self._frontend.counters),
                 [("Content-Type", "application/json")],
             )
         else:
@@ -270,27 +270,27 @@
                 self._answer(status, body, headers)
 
     def _take(self, request: Request) -> None:
-        job, terms = self._ingress.translator.read(request)
-        if job.id in self._ingress.book.by_id:  # its call-backs could not be told from the other's
+        job, terms = self._frontend.translator.read(request)
+        if job.id in self._frontend.tracker.by_id:  # its call-backs could not be told from the other's
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Id: in use by another request")
-        ingress = self._ingress
-        if len(ingress.waiting) >= ingress.places.most * WAITING_SHARE:
-            ingress.counters.taken += 1
-            ingress.counters.shed += 1
-            ingress.counters.shed_for_room += 1
-            ingress.book.ended.refused[terms.class_name] += 1
-            point = mix(ingress.counters.shed_for_room)  # when there will be room is known to nobody
-            away = stay_away(inf, 0, ingress.max_retry_after // MICROSECOND, point) * MICROSECOND
+        frontend = self._frontend
+        if len(frontend.waiting) >= frontend.slots.most * WAITING_SHARE:
+            frontend.counters.taken += 1
+            frontend.counters.shed += 1
+            frontend.counters.shed_for_room += 1
+            frontend.tracker.ended.refused[terms.class_name] += 1
+            point = mix(frontend.counters.shed_for_room)  # when there will be room is known to nobody
+            away = stay_away(inf, 0, frontend.max_retry_after // MICROSECOND, point) * MICROSECOND
             self._shed(away, keep_alive=False)
             return
-        terms = replace(terms, patience=ingress.patience(terms.patience, request.came))
-        self.owe(ingress.book.take(job, terms, self))
+        terms = replace(terms, patience=frontend.patience(terms.patience, request.came))
+        self.owe(frontend.tracker.take(job, terms, self))
 
     def _refuse(self, fault: BadRequestError, readable: bool = True) -> None:
-        self._ingress.counters.bad_input += 1
+        self._frontend.counters.bad_input += 1
         log.logger().debug("bad_input", status=int(fault.status), why=str(fault))
         self._answer(fault.status, f"{fault}\n".encode(), readable=readable)
-        self._ingress.places.misused(self)
+        self._frontend.slots.misused(self)
 
     # ---- answers --------------------------------------------------------------------------
 
@@ -298,7 +298,7 @@
         self._answer(HTTPStatus.OK, result)
 
     def shed(self, stay_away: timedelta) -> None:
-        self._shed(min(stay_away, self._ingress.max_retry_after))
+        self._shed(min(stay_away, self._frontend.max_retry_after))
 
     def _shed(self, away: timedelta, keep_alive: bool = True) -> None:
         headers = [("Retry-After", f"{away.total_seconds():.3f}")] if away else []
@@ -309,7 +309,7 @@
 
     def reject(self) -> None:
         self._answer(HTTPStatus.BAD_REQUEST, b"no worker can use this request\n")
-        self._ingress.places.misused(self)
+        self._frontend.slots.misused(self)
 
     def _answer(
         self,
@@ -322,22 +322,22 @@
         """``keep_alive``: the connection may go on; it does where more has been read of it, as that is owed
         an answer too, unless it is not ``readable`` any more."""
         request, self._current, self._exchange = self._current, None, None
-        self._ingress.waiting.discard(self)
+        self._frontend.waiting.discard(self)
         if request is not None and request.method == b"HEAD":
             body = b""
         more = bool(self._waiting) or self._reader.under_way
         keep_alive = (
             readable
-            and (more or keep_alive and self._ingress.keeps_connections())
+            and (more or (keep_alive and self._frontend.keeps_connections()))
             and (request is None or request.keep_alive)
         )
         self._stream.write(answer_bytes(status, body, headers or (), keep_alive))
         if not keep_alive:
             self._finished = True
-            self._ingress.places.end(self)
+            self._frontend.slots.end(self)
             self._stream.finish()
         elif self._waiting:
-            self._ingress.loop.soon(self._next)
+            self._frontend.loop.soon(self._next)
 
 
 def _as_sent(headers: dict[bytes, bytes]) -> list[tuple[str, bytes]]:
--- a/carthinge/front/ingress.py
+++ b/carthinge/front/frontend.py
@@ -1,4 +1,4 @@
-"""Ingress: the address for clients' jobs and workers' call-backs, and the connections that came in on it."""
+"""Frontend: the address for clients' jobs and workers' call-backs, and the connections that came in on it."""
 
 from __future__ import annotations
 
@@ -8,17 +8,17 @@
 from typing import TYPE_CHECKING, Final, cast
 
 from carthinge.front.call_backs import CallBacks, Elsewhere
-from carthinge.front.connection import IngressConnection
+from carthinge.front.connection import ClientConnection
 from carthinge.front.translator import Translator
 from carthinge.net import log
-from carthinge.net.book import Book
 from carthinge.net.channel import Waiting
+from carthinge.net.connection_slots import ConnectionSlots
 from carthinge.net.counters import Counters
 from carthinge.net.deadlines import Drain, patience_left
-from carthinge.net.egress import Egress
 from carthinge.net.listener import Listener
 from carthinge.net.loop import Loop
-from carthinge.net.places import Places
+from carthinge.net.request_tracker import RequestTracker
+from carthinge.net.worker_client import WorkerClient
 from carthinge.settings import Site
 
 if TYPE_CHECKING:  # not loaded where no job is durable
@@ -29,32 +29,32 @@
 FRESH_CHECKED: Final = timedelta(milliseconds=200)  # how often that is looked at
 
 
-class Ingress:
+class Frontend:
     """The listening socket and the connections that came in on it."""
 
     def __init__(
         self,
         loop: Loop,
         site: Site,
-        book: Book,
-        egress: Egress,
+        tracker: RequestTracker,
+        worker_client: WorkerClient,
         counters: Counters,
         most: int,
         ready: Callable[[], bool],
         elsewhere: Elsewhere,
     ) -> None:
         self.loop = loop
-        self.book = book
+        self.tracker = tracker
         self.counters = counters
         self.translator = Translator(site)
         self.max_retry_after = site.max_retry_after
         self._greeting = site.connect_timeout  # whoever connects writes its first bytes within that, too
         self._ready = ready
         self.draining: Drain | None = None
-        self.call_backs = CallBacks(book, egress, counters, elsewhere)
+        self.call_backs = CallBacks(tracker, worker_client, counters, elsewhere)
         self.durable: DurableFront | None = None
-        self.places = Places(most)
-        self.waiting: set[IngressConnection] = set()  # their clients wait for the answer to a job
+        self.slots = ConnectionSlots(most)
+        self.waiting: set[ClientConnection] = set()  # their clients wait for the answer to a job
         self._listener: Listener | None = None
         self._checking = False
         self._pause_told = timedelta()
@@ -92,7 +92,7 @@
         self.counters.connections_taken_over += 1
         connection = self._hold(sock)
         if not fresh:
-            self.places.used(connection)
+            self.slots.used(connection)
         if read:
             connection.received(read)
 
@@ -104,19 +104,19 @@
         if self.durable is not None:
             connection.resume_call(self.durable, job, in_place, until - self.loop.now)
 
-    def adopt_open(self, sock: socket.socket, keep_alive: bool) -> IngressConnection:
+    def adopt_open(self, sock: socket.socket, keep_alive: bool) -> ClientConnection:
         """The same for a connection whose client waits for an answer."""
         self.counters.connections_taken_over += 1
         connection = self._hold(sock)
-        self.places.used(connection)
+        self.slots.used(connection)
         connection.wait_for_answer(keep_alive)
         return connection
 
     def release_idle(self) -> Iterator[tuple[socket.socket, bool]]:
         """Lets go of the connections on which nothing is under way, and says which had no request yet."""
-        for connection in self.places.all():
+        for connection in self.slots.all():
             if connection.idle():
-                fresh = connection in self.places.fresh
+                fresh = connection in self.slots.fresh
                 yield connection.release(), fresh
 
     def release_put_off(self) -> Iterator[tuple[socket.socket, bytes]]:
@@ -133,8 +133,8 @@
             if waiting is not None:
                 yield connection.release(), waiting
 
-    def _connections(self) -> list[IngressConnection]:
-        return cast("list[IngressConnection]", self.places.all())
+    def _connections(self) -> list[ClientConnection]:
+        return cast("list[ClientConnection]", self.slots.all())
 
     def go_on(self) -> None:
         """There is no other process any more: requests that were put off are handled here."""
@@ -148,7 +148,7 @@
         elsewhere.  No answer can be lost with it, as a client has its answer before it asks again.
         """
         for connection in self._connections():
-            since = self.places.fresh.get(connection)
+            since = self.slots.fresh.get(connection)
             if since is not None and self.loop.now < since + self._greeting:
                 continue
             if connection.idle() and connection.silent():
@@ -161,19 +161,19 @@
     def close(self) -> None:
         if self._listener is not None:
             self._listener.close()
-        for connection in self.places.all():
+        for connection in self.slots.all():
             connection.close()
 
     # ---- the listener ---------------------------------------------------------------------
 
     def free(self) -> int:
-        return self.places.most - len(self.places)
+        return self.slots.most - len(self.slots)
 
     def room(self) -> str | None:
-        """Makes room, where all places are taken, by closing a connection."""
-        if len(self.places) < self.places.most:
+        """Makes room, where all slots are taken, by closing a connection."""
+        if len(self.slots) < self.slots.most:
             return None
-        holder = self.places.make_room(self.loop.now, self._greeting)
+        holder = self.slots.make_room(self.loop.now, self._greeting)
         if holder is None:
             return "every connection has a request under way or unread"
         self.counters.connections_in_closed_early += 1
@@ -184,9 +184,9 @@
         self.counters.connections_in += 1
         self._hold(sock, since)
 
-    def _hold(self, sock: socket.socket, since: timedelta | None = None) -> IngressConnection:
-        connection = IngressConnection(self, sock, self.loop.now if since is None else since)
-        self.places.enter(connection, self.loop.now)
+    def _hold(self, sock: socket.socket, since: timedelta | None = None) -> ClientConnection:
+        connection = ClientConnection(self, sock, self.loop.now if since is None else since)
+        self.slots.enter(connection, self.loop.now)
         if not self._checking:
             self._checking = True
             self.loop.call_after(FRESH_CHECKED, self._check_fresh)
@@ -196,13 +196,13 @@
         self.counters.accept_pauses += 1
         if self.loop.now >= self._pause_told + PAUSE_TOLD:
             self._pause_told = self.loop.now
-            log.logger().warning("accept_paused", why=why, connections=len(self.places))
+            log.logger().warning("accept_paused", why=why, connections=len(self.slots))
 
     def _check_fresh(self) -> None:
         """Guards against clients that connect and say nothing."""
-        for holder in self.places.overdue(self.loop.now, FIRST_REQUEST):
+        for holder in self.slots.overdue(self.loop.now, FIRST_REQUEST):
             self.counters.connections_in_silent += 1
             holder.close()
-        self._checking = bool(self.places.fresh)
+        self._checking = bool(self.slots.fresh)
         if self._checking:
             self.loop.call_after(FRESH_CHECKED, self._check_fresh)
--- a/carthinge/front/operator.py
+++ b/carthinge/front/operator.py
@@ -19,7 +19,7 @@
 from carthinge.net.loop import Loop, Timer
 from carthinge.net.stream import Stream
 
-PLACES: Final = 16  # apart from all others, so that no client can keep an operator out
+CONNECTIONS: Final = 16  # apart from all others, so that no client can keep an operator out
 BACKLOG: Final = 64
 WHOLE_CALL: Final = timedelta(seconds=5)  # from connecting to the last byte of the call
 CALLS: Final = {
@@ -59,7 +59,7 @@
     # ---- the listener ---------------------------------------------------------------------
 
     def free(self) -> int:
-        return PLACES - len(self.calls)
+        return CONNECTIONS - len(self.calls)
 
     def room(self) -> str | None:
         """Whoever is open still has sent no whole call, or has its answer: the first makes room."""
--- a/carthinge/front/translator.py
+++ b/carthinge/front/translator.py
@@ -8,9 +8,9 @@
 from http import HTTPStatus
 from typing import Final
 
-from carthinge.net.exchange import Job, Terms
 from carthinge.net.http import BadRequestError, Request
 from carthinge.net.loop import MICROSECOND, MILLISECOND
+from carthinge.net.tracked_request import Job, Terms
 from carthinge.settings import Site
 
 JOBS: Final = b"/api"  # a further part, where there is one, is the key
--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -40,11 +40,11 @@
     CONNECT_FAILED = 4
     RESET = 5
     CANCELLED = 6
-    MOOT = 7
+    NOT_SENT = 7
 
 
 #: Results that prove that the attempt never ran.
-NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.MOOT})
+NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.NOT_SENT})
 
 
 # ---- events -----------------------------------------------------------------------------------
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -7,11 +7,11 @@
 from typing import Any, Protocol
 
 from carthinge import interface as io
-from carthinge.desk import Desk
+from carthinge.dispatch_context import DispatchContext
 from carthinge.interface import AttemptMemory, JobMemory, Memory, WorkerMemory
 from carthinge.meters import Bucket, Rate
 from carthinge.records import Attempt, Job, Kind, TenantQueue
-from carthinge.roster import Fleet
+from carthinge.worker_registry import Fleet
 
 
 class Tenants(Protocol):
@@ -22,13 +22,13 @@
     def queue(self, tenant: int) -> TenantQueue: ...
 
 
-class Cold(Protocol):
+class SlowStart(Protocol):
     """What cold workers may get."""
 
     leaving: bool
 
 
-class Signs(Protocol):
+class ResponseTimeouts(Protocol):
     """When attempts ought to give a sign."""
 
     patience: float
@@ -39,17 +39,17 @@
 class Decisions(Protocol):
     """What of a dispatcher is handed over, and what it does with a job that it is handed."""
 
-    desk: Desk
+    context: DispatchContext
     spans: list[int]
 
     @property
     def tenants(self) -> Tenants: ...
 
     @property
-    def cold(self) -> Cold: ...
+    def slow_start(self) -> SlowStart: ...
 
     @property
-    def signs(self) -> Signs: ...
+    def timeouts(self) -> ResponseTimeouts: ...
 
     def arrive(self, event: io.Arrival, sent: Sequence[AttemptMemory] = ()) -> None:
         """Takes a job in, with the attempts that it has had elsewhere."""
@@ -66,23 +66,28 @@
 _OF_ATTEMPT = tuple(item.name for item in fields(AttemptMemory) if item.name != "worker")
 
 
-def _meters(dispatcher: Decisions) -> dict[str, Desk | Signs]:
+def _meters(dispatcher: Decisions) -> dict[str, DispatchContext | ResponseTimeouts]:
     """The part that keeps it, for each."""
-    signs = dispatcher.signs
-    return {"mean_work": dispatcher.desk, "patience": signs, "run_patience": signs, "prompt": signs}
+    timeouts = dispatcher.timeouts
+    return {
+        "mean_work": dispatcher.context,
+        "patience": timeouts,
+        "run_patience": timeouts,
+        "prompt": timeouts,
+    }
 
 
 def _rates(dispatcher: Decisions) -> dict[str, Rate]:
     return {
-        "served": dispatcher.desk.served,
-        "arrivals": dispatcher.desk.arrivals,
-        "carried": dispatcher.desk.carried,
+        "served": dispatcher.context.served,
+        "arrivals": dispatcher.context.arrivals,
+        "carried": dispatcher.context.carried,
     }
 
 
 def memory_of(dispatcher: Decisions) -> Memory:
     """Everything that ``recall`` takes."""
-    fleet = dispatcher.desk.fleet
+    fleet = dispatcher.context.fleet
     return Memory(
         out=sorted(fleet.out),
         workers=_of_fleet(fleet),
@@ -108,7 +113,7 @@
 
 def job_memory(dispatcher: Decisions, request: int) -> JobMemory:
     """Everything that is known of an open job."""
-    job = dispatcher.desk.jobs[request]
+    job = dispatcher.context.jobs[request]
     attempts = [
         AttemptMemory(worker=attempt.worker.id, **{name: getattr(attempt, name) for name in _OF_ATTEMPT})
         for attempt in job.attempts
@@ -117,7 +122,7 @@
 
 
 def _leave(dispatcher: Decisions, event: io.Leave) -> None:
-    dispatcher.cold.leaving = event.leaving
+    dispatcher.slow_start.leaving = event.leaving
 
 
 def _take_over(dispatcher: Decisions, event: io.TakeOver) -> None:
@@ -125,7 +130,7 @@
     queue = dispatcher.tenants.queue(event.tenant)
     job = Job(id=event.request, queue=queue, **{name: getattr(known, name) for name in _OF_JOB})
     job.waiting = False
-    dispatcher.desk.jobs[job.id] = job
+    dispatcher.context.jobs[job.id] = job
     attach(dispatcher, job, known.attempts)
     if not job.open:
         dispatcher.enqueue(job)
@@ -134,9 +139,9 @@
 def attach(dispatcher: Decisions, job: Job, attempts: Sequence[AttemptMemory]) -> None:
     """Gives a job the attempts that another dispatcher sent; one that is open is attended to from now on."""
     for number, sent in enumerate(attempts):
-        worker = dispatcher.desk.fleet.workers.get(sent.worker)
+        worker = dispatcher.context.fleet.workers.get(sent.worker)
         if worker is None:  # not listed here yet
-            worker = dispatcher.desk.fleet.add(sent.entry, max(1.0, job.slots))
+            worker = dispatcher.context.fleet.add(sent.entry, max(1.0, job.slots))
         attempt = Attempt(
             job=job, number=number, worker=worker, **{name: getattr(sent, name) for name in _OF_ATTEMPT}
         )
@@ -145,41 +150,41 @@
         if attempt.open:
             job.open += 1
             worker.carry(job)
-            dispatcher.desk.level.waiting += not attempt.begun
+            dispatcher.context.level.waiting += not attempt.begun
             dispatcher.attend(attempt)
 
 
 def _share(dispatcher: Decisions, event: io.FleetView) -> None:
     """Workers to leave alone, parts of quotas, levels and attempts: decided on in carthinge/fleet/."""
-    desk, settings = dispatcher.desk, dispatcher.desk.settings
+    context, settings = dispatcher.context, dispatcher.context.settings
     for number, until in event.alone:
-        if (worker := desk.fleet.workers.get(number)) is not None:
+        if (worker := context.fleet.workers.get(number)) is not None:
             worker.avoid(until)
     for bucket, tenant, part in zip(dispatcher.tenants.quotas, settings.tenants, event.parts, strict=False):
-        bucket.settle(desk.now)
+        bucket.settle(context.now)
         bucket.per_s = tenant.quota_per_s / settings.instances * part
-    desk.agree(event.levels)
-    desk.budget.pass_on(event.repeats)
+    context.agree(event.levels)
+    context.budget.pass_on(event.repeats)
 
 
 def _give_away(dispatcher: Decisions, event: io.GiveAway) -> None:
-    job = dispatcher.desk.jobs.pop(event.request)
+    job = dispatcher.context.jobs.pop(event.request)
     job.answered, job.waiting = True, False
     for attempt in job.attempts:
         if attempt.open:
-            dispatcher.desk.level.waiting -= not attempt.begun
+            dispatcher.context.level.waiting -= not attempt.begun
             attempt.open = attempt.may_have_run = False  # for this one: no check of it is due any more
             attempt.leave()
 
 
 def recall(dispatcher: Decisions, event: io.Inherit) -> None:
     """What was learned of classes and tenants that have the same names here, and of all workers."""
-    memory, desk = event.memory, dispatcher.desk
-    desk.fleet.out.update(memory.out)
-    _into_fleet(desk.fleet, memory, {was: now for now, was in enumerate(event.kinds) if was >= 0})
+    memory, context = event.memory, dispatcher.context
+    context.fleet.out.update(memory.out)
+    _into_fleet(context.fleet, memory, {was: now for now, was in enumerate(event.kinds) if was >= 0})
     for at, was in enumerate(event.classes):
         if was >= 0:
-            dispatcher.spans[at] = min(memory.spans[was], desk.settings.classes[at].deadline)
+            dispatcher.spans[at] = min(memory.spans[was], context.settings.classes[at].deadline)
     for bucket, was in zip(dispatcher.tenants.quotas, event.tenants, strict=True):
         if was >= 0:
             level, bucket.since = memory.quotas[was]
--- a/carthinge/model/agenda.py
+++ b/carthinge/model/agenda.py
@@ -19,7 +19,7 @@
 class Agenda:
     """Calls that are due at a time, in microseconds; the time is that of the call that is made."""
 
-    __slots__ = ("now", "_heap", "_count")
+    __slots__ = ("_count", "_heap", "now")
 
     def __init__(self) -> None:
         self.now = 0
--- a/carthinge/model/clients.py
+++ b/carthinge/model/clients.py
@@ -9,7 +9,7 @@
 
 from carthinge import interface as io
 from carthinge.model.agenda import SECOND, Agenda, micros
-from carthinge.model.scheduler import Exchange, Scheduler
+from carthinge.model.scheduler import Scheduler, TrackedRequest
 from carthinge.model.tally import End, Tally
 from carthinge.model.world import World, lognormal
 
@@ -48,11 +48,11 @@
 class Try:
     """One request of a demand, at one scheduler."""
 
-    __slots__ = ("_clients", "demand", "scheduler", "exchange", "over")
+    __slots__ = ("_clients", "demand", "over", "scheduler", "tracked")
 
     def __init__(self, clients: ModelClients, demand: Demand, scheduler: Scheduler) -> None:
         self._clients, self.demand, self.scheduler = clients, demand, scheduler
-        self.exchange: Exchange | None = None
+        self.tracked: TrackedRequest | None = None
         self.over = False  # an answer to it has been sent
 
     def arrive(self, arrival: io.Arrival) -> None:
@@ -63,16 +63,16 @@
             self.broken()
             return
         now = self._clients.agenda.now
-        exchange = self.scheduler.take(self, self.demand.work, self.demand.leaves - now, arrival)
+        tracked = self.scheduler.take(self, self.demand.work, self.demand.leaves - now, arrival)
         if not self.over:  # else it was refused right away
-            self.exchange = exchange
+            self.tracked = tracked
             self._clients.agenda.at(self.demand.leaves, self._leave)
 
     def _leave(self) -> None:
-        if not self.over and self.exchange is not None:
+        if not self.over and self.tracked is not None:
             self.over = True
             self._clients.leave(self.demand)
-            self.scheduler.abandon(self.exchange)
+            self.scheduler.abandon(self.tracked)
 
     def served(self) -> None:
         self._answer(End.IN_TIME, 0)
--- a/carthinge/model/scheduler.py
+++ b/carthinge/model/scheduler.py
@@ -1,4 +1,4 @@
-"""A scheduler of the model: does with a module's actions what the real program does (net/exchange.py)."""
+"""A scheduler of the model: does with a module's actions what the real program does."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 #: As in the real program: the answer has to arrive before the client leaves.
 ANSWER_MARGIN: Final = micros(timedelta(milliseconds=10))
-ANSWER_SHARE: Final = 0.05  # of a patience, at the most, as in the real program's book
+ANSWER_SHARE: Final = 0.05  # of a patience, at the most, as in the real program's tracker
 NO_ANSWER: Final = frozenset(
     {io.Result.CONNECT_FAILED, io.Result.RESET, io.Result.TIMEOUT, io.Result.CANCELLED}
 )
@@ -64,7 +64,7 @@
 class Attempt:
     """One send."""
 
-    exchange: Exchange
+    tracked: TrackedRequest
     number: int
     worker: ModelWorker
     sent: int
@@ -76,7 +76,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Exchange:
+class TrackedRequest:
     """A client's request."""
 
     number: int
@@ -90,13 +90,13 @@
 
 
 class Scheduler:
-    """One scheduler: its module, and the book of what is owed and what is out."""
+    """One scheduler: its module, and the tracker of what is owed and what is out."""
 
     def __init__(self, world: World, position: int) -> None:
         self.position = position
         self.module: Module | None = None  # None while it is down
         self.watching = False
-        self.exchanges: dict[int, Exchange] = {}
+        self.tracked_requests: dict[int, TrackedRequest] = {}
         self.attempts: set[Attempt] = set()  # that are open
         self._world, self._agenda, self._tally = world, world.agenda, world.tally
         self._events: list[io.Event] = []
@@ -120,12 +120,12 @@
 
     def kill(self) -> list[Client]:
         """All that it knew is gone, and all connections break; returns the clients that waited."""
-        clients = [exchange.client for exchange in self.exchanges.values() if exchange.owed]
+        clients = [tracked.client for tracked in self.tracked_requests.values() if tracked.owed]
         for attempt in self.attempts:
             attempt.open = False
         self.module, self.watching = None, False
         self.attempts.clear()
-        self.exchanges.clear()
+        self.tracked_requests.clear()
         self._events.clear()
         for worker in self._world.workers.values():
             worker.found.discard(self.position)  # it will have to find out anew
@@ -134,27 +134,27 @@
 
     # ---- what happens ---------------------------------------------------------------------
 
-    def take(self, client: Client, work: int, patience: int, arrival: io.Arrival) -> Exchange:
+    def take(self, client: Client, work: int, patience: int, arrival: io.Arrival) -> TrackedRequest:
         """A request has come; its number and the time up to which it may be answered are set here."""
         self._count += 1
         give_up = self._agenda.now + patience - min(ANSWER_MARGIN, int(ANSWER_SHARE * patience))
-        exchange = Exchange(self._count, client, arrival.job_class, work, give_up, arrival.key)
-        self.exchanges[exchange.number] = exchange
-        arrival.request, arrival.give_up = exchange.number, give_up
+        tracked = TrackedRequest(self._count, client, arrival.job_class, work, give_up, arrival.key)
+        self.tracked_requests[tracked.number] = tracked
+        arrival.request, arrival.give_up = tracked.number, give_up
         self.hear(arrival)
-        return exchange
+        return tracked
 
-    def abandon(self, exchange: Exchange) -> None:
+    def abandon(self, tracked: TrackedRequest) -> None:
         """Its client has left."""
-        if exchange.owed and self.exchanges.get(exchange.number) is exchange:
-            exchange.owed = False
-            self.hear(io.Abandoned(exchange.number))
-            self._forget_if_over(exchange)
+        if tracked.owed and self.tracked_requests.get(tracked.number) is tracked:
+            tracked.owed = False
+            self.hear(io.Abandoned(tracked.number))
+            self._forget_if_over(tracked)
 
     def note(self, attempt: Attempt, done: float | None) -> None:
         """News of an attempt has come."""
         if attempt.open:
-            self.hear(io.Note(attempt.exchange.number, attempt.number, attempt.worker.entry.worker, done))
+            self.hear(io.Note(attempt.tracked.number, attempt.number, attempt.worker.entry.worker, done))
 
     def end(self, attempt: Attempt, result: io.Result, report: tuple[float, ...]) -> None:
         """An attempt has ended; only its first end counts."""
@@ -166,29 +166,29 @@
     def _close(self, attempt: Attempt, result: io.Result, report: tuple[float, ...] = ()) -> None:
         attempt.open = False
         self.attempts.discard(attempt)
-        exchange, worker = attempt.exchange, attempt.worker
+        tracked, worker = attempt.tracked, attempt.worker
         if result in NO_ANSWER and worker.ill in MUTE:
             worker.found.add(self.position)
-        if result is io.Result.OK and exchange.owed:
-            exchange.owed = False
-            exchange.client.served()
+        if result is io.Result.OK and tracked.owed:
+            tracked.owed = False
+            tracked.client.served()
         self._events.append(
             io.Outcome(
-                exchange.number,
+                tracked.number,
                 attempt.number,
                 worker.entry.worker,
                 result,
                 self._agenda.now - attempt.sent,
-                not exchange.owed,
+                not tracked.owed,
                 report,
             )
         )
-        self._forget_if_over(exchange)
+        self._forget_if_over(tracked)
 
     def _time_out(self, attempt: Attempt) -> None:
         if attempt.open:
             self._withdraw(attempt, io.Result.TIMEOUT)
-            if attempt.due >= attempt.exchange.give_up:
+            if attempt.due >= attempt.tracked.give_up:
                 self.end(attempt, io.Result.TIMEOUT, ())
 
     def hear(self, event: io.Event) -> None:
@@ -206,16 +206,16 @@
     # ---- what is decided ------------------------------------------------------------------
 
     def _send(self, action: io.Send) -> None:
-        exchange, now = self.exchanges[action.request], self._agenda.now
-        due = min(exchange.give_up, now + action.timeout) if action.timeout else exchange.give_up
+        tracked, now = self.tracked_requests[action.request], self._agenda.now
+        due = min(tracked.give_up, now + action.timeout) if action.timeout else tracked.give_up
         worker = self._world.workers[action.worker]
-        attempt = Attempt(exchange, len(exchange.attempts), worker, now, due, key=exchange.key)
-        exchange.attempts.append(attempt)
-        if not exchange.owed or due <= now:
-            self._close(attempt, io.Result.MOOT)
+        attempt = Attempt(tracked, len(tracked.attempts), worker, now, due, key=tracked.key)
+        tracked.attempts.append(attempt)
+        if not tracked.owed or due <= now:
+            self._close(attempt, io.Result.NOT_SENT)
             return
         self.attempts.add(attempt)
-        attempt.work = self._world.attempt_work(exchange.work, exchange.job_class)
+        attempt.work = self._world.attempt_work(tracked.work, tracked.job_class)
         self._count_send(worker).attempts += 1
         self._agenda.at(due, self._time_out, attempt)
         self._agenda.at(now + self._world.worker_delay(), worker.take, attempt, self)
@@ -228,8 +228,8 @@
         return second
 
     def _cancel(self, action: io.Cancel) -> None:
-        exchange = self.exchanges.get(action.request)
-        if exchange is not None and (attempt := exchange.attempts[action.attempt]).open:
+        tracked = self.tracked_requests.get(action.request)
+        if tracked is not None and (attempt := tracked.attempts[action.attempt]).open:
             self._withdraw(attempt, io.Result.CANCELLED)
 
     def _withdraw(self, attempt: Attempt, result: io.Result) -> None:
@@ -241,18 +241,18 @@
             )
 
     def _refuse(self, action: io.Refuse) -> None:
-        exchange = self.exchanges.get(action.request)
-        if exchange is not None and exchange.owed:
-            exchange.owed = False
-            exchange.client.refused(action.stay_away)
-            self._forget_if_over(exchange)
+        tracked = self.tracked_requests.get(action.request)
+        if tracked is not None and tracked.owed:
+            tracked.owed = False
+            tracked.client.refused(action.stay_away)
+            self._forget_if_over(tracked)
 
     def _fail(self, action: io.Fail) -> None:
-        exchange = self.exchanges.get(action.request)
-        if exchange is not None and exchange.owed:
-            exchange.owed = False
-            exchange.client.failed()
-            self._forget_if_over(exchange)
+        tracked = self.tracked_requests.get(action.request)
+        if tracked is not None and tracked.owed:
+            tracked.owed = False
+            tracked.client.failed()
+            self._forget_if_over(tracked)
 
     def _set_timer(self, action: io.SetTimer) -> None:
         """An earlier wake takes the place of the one before."""
@@ -283,6 +283,6 @@
     def _tell(self, action: io.Tell) -> None:
         self._world.tell(self, action.body, action.to)
 
-    def _forget_if_over(self, exchange: Exchange) -> None:
-        if not exchange.owed and not any(attempt.open for attempt in exchange.attempts):
-            self.exchanges.pop(exchange.number, None)
+    def _forget_if_over(self, tracked: TrackedRequest) -> None:
+        if not tracked.owed and not any(attempt.open for attempt in tracked.attempts):
+            self.tracked_requests.pop(tracked.number, None)
--- a/carthinge/model/world.py
+++ b/carthinge/model/world.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 from random import Random
@@ -148,7 +148,7 @@
     loads: tuple[Load, ...]
     schedulers: int = 200
     workers: int = 150
-    clients: Clients = Clients()
+    clients: Clients = field(default_factory=Clients)
     keys: Keys | None = None
     troubles: tuple[Trouble, ...] = ()
     herds: tuple[Herd, ...] = ()
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -70,7 +70,7 @@
 
 
 class OpenAttempt(msgspec.Struct, frozen=True):
-    """One send of an exchange; its worker by id."""
+    """One send of a tracked request; its worker by id."""
 
     worker: str
     address: str
@@ -80,7 +80,7 @@
 
 
 class Open(msgspec.Struct, frozen=True, tag=True):
-    """An open exchange that is at rest; its client's socket comes along."""
+    """A tracked request that is at rest; its client's socket comes along."""
 
     id: str
     subject: bytes
@@ -127,7 +127,7 @@
 class Beat(msgspec.Struct, frozen=True, tag=True):
     """What the sender holds just now."""
 
-    places: int
+    slots: int
     loads: bytes
 
 
--- a/carthinge/net/places.py
+++ b/carthinge/net/connection_slots.py
@@ -1,4 +1,4 @@
-"""Who holds the places for connections that come in, and who makes room when all are taken."""
+"""Who holds the slots for connections that come in, and who makes room when all are taken."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from typing import Final, Protocol
 
-FRESH_SHARE: Final = 0.5  # of all places: more connections without a request yet push out each other
+FRESH_SHARE: Final = 0.5  # of all slots: more connections without a request yet push out each other
 
 
 class Holder(Protocol):
@@ -29,7 +29,7 @@
         """Lets go of its socket, which stays open."""
 
 
-class Places:
+class ConnectionSlots:
     """The connections that came in, by how they have behaved; each is in one of the three orders.
 
     Guards against clients that open connections by hundreds: those make room for each other, while the
@@ -82,7 +82,7 @@
         return late
 
     def make_room(self, now: timedelta, greeting: timedelta) -> Holder | None:
-        """The one to be closed for a new one, where all places are taken; None where all are at work.
+        """The one to be closed for a new one, where all slots are taken; None where all are at work.
 
         What waits to be read on one makes it at work too, though nothing has been read, and so does having
         come within ``greeting``: its first request may be on its way.
--- a/carthinge/net/counters.py
+++ b/carthinge/net/counters.py
@@ -10,7 +10,7 @@
 class Counters:
     """Printed at exit, on SIGUSR1 and by ``GET /counters``."""
 
-    taken: int = 0  #: exchanges, each of which is owed one final answer
+    taken: int = 0  #: tracked_requests, each of which is owed one final answer
     served: int = 0
     shed: int = 0
     failed: int = 0
@@ -25,15 +25,15 @@
     attempt_connect_failed: int = 0
     attempt_reset: int = 0
     attempt_cancelled: int = 0
-    attempt_moot: int = 0
+    attempt_not_sent: int = 0
     withdrawn: int = 0  #: attempts given up by a DELETE
     withdrawn_again: int = 0  #: DELETEs sent once more, since the one before was reset
     job_events: int = 0  #: call-backs of workers
     job_events_passed_on: int = 0  #: to another process of this scheduler, which counts them
     job_events_stale: int = 0  #: of these, for an attempt that had ended, or for none
-    exchanges_taken_over: int = 0  #: open ones, from the process before this one, and not in ``taken``
-    exchanges_given_away: int = 0  #: open ones, to the process after this one, which answers them
-    exchanges_recovered: int = 0  #: durable ones, from the store, and not in ``taken``
+    requests_taken_over: int = 0  #: open ones, from the process before this one, and not in ``taken``
+    requests_given_away: int = 0  #: open ones, to the process after this one, which answers them
+    requests_recovered: int = 0  #: durable ones, from the store, and not in ``taken``
     connections_in: int = 0
     connections_taken_over: int = 0  #: from the process before this one
     connections_in_closed_early: int = 0  #: closed to make room for others, to stay within the descriptors
--- a/carthinge/net/discovery.py
+++ b/carthinge/net/discovery.py
@@ -18,7 +18,7 @@
 from carthinge.net.http import Address, Answer, call_bytes
 from carthinge.net.loop import MILLISECOND, Loop, Timer
 from carthinge.net.members import Listed
-from carthinge.net.route_table import RouteTable
+from carthinge.net.worker_directory import WorkerDirectory
 from carthinge.settings import Site
 
 PATH: Final = "/discovery/hosts"
@@ -85,7 +85,7 @@
         self,
         loop: Loop,
         address: Address,
-        table: RouteTable,
+        table: WorkerDirectory,
         site: Site,
         counters: Counters,
         tell: Callable[[WorkerList], None],
--- a/carthinge/net/probes.py
+++ b/carthinge/net/probes.py
@@ -9,11 +9,11 @@
 
 from carthinge.interface import ProbeResult, Result
 from carthinge.net.caller import Caller
-from carthinge.net.egress import Egress
 from carthinge.net.http import Answer, call_bytes
 from carthinge.net.load import read_load
 from carthinge.net.loop import MICROSECOND, Loop
-from carthinge.net.route_table import EgressTarget
+from carthinge.net.worker_client import WorkerClient
+from carthinge.net.worker_directory import WorkerEndpoint
 
 PATH: Final = b"/metrics/load"
 ANSWERED_WITHIN: Final = 2  # times what a connection may take: that, and as much again for the answer
@@ -22,27 +22,29 @@
 class Probes:
     """Carries out what the module asks for; each probe has one result, which goes to ``tell``."""
 
-    def __init__(self, loop: Loop, egress: Egress, tell: Callable[[ProbeResult], None]) -> None:
+    def __init__(self, loop: Loop, worker_client: WorkerClient, tell: Callable[[ProbeResult], None]) -> None:
         self.loop = loop
-        self.egress = egress
+        self.worker_client = worker_client
         self._tell = tell
 
-    def send(self, target: EgressTarget, connect_timeout: timedelta) -> None:
+    def send(self, target: WorkerEndpoint, connect_timeout: timedelta) -> None:
         """Asks a worker; one that cannot be reached or says nothing within its time has not answered."""
         probe = _Probe(self, target)
-        caller = self.egress.connection(target.address)
+        caller = self.worker_client.connection(target.address)
         self.loop.call_after(ANSWERED_WITHIN * connect_timeout, lambda: probe.cut(caller))
         probe.caller = caller
         caller.start(probe)
 
-    def ended(self, target: EgressTarget, result: Result, took: timedelta, report: tuple[float, ...]) -> None:
+    def ended(
+        self, target: WorkerEndpoint, result: Result, took: timedelta, report: tuple[float, ...]
+    ) -> None:
         self._tell(ProbeResult(target.number, result, took // MICROSECOND, report))
 
 
 class _Probe:
     """One probe, up to its result."""
 
-    def __init__(self, probes: Probes, target: EgressTarget) -> None:
+    def __init__(self, probes: Probes, target: WorkerEndpoint) -> None:
         self.caller: Caller | None = None
         self._probes = probes
         self._target = target
@@ -69,5 +71,7 @@
     def end(self, result: Result, load: dict[str, float] | None = None) -> None:
         probes = self._probes
         if self.caller is not None:
-            probes.egress.free(self.caller)
-        probes.ended(self._target, result, probes.loop.now - self._sent, probes.egress.report(load or {}))
+            probes.worker_client.free(self.caller)
+        probes.ended(
+            self._target, result, probes.loop.now - self._sent, probes.worker_client.report(load or {})
+        )
--- a/carthinge/net/book.py
+++ b/carthinge/net/request_tracker.py
@@ -1,4 +1,4 @@
-"""All exchanges: what is owed to clients, what is out at workers.  No protocol is known here."""
+"""All tracked requests: what is owed to clients, what is out at workers.  No protocol is known here."""
 
 from __future__ import annotations
 
@@ -10,23 +10,23 @@
 from carthinge.net import log
 from carthinge.net.counters import ByClass, Counters
 from carthinge.net.deadlines import give_up_at
-from carthinge.net.exchange import Attempt, Client, Exchange, Job, Keeper, Sent, Target, Terms
 from carthinge.net.loop import MICROSECOND, Loop, Timer
-from carthinge.net.route_table import EgressTarget
+from carthinge.net.tracked_request import Attempt, Client, Job, Keeper, Sent, Target, Terms, TrackedRequest
+from carthinge.net.worker_directory import WorkerEndpoint
 from carthinge.policy import Dispatcher
 
 
-class Book:
-    """All exchanges.  Collects what happened, has the module decide on it, carries out what it says."""
+class RequestTracker:
+    """All requests.  Collects what happened, has the module decide on it, carries out what it says."""
 
     def __init__(
-        self, loop: Loop, dispatcher: Dispatcher, targets: dict[int, EgressTarget], counters: Counters
+        self, loop: Loop, dispatcher: Dispatcher, targets: dict[int, WorkerEndpoint], counters: Counters
     ) -> None:
         self.target: Target
         self.watch: Callable[[], None]
-        self.probe: Callable[[EgressTarget], None]
-        self.exchanges: dict[int, Exchange] = {}
-        self.by_id: dict[str, Exchange] = {}
+        self.probe: Callable[[WorkerEndpoint], None]
+        self.tracked_requests: dict[int, TrackedRequest] = {}
+        self.by_id: dict[str, TrackedRequest] = {}
         self.events: list[io.Event] = []
         self.ended = ByClass()
         self._loop = loop
@@ -49,26 +49,26 @@
     # ---- what happens ---------------------------------------------------------------------
 
     def tell(self, event: io.Event) -> None:
-        """Something that concerns no exchange."""
+        """Something that concerns no request."""
         self.events.append(event)
 
-    def take(self, job: Job, terms: Terms, client: Client, keeper: Keeper | None = None) -> Exchange:
+    def take(self, job: Job, terms: Terms, client: Client, keeper: Keeper | None = None) -> TrackedRequest:
         """A whole request has come: one final answer is owed from now on."""
-        exchange = self._enter(job, terms, client, keeper)
+        tracked = self._enter(job, terms, client, keeper)
         self._counters.taken += 1
-        self.events.append(self._arrival(exchange, terms))
-        return exchange
+        self.events.append(self._arrival(tracked, terms))
+        return tracked
 
     def restore(
         self, job: Job, terms: Terms, client: Client, keeper: Keeper, attempts: Sequence[Sent]
-    ) -> Exchange:
+    ) -> TrackedRequest:
         """A job that was taken before a crash, with the attempts that it has had."""
-        exchange = self._enter(job, terms, client, keeper)
-        self._counters.exchanges_recovered += 1
-        self.events.append(io.Restore(self._arrival(exchange, terms), [sent.memory for sent in attempts]))
+        tracked = self._enter(job, terms, client, keeper)
+        self._counters.requests_recovered += 1
+        self.events.append(io.Restore(self._arrival(tracked, terms), [sent.memory for sent in attempts]))
         for number, sent in enumerate(attempts):
             attempt = Attempt(
-                exchange,
+                tracked,
                 number,
                 sent.target,
                 sent.sent,
@@ -77,27 +77,27 @@
                 arrived=True,
                 token=sent.token,
             )
-            exchange.attempts.append(attempt)
+            tracked.attempts.append(attempt)
             if attempt.open:
                 attempt.timer = self._loop.call_at(attempt.due, partial(self._time_out, attempt))
-        exchange.attempt_changed()
-        return exchange
+        tracked.attempt_changed()
+        return tracked
 
-    def _enter(self, job: Job, terms: Terms, client: Client, keeper: Keeper | None) -> Exchange:
+    def _enter(self, job: Job, terms: Terms, client: Client, keeper: Keeper | None) -> TrackedRequest:
         self._count += 1
         give_up = give_up_at(self._loop.now, terms.patience)
-        exchange = Exchange(
+        tracked = TrackedRequest(
             self._count, job, terms.class_name, terms.tenant_name, client, give_up, keeper=keeper
         )
-        self.exchanges[exchange.number] = self.by_id[job.id] = exchange
-        return exchange
+        self.tracked_requests[tracked.number] = self.by_id[job.id] = tracked
+        return tracked
 
-    def _arrival(self, exchange: Exchange, terms: Terms) -> io.Arrival:
+    def _arrival(self, tracked: TrackedRequest, terms: Terms) -> io.Arrival:
         hint = None if terms.hint is None else terms.hint // MICROSECOND
         return io.Arrival(
-            exchange.number,
+            tracked.number,
             terms.job_class,
-            exchange.give_up // MICROSECOND,
+            tracked.give_up // MICROSECOND,
             terms.tenant,
             terms.key,
             hint,
@@ -106,46 +106,46 @@
             terms.repeat,
         )
 
-    def give_away(self, exchange: Exchange) -> None:
+    def give_away(self, tracked: TrackedRequest) -> None:
         """Another process has taken it over, with its client and with the attempt that is out."""
-        if exchange.owed:
-            exchange.client_gone()
-        self._counters.exchanges_given_away += 1
-        for attempt in exchange.attempts:
+        if tracked.owed:
+            tracked.client_gone()
+        self._counters.requests_given_away += 1
+        for attempt in tracked.attempts:
             attempt.open = False
             if attempt.timer is not None:
                 attempt.timer.cancel()
-        self.events.append(io.GiveAway(exchange.number))
-        self._forget_if_over(exchange)
+        self.events.append(io.GiveAway(tracked.number))
+        self._forget_if_over(tracked)
 
-    def take_over(self, exchange: Exchange, tenant: int, memory: io.JobMemory) -> None:
-        """The other side of that; its number becomes one of this book's."""
+    def take_over(self, tracked: TrackedRequest, tenant: int, memory: io.JobMemory) -> None:
+        """The other side of that; its number becomes one of this tracker's."""
         self._count += 1
-        exchange.number = self._count
-        self.exchanges[exchange.number] = self.by_id[exchange.job.id] = exchange
-        self._counters.exchanges_taken_over += 1
-        self.events.append(io.TakeOver(exchange.number, tenant, memory))
-        for attempt in exchange.attempts:
+        tracked.number = self._count
+        self.tracked_requests[tracked.number] = self.by_id[tracked.job.id] = tracked
+        self._counters.requests_taken_over += 1
+        self.events.append(io.TakeOver(tracked.number, tenant, memory))
+        for attempt in tracked.attempts:
             if attempt.open:
                 attempt.timer = self._loop.call_at(attempt.due, partial(self._time_out, attempt))
-        exchange.attempt_changed()
+        tracked.attempt_changed()
 
-    def abandon(self, exchange: Exchange) -> None:
+    def abandon(self, tracked: TrackedRequest) -> None:
         """The client has gone."""
-        if exchange.owed:
-            exchange.client_gone()
+        if tracked.owed:
+            tracked.client_gone()
             self._counters.client_gone += 1
-            self.events.append(io.Abandoned(exchange.number))
-            for attempt in list(exchange.out()):
+            self.events.append(io.Abandoned(tracked.number))
+            for attempt in list(tracked.out()):
                 self.target.client_left(attempt)
-            self._forget_if_over(exchange)
+            self._forget_if_over(tracked)
 
-    def serve_late(self, exchange: Exchange, result: bytes) -> None:
+    def serve_late(self, tracked: TrackedRequest, result: bytes) -> None:
         """A result has come from an attempt that had ended, and nobody has the job since."""
-        if exchange.owed:
-            self._serve(exchange, result)
-            self.events.append(io.Abandoned(exchange.number))
-            self._forget_if_over(exchange)
+        if tracked.owed:
+            self._serve(tracked, result)
+            self.events.append(io.Abandoned(tracked.number))
+            self._forget_if_over(tracked)
 
     def expire(self, attempt: Attempt) -> None:
         """Its lease is over: for the module it has timed out, once its worker has been told."""
@@ -160,13 +160,13 @@
 
     def in_flight(self) -> int:
         """How many are owed an answer."""
-        return sum(exchange.owed for exchange in self.exchanges.values())
+        return sum(tracked.owed for tracked in self.tracked_requests.values())
 
     def note(self, attempt: Attempt, done: float | None, begun: bool = True) -> None:
         """News of an attempt that is out: at the least that its worker has it."""
         if attempt.open:
             self.events.append(
-                io.Note(attempt.exchange.number, attempt.number, attempt.target.number, done, begun)
+                io.Note(attempt.tracked.number, attempt.number, attempt.target.number, done, begun)
             )
 
     def end(
@@ -183,48 +183,48 @@
         attempt.open = False
         if attempt.timer is not None:
             attempt.timer.cancel()
-        exchange = attempt.exchange
-        exchange.attempt_changed()
-        if exchange.keeper is not None:
-            exchange.keeper.attempt_ended(attempt, result)
+        tracked = attempt.tracked
+        tracked.attempt_changed()
+        if tracked.keeper is not None:
+            tracked.keeper.attempt_ended(attempt, result)
         name = f"attempt_{result.name.lower()}"
         setattr(self._counters, name, getattr(self._counters, name) + 1)
         if result is not io.Result.OK:
             log.logger().debug(
-                "attempt_ended", id=exchange.job.id, worker=attempt.target.id, result=result.name, why=why
+                "attempt_ended", id=tracked.job.id, worker=attempt.target.id, result=result.name, why=why
             )
-        elif exchange.owed:
-            self._serve(exchange, answer)
+        elif tracked.owed:
+            self._serve(tracked, answer)
         latency = max(timedelta(), self._loop.now - attempt.sent)
         self.events.append(
             io.Outcome(
-                exchange.number,
+                tracked.number,
                 attempt.number,
                 attempt.target.number,
                 result,
                 latency // MICROSECOND,
-                not exchange.owed,
+                not tracked.owed,
                 report,
             )
         )
-        self._forget_if_over(exchange)
+        self._forget_if_over(tracked)
 
-    def _serve(self, exchange: Exchange, result: bytes) -> None:
-        exchange.answered()
+    def _serve(self, tracked: TrackedRequest, result: bytes) -> None:
+        tracked.answered()
         self._counters.served += 1
-        self.ended.served[exchange.class_name] += 1
-        exchange.client.serve(result)
+        self.ended.served[tracked.class_name] += 1
+        tracked.client.serve(result)
 
     def reject(self, attempt: Attempt, why: str) -> None:
         """The worker has turned the request away as unusable, as any other would.
 
         Guards against bad requests that are tried at one worker after the other and count against each.
         """
-        exchange = attempt.exchange
-        if attempt.open and exchange.owed:
-            self._count_failed(exchange)
-            exchange.client.reject()
-        self.end(attempt, io.Result.MOOT, why=why)
+        tracked = attempt.tracked
+        if attempt.open and tracked.owed:
+            self._count_failed(tracked)
+            tracked.client.reject()
+        self.end(attempt, io.Result.NOT_SENT, why=why)
 
     # ---- what is decided ------------------------------------------------------------------
 
@@ -237,37 +237,37 @@
             self._carriers[type(action)](action)
 
     def _send(self, action: io.Send) -> None:
-        exchange = self.exchanges[action.request]
+        tracked = self.tracked_requests[action.request]
         now = self._loop.now
-        due = exchange.give_up
+        due = tracked.give_up
         if action.timeout:
             due = min(due, now + action.timeout * MICROSECOND)
         start_by = action.start_by * MICROSECOND if action.start_by else None
-        attempt = Attempt(exchange, len(exchange.attempts), self._targets[action.worker], now, due, start_by)
-        exchange.attempts.append(attempt)
-        exchange.attempt_changed()
+        attempt = Attempt(tracked, len(tracked.attempts), self._targets[action.worker], now, due, start_by)
+        tracked.attempts.append(attempt)
+        tracked.attempt_changed()
         why_not = self.why_not_sent(attempt)
         if why_not is not None:
-            self.end(attempt, io.Result.MOOT, why=why_not)
+            self.end(attempt, io.Result.NOT_SENT, why=why_not)
             return
         attempt.timer = self._loop.call_at(due, lambda: self._time_out(attempt))
-        if exchange.keeper is None:
+        if tracked.keeper is None:
             self._start(attempt)
         else:
             attempt.held_back = True
-            exchange.keeper.grant(attempt, partial(self._start, attempt))
+            tracked.keeper.grant(attempt, partial(self._start, attempt))
 
     def why_not_sent(self, attempt: Attempt) -> str | None:
         """Why an attempt of which nothing has gone out must not go out now; None where it may.
 
         Asked when it is decided on, and again when its connection is up.
         """
-        exchange, now = attempt.exchange, self._loop.clock.now()
+        tracked, now = attempt.tracked, self._loop.clock.now()
         if not attempt.open:
             return "it has ended"
-        if exchange.owed and exchange.client.has_left():
-            self.abandon(exchange)
-        if not exchange.owed:
+        if tracked.owed and tracked.client.has_left():
+            self.abandon(tracked)
+        if not tracked.owed:
             return "its client has left"
         if now >= attempt.due:
             return "its time is over"
@@ -282,54 +282,54 @@
         attempt.held_back = False
         why_not = self.why_not_sent(attempt)
         if why_not is not None:
-            self.end(attempt, io.Result.MOOT, why=why_not)
+            self.end(attempt, io.Result.NOT_SENT, why=why_not)
             return
         self._counters.attempts += 1
         log.logger().debug(
-            "attempt_sent", id=attempt.exchange.job.id, worker=attempt.target.id, attempt=attempt.number
+            "attempt_sent", id=attempt.tracked.job.id, worker=attempt.target.id, attempt=attempt.number
         )
         self.target.send(attempt)
 
     def _time_out(self, attempt: Attempt) -> None:
         """At the client's deadline no other attempt can follow: the answer must not wait for the worker."""
         self._withdraw(attempt, io.Result.TIMEOUT)
-        if attempt.due >= attempt.exchange.give_up:
+        if attempt.due >= attempt.tracked.give_up:
             self.end(attempt, io.Result.TIMEOUT)
 
     def _withdraw(self, attempt: Attempt, result: io.Result) -> None:
         """The end is told once the worker knows: the module may send the next attempt at once."""
         if attempt.held_back:
-            self.end(attempt, io.Result.MOOT)
+            self.end(attempt, io.Result.NOT_SENT)
         elif not attempt.leaving:
             attempt.leaving = True
             self.target.withdraw(attempt, lambda: self.end(attempt, result))
 
     def _cancel(self, action: io.Cancel) -> None:
-        exchange = self.exchanges.get(action.request)
-        attempt = exchange.attempts[action.attempt] if exchange else None
+        tracked = self.tracked_requests.get(action.request)
+        attempt = tracked.attempts[action.attempt] if tracked else None
         if attempt is not None and attempt.open:
             self._withdraw(attempt, io.Result.CANCELLED)
 
     def _shed(self, action: io.Refuse) -> None:
-        exchange = self.exchanges.get(action.request)
-        if exchange is not None and exchange.owed:
-            exchange.answered()
+        tracked = self.tracked_requests.get(action.request)
+        if tracked is not None and tracked.owed:
+            tracked.answered()
             self._counters.shed += 1
-            self.ended.refused[exchange.class_name] += 1
-            exchange.client.shed(action.stay_away * MICROSECOND)
-            self._forget_if_over(exchange)
+            self.ended.refused[tracked.class_name] += 1
+            tracked.client.shed(action.stay_away * MICROSECOND)
+            self._forget_if_over(tracked)
 
     def _fail(self, action: io.Fail) -> None:
-        exchange = self.exchanges.get(action.request)
-        if exchange is not None and exchange.owed:
-            self._count_failed(exchange)
-            exchange.client.fail(timed_out=self._loop.now >= exchange.give_up)
-            self._forget_if_over(exchange)
-
-    def _count_failed(self, exchange: Exchange) -> None:
-        exchange.answered()
+        tracked = self.tracked_requests.get(action.request)
+        if tracked is not None and tracked.owed:
+            self._count_failed(tracked)
+            tracked.client.fail(timed_out=self._loop.now >= tracked.give_up)
+            self._forget_if_over(tracked)
+
+    def _count_failed(self, tracked: TrackedRequest) -> None:
+        tracked.answered()
         self._counters.failed += 1
-        self.ended.failed[exchange.class_name] += 1
+        self.ended.failed[tracked.class_name] += 1
 
     def _set_timer(self, action: io.SetTimer) -> None:
         """The module asks again after each wake, so that an earlier one takes the place of the one before."""
@@ -343,8 +343,8 @@
     def _log(self, action: io.LogLine) -> None:
         log.logger().info("decision", text=action.text)
 
-    def _forget_if_over(self, exchange: Exchange) -> None:
-        if not exchange.owed and exchange.current() is None:
-            self.exchanges.pop(exchange.number, None)
-            if self.by_id.get(exchange.job.id) is exchange:
-                del self.by_id[exchange.job.id]
+    def _forget_if_over(self, tracked: TrackedRequest) -> None:
+        if not tracked.owed and tracked.current() is None:
+            self.tracked_requests.pop(tracked.number, None)
+            if self.by_id.get(tracked.job.id) is tracked:
+                del self.by_id[tracked.job.id]
--- a/carthinge/net/exchange.py
+++ b/carthinge/net/tracked_request.py
@@ -1,4 +1,4 @@
-"""A client's request as an exchange, and its attempts at workers.  No protocol is known here."""
+"""A client's request as a tracked request, and its attempts at workers.  No protocol is known here."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 from carthinge import interface as io
 from carthinge.net.loop import Timer
-from carthinge.net.route_table import EgressTarget
+from carthinge.net.worker_directory import WorkerEndpoint
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +40,7 @@
 
 
 class Client(Protocol):
-    """Ingress side of an exchange: it gets exactly one of the other calls, unless it abandons first."""
+    """Whoever sent a request: gets exactly one of the other calls, unless it abandons the request first."""
 
     def has_left(self) -> bool:
         """It has closed its connection, as far as this machine knows by now."""
@@ -57,9 +57,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Sent:
-    """An attempt of an exchange that is restored, and what the module is to know of it."""
+    """An attempt of a tracked request that is restored, and what the module is to know of it."""
 
-    target: EgressTarget
+    target: WorkerEndpoint
     sent: timedelta
     due: timedelta
     token: int
@@ -67,7 +67,7 @@
 
 
 class Keeper(Protocol):
-    """Who writes down what happens to an exchange whose job is durable."""
+    """Who writes down what happens to a tracked request whose job is durable."""
 
     def grant(self, attempt: Attempt, go: Callable[[], None]) -> None:
         """An attempt is to be sent; ``go`` is called once it may be, or never."""
@@ -80,10 +80,10 @@
 
 
 class Target(Protocol):
-    """Egress side of all exchanges."""
+    """Workers' side of all tracked_requests."""
 
     def send(self, attempt: Attempt) -> None:
-        """Starts an attempt; the book hears of its end."""
+        """Starts an attempt; the tracker hears of its end."""
 
     def withdraw(self, attempt: Attempt, gone: Callable[[], None]) -> None:
         """Gives an attempt up; ``gone`` is called once the worker cannot miss that."""
@@ -94,11 +94,11 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One send of an exchange to one worker."""
+    """One send of a tracked request to one worker."""
 
-    exchange: Exchange
+    tracked: TrackedRequest
     number: int
-    target: EgressTarget
+    target: WorkerEndpoint
     sent: timedelta
     due: timedelta
     start_by: timedelta | None = None  # it may not go out later, where a repeat is harmless up to then
@@ -120,7 +120,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Exchange:
+class TrackedRequest:
     """A client's request from its arrival to the end of its last attempt."""
 
     number: int
--- a/carthinge/net/egress.py
+++ b/carthinge/net/worker_client.py
@@ -1,4 +1,4 @@
-"""Egress: attempts as HTTP calls to workers, over connections that are kept and used again."""
+"""WorkerClient: attempts as HTTP calls to workers, over connections that are kept and used again."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 
 from carthinge.interface import Result
 from carthinge.net import log
-from carthinge.net.book import Book
 from carthinge.net.caller import Caller
 from carthinge.net.counters import Counters
 from carthinge.net.deadlines import deadline_header
-from carthinge.net.exchange import Attempt
 from carthinge.net.http import Address, Answer, call_bytes
 from carthinge.net.load import read_load
 from carthinge.net.loop import MILLISECOND, Loop
+from carthinge.net.request_tracker import RequestTracker
+from carthinge.net.tracked_request import Attempt
 from carthinge.settings import Site
 
 IDLE_MARGIN: Final = timedelta(milliseconds=300)  # idle connections are closed so long before workers do
@@ -33,13 +33,15 @@
 LATE_ANSWER: Final = 8  # times that: for an answer on which nothing depends any more
 
 
-class Egress:
+class WorkerClient:
     """The pool of connections to workers and the calls that are on them."""
 
-    def __init__(self, loop: Loop, site: Site, book: Book, counters: Counters, most: int) -> None:
+    def __init__(
+        self, loop: Loop, site: Site, tracker: RequestTracker, counters: Counters, most: int
+    ) -> None:
         self._loop = loop
         self._site = site
-        self._book = book
+        self._tracker = tracker
         self._counters = counters
         self.most = most
         self.lease = timedelta()  # how long a lease holds, where attempts have one
@@ -75,12 +77,12 @@
         It is put together no earlier: connections come up late, and what its worker is told of the time that
         is left has to be true when it goes out.
         """
-        why_not = self._book.why_not_sent(attempt)
+        why_not = self._tracker.why_not_sent(attempt)
         if why_not is not None:
             self._calls.pop(attempt, None)
-            self.ended(attempt, Result.MOOT, None, why_not)
+            self.ended(attempt, Result.NOT_SENT, None, why_not)
             return None
-        job = attempt.exchange.job
+        job = attempt.tracked.job
         headers = [
             ("Req-Id", job.id.encode()),
             deadline_header(attempt.due, self._loop.clock.now()),
@@ -113,7 +115,7 @@
     def _stop_unsent(self, attempt: Attempt, call: _AttemptCall, why: str) -> None:
         del self._calls[attempt]
         self._drop(call.caller)
-        self.ended(attempt, Result.MOOT, None, why)
+        self.ended(attempt, Result.NOT_SENT, None, why)
 
     def withdraw(self, attempt: Attempt, gone: Callable[[], None]) -> None:
         call = self._calls.pop(attempt, None)
@@ -139,8 +141,8 @@
         from here or, draining, takes no further connection: it runs the attempt all the same, and the next
         one would be a second copy.  Sent ``again`` after so long; where a worker has died, its agent tells.
         """
-        log.logger().debug("not_withdrawn", id=attempt.exchange.job.id, worker=attempt.target.id, why=why)
-        give_up = attempt.exchange.give_up
+        log.logger().debug("not_withdrawn", id=attempt.tracked.job.id, worker=attempt.target.id, why=why)
+        give_up = attempt.tracked.give_up
         if not attempt.open:
             gone()
         elif self._loop.clock.now() + again < give_up:
@@ -152,21 +154,21 @@
 
     def withdrawn(self, attempt: Attempt, how: str) -> None:
         """Its worker knows, or will before it can hear of anything sent later."""
-        log.logger().debug("withdrawn", id=attempt.exchange.job.id, worker=attempt.target.id, how=how)
+        log.logger().debug("withdrawn", id=attempt.tracked.job.id, worker=attempt.target.id, how=how)
 
     def ended(self, attempt: Attempt, result: Result, answer: Answer | None, why: str) -> None:
         """The call of an attempt has told its end."""
-        self._book.end(attempt, result, self._report_of(answer), why=why)
+        self._tracker.end(attempt, result, self._report_of(answer), why=why)
 
     def unusable(self, attempt: Attempt, why: str) -> None:
-        self._book.reject(attempt, why)
+        self._tracker.reject(attempt, why)
 
     def arrived(self, attempt: Attempt) -> None:
-        self._book.arrived(attempt)
+        self._tracker.arrived(attempt)
 
     def takes_part(self, attempt: Attempt) -> None:
         """Its worker knows of leases, and holds one from now on."""
-        keeper = attempt.exchange.keeper
+        keeper = attempt.tracked.keeper
         if keeper is not None and attempt.open:
             keeper.renew(attempt, False)
 
@@ -285,51 +287,51 @@
 class _AttemptCall:
     """The POST of an attempt: until its 202 the connection speaks for it, then call-backs do."""
 
-    def __init__(self, egress: Egress, caller: Caller, attempt: Attempt) -> None:
-        self._egress = egress
+    def __init__(self, worker_client: WorkerClient, caller: Caller, attempt: Attempt) -> None:
+        self._worker_client = worker_client
         self.caller = caller
         self._attempt = attempt
 
     def request(self) -> bytes | None:
-        data = self._egress.request_of(self._attempt)
+        data = self._worker_client.request_of(self._attempt)
         if data is None:
-            self._egress.unused(self.caller)
+            self._worker_client.unused(self.caller)
         return data
 
     def written(self) -> None:
-        self._egress.arrived(self._attempt)
+        self._worker_client.arrived(self._attempt)
 
     def answered(self, answer: Answer) -> None:
-        self._egress.over(self._attempt)
-        self._egress.free(self.caller)
+        self._worker_client.over(self._attempt)
+        self._worker_client.free(self.caller)
         if answer.status == HTTPStatus.ACCEPTED:
             token = self._attempt.token
             if token and answer.headers.get(b"lease-token") == b"%d" % token:
-                self._egress.takes_part(self._attempt)
+                self._worker_client.takes_part(self._attempt)
             return
         if answer.status in UNUSABLE:
-            self._egress.unusable(self._attempt, f"status {answer.status}")
+            self._worker_client.unusable(self._attempt, f"status {answer.status}")
             return
         declined = answer.headers.get(b"srv-declined") == b"1"
         unstarted = declined and answer.status in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT)
         result = Result.FULL if unstarted else Result.ERROR
-        self._egress.ended(self._attempt, result, answer, f"status {answer.status}")
+        self._worker_client.ended(self._attempt, result, answer, f"status {answer.status}")
 
     def broken(self, written: bool, why: str) -> None:
         """Before its last byte was written an attempt cannot have run; afterwards nobody knows.
 
         A worker that was never tried, as this machine was short of something, is not to blame.
         """
-        self._egress.over(self._attempt)
-        self._egress.free(self.caller)
-        unsent = Result.MOOT if self.caller.short else Result.CONNECT_FAILED
-        self._egress.ended(self._attempt, Result.RESET if written else unsent, None, why)
+        self._worker_client.over(self._attempt)
+        self._worker_client.free(self.caller)
+        unsent = Result.NOT_SENT if self.caller.short else Result.CONNECT_FAILED
+        self._worker_client.ended(self._attempt, Result.RESET if written else unsent, None, why)
 
     def cut(self) -> None:
         if self.caller.call is self:
             self.caller.close()
-            self._egress.over(self._attempt)
-            self._egress.free(self.caller)
+            self._worker_client.over(self._attempt)
+            self._worker_client.free(self.caller)
 
 
 class _Withdrawal:
@@ -338,7 +340,7 @@
     def __init__(
         self,
         loop: Loop,
-        egress: Egress,
+        worker_client: WorkerClient,
         caller: Caller,
         attempt: Attempt,
         gone: Callable[[], None],
@@ -346,7 +348,7 @@
         arrives_within: timedelta,
     ) -> None:
         self._loop = loop
-        self._egress = egress
+        self._worker_client = worker_client
         self._caller = caller
         self._attempt = attempt
         self._gone = gone
@@ -355,7 +357,7 @@
         self._over = False
 
     def request(self) -> bytes:
-        path = f"/jobs/{self._attempt.exchange.job.id}".encode()
+        path = f"/jobs/{self._attempt.tracked.job.id}".encode()
         return call_bytes("DELETE", path, str(self._attempt.target.address))
 
     def written(self) -> None:
@@ -364,15 +366,15 @@
 
     def answered(self, answer: Answer) -> None:
         self._arrived(f"answered {answer.status}")
-        self._egress.free(self._caller)
+        self._worker_client.free(self._caller)
 
     def broken(self, written: bool, why: str) -> None:
         if not self._over and (self._caller.reset or not written):
             self._over = True
-            self._egress.not_withdrawn(self._attempt, self._gone, self._again, why)
+            self._worker_client.not_withdrawn(self._attempt, self._gone, self._again, why)
         else:
             self._arrived(why)
-        self._egress.free(self._caller)
+        self._worker_client.free(self._caller)
 
     def cut(self) -> None:
         """Guards against a worker that answers nothing: its connection would be held for good."""
@@ -383,5 +385,5 @@
     def _arrived(self, how: str) -> None:
         if not self._over:
             self._over = True
-            self._egress.withdrawn(self._attempt, how)
+            self._worker_client.withdrawn(self._attempt, how)
             self._gone()
--- a/carthinge/net/route_table.py
+++ b/carthinge/net/worker_directory.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class EgressTarget:
+class WorkerEndpoint:
     """A worker: its name on the wire, its number for the module, and where it listens just now."""
 
     id: str
@@ -45,11 +45,11 @@
     return int.from_bytes(blake2b(worker.encode(), digest_size=8).digest(), "little")
 
 
-class RouteTable:
+class WorkerDirectory:
     """All workers that discovery has ever named here; the module keeps their states."""
 
     def __init__(self, site: Site, clock: Clock) -> None:
-        self.targets: dict[int, EgressTarget] = {}
+        self.targets: dict[int, WorkerEndpoint] = {}
         self.revision: int | None = None  # none that the present discovery has given
         self.ready: set[str] = set()
         self.listed: set[str] = set()  # ready or not
@@ -106,7 +106,7 @@
         self.revision = state.revision
         for told in state.targets:
             number = number_of(told.id)
-            self.targets[number] = EgressTarget(
+            self.targets[number] = WorkerEndpoint(
                 told.id, number, Address.parse(told.address), left=not told.ready
             )
             if told.member is not None:
@@ -116,13 +116,13 @@
         self.listed.update(told.id for told in state.targets if told.listed)
         return WorkerList(Listing.CACHED, self._entries())
 
-    def target(self, worker: str, address: Address) -> EgressTarget:
+    def target(self, worker: str, address: Address) -> WorkerEndpoint:
         """A worker that another process has sent to; discovery need not have named it here yet."""
         number = number_of(worker)
-        return self.targets.setdefault(number, EgressTarget(worker, number, address))
+        return self.targets.setdefault(number, WorkerEndpoint(worker, number, address))
 
     def _hold(self, member: Member, number: int, address: Address) -> None:
-        target = self.targets.setdefault(number, EgressTarget(member.id, number, address))
+        target = self.targets.setdefault(number, WorkerEndpoint(member.id, number, address))
         target.address = address
         target.left = member.phase != "Ready"
         self._members[member.id] = member
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -5,13 +5,16 @@
 from typing import Final
 
 from carthinge import interface as io
-from carthinge.desk import Desk
+from carthinge.dispatch_context import DispatchContext
 from carthinge.memory import attach, handlers
-from carthinge.policy.attempts import GAIN, SIGN_LEAST, Attempts
-from carthinge.policy.health import ColdBudget, Doubts
-from carthinge.policy.news import CAP_START, Outside, Reports
-from carthinge.policy.pick import near
-from carthinge.policy.tenants import Tenants
+from carthinge.policy.attempts import Attempts
+from carthinge.policy.discovery_events import CAP_START, DiscoveryEvents
+from carthinge.policy.fair_queueing import Tenants
+from carthinge.policy.load_reports import LoadReports
+from carthinge.policy.outlier_ejection import OutlierEjector
+from carthinge.policy.response_timeouts import GAIN, SIGN_LEAST
+from carthinge.policy.slow_start import SlowStart
+from carthinge.policy.worker_selection import near
 from carthinge.records import Attempt, Job, put_back
 
 HINT_MOST: Final = 10.0  # times a class's deadline: long jobs are hinted at several times that
@@ -22,12 +25,16 @@
     """One gateway.  ``handle`` takes the time and what happened, and returns what to do."""
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
-        self.desk = desk = Desk(settings, seed, near)
-        self.jobs, self.fleet, self.loads = desk.jobs, desk.fleet, desk.loads
-        self.tenants, self.reports = Tenants(), Reports(desk)
-        self.doubts, self.cold = Doubts(desk), ColdBudget(desk)
-        self.attempts = Attempts(desk, self.reports, self.doubts, self.cold)
-        self.pick, self.signs, self.attend = self.attempts.pick, self.attempts.signs, self.attempts.attend
+        self.context = context = DispatchContext(settings, seed, near)
+        self.jobs, self.fleet, self.loads = context.jobs, context.fleet, context.loads
+        self.tenants, self.reports = Tenants(), LoadReports(context)
+        self.ejector, self.slow_start = OutlierEjector(context), SlowStart(context)
+        self.attempts = Attempts(context, self.reports, self.ejector, self.slow_start)
+        self.selector, self.timeouts, self.attend = (
+            self.attempts.selector,
+            self.attempts.timeouts,
+            self.attempts.attend,
+        )
         self.spans: list[int] = []  # of each class, the longest time that a client has waited for at first
         self.sequence = 0
         self._adopt(io.Retune(settings, [-1] * len(settings.classes), [-1] * len(settings.tenants)))
@@ -35,11 +42,11 @@
             io.Arrival: self.arrive,
             io.Outcome: self._end,
             io.Note: self.attempts.hear,
-            io.Timer: desk.nothing,
-            io.WorkerList: Outside(desk).listed,
-            io.ByHand: lambda event: desk.fleet.by_hand(event, CAP_START, desk.now),
+            io.Timer: context.nothing,
+            io.WorkerList: DiscoveryEvents(context).listed,
+            io.ByHand: lambda event: context.fleet.by_hand(event, CAP_START, context.now),
             io.ProbeResult: self.reports.probed,
-            io.Message: desk.fleet.told,
+            io.Message: context.fleet.told,
             io.Abandoned: self._abandon,
             io.StreamStarted: self._stream,
             io.Retune: self._adopt,
@@ -48,26 +55,26 @@
 
     def handle(self, now: int, events: Sequence[io.Event]) -> list[io.Action]:
         """What to do about ``events``, which all happened at ``now``."""
-        desk = self.desk
-        desk.now, desk.actions, desk.freed = now, [], []
+        context = self.context
+        context.now, context.actions, context.freed = now, [], []
         for event in events:
             self.handlers[type(event)](event)
-        desk.timers.run(now)
+        context.timers.run(now)
         self._release()
-        if wake := desk.timers.wake(now):
-            desk.actions.append(io.SetTimer(wake, wake))
-        return desk.actions
+        if wake := context.timers.wake(now):
+            context.actions.append(io.SetTimer(wake, wake))
+        return context.actions
 
     def _adopt(self, event: io.Retune) -> None:
         """Settings for what comes from now on; what was learned of classes and tenants holds."""
         settings = event.settings
         anew = all(was < 0 for was in event.classes)  # of such jobs nothing is known
-        self.desk.adopt(settings, anew)
+        self.context.adopt(settings, anew)
         if anew:
-            self.signs.begin_anew()
+            self.timeouts.begin_anew()
         self.tenants.adopt(settings, event.tenants)
         self.reports.asks = settings.reports is io.Reports.PROBES and settings.may_probe
-        self.pick.adopt(settings)
+        self.selector.adopt(settings)
         self.fleet.retune(event.kinds)
         self.spans = [
             min(self.spans[was], spec.deadline) if was >= 0 else 0
@@ -76,14 +83,14 @@
 
     def arrive(self, event: io.Arrival, sent: Sequence[io.AttemptMemory] = ()) -> None:
         """Takes a job in, with the attempts that it has had elsewhere."""
-        desk, settings = self.desk, self.desk.settings
+        context, settings = self.context, self.context.settings
         spec = settings.classes[event.job_class]
-        work = float(event.hint) if event.hint is not None else desk.mean_work
+        work = float(event.hint) if event.hint is not None else context.mean_work
         work = min(work, HINT_MOST * spec.deadline or work)  # an absurd one must not distort the mean of all
         cost = max(1.0, work * event.slots)
         rank = -spec.worth / (1.0 if settings.worth_by_work else cost)  # WSPT: worth for its work
         # A repeat has less time left than a first try: that tells when its client began to wait.
-        left = event.give_up - desk.now
+        left = event.give_up - context.now
         span = self.spans[event.job_class] = max(self.spans[event.job_class], left)
         job = Job(
             event.request,
@@ -91,7 +98,7 @@
             self.tenants.queue(event.tenant),
             event.key,
             event.give_up,
-            desk.now - span + left,
+            context.now - span + left,
             work,
             event.slots,
             cost,
@@ -101,18 +108,18 @@
         strict = spec.late_worth <= 0
         job.hedged = strict and settings.tells_start and settings.may_copy and settings.may_cancel
         job.bearable = float(spec.objective) if strict else math.inf
-        if over := left > 0.99 * span and not self.tenants.within(event.tenant, desk.now):
+        if over := left > 0.99 * span and not self.tenants.within(event.tenant, context.now):
             job.rank *= settings.over_share_worth
             job.bearable = min(1.0, OVER_YIELD * settings.over_share_worth) * spec.objective
         self.jobs[job.id] = job
-        desk.mean_work += (work - desk.mean_work) * GAIN / 5
-        desk.arrivals.add(1.0, desk.now)
-        if event.key and desk.heat.add(event.key):
+        context.mean_work += (work - context.mean_work) * GAIN / 5
+        context.arrivals.add(1.0, context.now)
+        if event.key and context.heat.add(event.key):
             self.fleet.renew()
         attach(self, job, sent)
-        if not sent and desk.sheds(job, over, event):  # but not what a cold worker can begin at once
+        if not sent and context.sheds(job, over, event):  # but not what a cold worker can begin at once
             job.spared, job.bearable, job.rank = True, 0.0, -math.inf
-        if job.spared and not self.pick.at_once(job):
+        if job.spared and not self.selector.at_once(job):
             self._conclude(job)
         elif not job.open:
             self.enqueue(job)
@@ -121,23 +128,23 @@
 
     def enqueue(self, job: Job) -> None:
         """Has it wait for a worker."""
-        desk = self.desk
-        job.waiting, job.queued = True, desk.now
-        last = job.give_up - desk.settings.answer_grace
-        strict, told = job.spec.late_worth <= 0, desk.settings.tells_start
-        pace = desk.mean_pace() if (job.hedged if strict else told) else 1.0  # else it has queues in it
+        context = self.context
+        job.waiting, job.queued = True, context.now
+        last = job.give_up - context.settings.answer_grace
+        strict, told = job.spec.late_worth <= 0, context.settings.tells_start
+        pace = context.mean_pace() if (job.hedged if strict else told) else 1.0  # else it has queues in it
         slack = job.spec.objective + (job.spec.stretch - pace) * job.work
         # Some are always tried, or nobody would learn that what was slow is not slow any more.
         in_time = job.came + int(max(slack, job.spec.objective * SIGN_LEAST))
-        self._place(job, not strict and in_time <= desk.now)
+        self._place(job, not strict and in_time <= context.now)
         if not strict:
-            desk.after(in_time, self._place, job)
+            context.after(in_time, self._place, job)
         elif job.hedged or job.never_ran():
             last = min(last, in_time)  # held longer, it would only take the place of one in time
-        if last <= desk.now:
+        if last <= context.now:
             self._expire(job)
         else:
-            desk.after(last, self._expire, job)
+            context.after(last, self._expire, job)
 
     def _place(self, job: Job, late: bool = True) -> None:
         """Late ones stand by what they still earn, at equal worth behind all that can be in time."""
@@ -160,8 +167,10 @@
             return
         job.answered = True
         del self.jobs[job.id]
-        harmless = job.harmless()
-        self.desk.actions.append(io.Refuse(job.id, self.desk.away(job)) if harmless else io.Fail(job.id))
+        if job.harmless():
+            self.context.actions.append(io.Refuse(job.id, self.context.away(job)))
+        else:
+            self.context.actions.append(io.Fail(job.id))
 
     def _abandon(self, event: io.Abandoned) -> None:
         if (job := self.jobs.get(event.request)) and not job.answered:
@@ -175,9 +184,9 @@
             self.jobs.pop(job.id, None)
 
     def _stream(self, event: io.StreamStarted) -> None:
-        if (attempt := self.desk.attempt(event)) is not None:
+        if (attempt := self.context.attempt(event)) is not None:
             attempt.job.streaming = True
-            self.doubts.heard(attempt.worker)
+            self.ejector.heard(attempt.worker)
 
     def _release(self) -> None:
         ring = self.tenants.ring
@@ -191,26 +200,26 @@
 
     def _dispatchable(self, job: Job) -> bool:
         """Unless every eligible worker is busy; a blocked head looks again when one frees up."""
-        desk = self.desk
-        known = desk.now < job.look_at and job.list_seen == desk.fleet.version
-        if known and not (job.key and desk.freed):  # one of them may be the key's home
-            estimate = self.pick.estimate
-            job.choice = next((worker for worker in desk.freed if estimate(worker, job) is not None), None)
+        context = self.context
+        known = context.now < job.look_at and job.list_seen == context.fleet.version
+        if known and not (job.key and context.freed):  # one of them may be the key's home
+            estimate = self.selector.estimate
+            job.choice = next((worker for worker in context.freed if estimate(worker, job) is not None), None)
             return job.choice is not None or job.queue.pass_over(job)
-        job.choice = self.pick.best(job, pool := self.pick.eligible(job))
+        job.choice = self.selector.best(job, pool := self.selector.eligible(job))
         if job.choice or not pool or job.spared:
             return True
-        job.narrow = len(pool) < len(desk.fleet.pool(job.spec.kind)) or (
-            job.work > desk.mean_work and any(self.cold.is_cold(worker) for worker in pool)
+        job.narrow = len(pool) < len(context.fleet.pool(job.spec.kind)) or (
+            job.work > context.mean_work and any(self.slow_start.is_cold(worker) for worker in pool)
         )
-        job.list_seen = desk.fleet.version
-        job.look_at = desk.now + max(4000, min(job.spec.objective // 8, 200_000))
-        desk.after(job.look_at, desk.nothing)
+        job.list_seen = context.fleet.version
+        job.look_at = context.now + max(4000, min(job.spec.objective // 8, 200_000))
+        context.after(job.look_at, context.nothing)
         self.reports.ask(job)
         return job.queue.pass_over(job)
 
     def _end(self, event: io.Outcome) -> None:
-        if not (attempt := self.desk.attempt(event)) or not attempt.open:
+        if not (attempt := self.context.attempt(event)) or not attempt.open:
             return
         job = attempt.job
         self.attempts.end(attempt, event)
@@ -223,8 +232,8 @@
 
     def _retry(self, job: Job, attempt: Attempt) -> None:
         """Back to its heap where another try is allowed; else the final answer."""
-        settings = self.desk.settings
-        spent = job.spent(settings.try_limit) or self.desk.now >= job.give_up - settings.answer_grace
+        settings = self.context.settings
+        spent = job.spent(settings.try_limit) or self.context.now >= job.give_up - settings.answer_grace
         if spent or (job.spec.effect is io.Effect.UNSAFE and not job.never_ran()):
             self._conclude(job)
         else:
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -159,7 +159,7 @@
         """No timer can do anything about it any more, now or later."""
         job = self.job
         called_off = job.hedged and not self.begun and self.may_have_run
-        return job.streaming or not (called_off or self.open and not job.answered)
+        return job.streaming or not (called_off or (self.open and not job.answered))
 
 
 @dataclass(slots=True, eq=False)
@@ -232,7 +232,7 @@
 class TenantQueue:
     """A tenant's class: its pending heap and its credit."""
 
-    __slots__ = ("heap", "deficit", "quantum", "most", "aside")
+    __slots__ = ("aside", "deficit", "heap", "most", "quantum")
 
     def __init__(self, quantum: float) -> None:
         self.heap: list[tuple[float, int, int, Job]] = []
--- a/carthinge/scheduler/fleet_facts.py
+++ b/carthinge/scheduler/fleet_facts.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Mapping
 from typing import Final
 
-from carthinge.fleet.passing import purse_of
+from carthinge.fleet.quota_lending import purse_of
 from carthinge.fleet.summary import MICROSECOND, cell_of
 from carthinge.fleet.talk import Facts, Talk
 from carthinge.interface import FleetView, Settings
@@ -29,13 +29,13 @@
 
     def __init__(self, dispatcher: Dispatcher, purses: Mapping[int, int], classes: int) -> None:
         self.dispatcher, self.purses, self.classes = dispatcher, purses, max(1, classes)
-        self._spent = dispatcher.desk.budget.spent
+        self._spent = dispatcher.context.budget.spent
 
     def look(self, workers: Collection[int], now: int) -> Facts:
         """What the decisions know at that time, in microseconds; signs of these workers."""
         dispatcher = self.dispatcher
-        known, desk = dispatcher.fleet.workers, dispatcher.desk
-        struck = not desk.level.up  # else silence is a queue, and no doubt that others should share
+        known, context = dispatcher.fleet.workers, dispatcher.context
+        struck = not context.level.up  # else silence is a queue, and no doubt that others should share
         doubted = {
             worker.id: worker.strikes * struck + max(0, worker.errors - 1)
             for worker in known.values()
@@ -49,9 +49,9 @@
         quotas = dispatcher.tenants.quotas
         left = {purse: quotas[at].fill(now) for purse, at in self.purses.items() if at < len(quotas)}
         waiting = sum(job.work for job in dispatcher.jobs.values() if job.waiting)
-        ended = max(LEAST_RATE, desk.served.per_s)
-        levels = {cell_of(*cell, self.classes): level for cell, level in desk.levels(now).items()}
-        spent, self._spent = desk.budget.spent - self._spent, desk.budget.spent
+        ended = max(LEAST_RATE, context.served.per_s)
+        levels = {cell_of(*cell, self.classes): level for cell, level in context.levels(now).items()}
+        spent, self._spent = context.budget.spent - self._spent, context.budget.spent
         return Facts(
             doubted,
             well,
@@ -60,8 +60,8 @@
             waiting / ended,
             levels,
             spent,
-            desk.budget.left,
-            desk.budget.most,
+            context.budget.left,
+            context.budget.most,
         )
 
     def view(self, talk: Talk, parts: tuple[float, ...]) -> FleetView:
--- a/carthinge/scheduler/fleet_link.py
+++ b/carthinge/scheduler/fleet_link.py
@@ -18,12 +18,12 @@
 from typing import Any, Final
 
 from carthinge.fleet.codec import BadPacketError, decode, encode
+from carthinge.fleet.gossip import Sending
 from carthinge.fleet.membership import Membership
 from carthinge.fleet.packets import LIFE_MOST, PACKET_MOST, Standing
-from carthinge.fleet.passing import BASE, LENDABLE
+from carthinge.fleet.quota_lending import BASE, LENDABLE
 from carthinge.fleet.summary import shape_of
 from carthinge.fleet.talk import Facts, Talk
-from carthinge.fleet.voice import Sending
 from carthinge.interface import FleetView
 from carthinge.net import log
 from carthinge.net.http import Address
@@ -151,7 +151,7 @@
 
     def repeats(self) -> float:
         """What they have left for further attempts."""
-        return self._insight.dispatcher.desk.budget.left
+        return self._insight.dispatcher.context.budget.left
 
     def _shape(self) -> int:
         return shape_of(self.site.tenants, self.site.classes)
--- a/carthinge/scheduler/partner.py
+++ b/carthinge/scheduler/handover_peer.py
@@ -7,18 +7,18 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Final
 
-from carthinge.front.connection import IngressConnection
-from carthinge.front.ingress import Ingress
+from carthinge.front.connection import ClientConnection
+from carthinge.front.frontend import Frontend
 from carthinge.interface import Leave, Message
 from carthinge.memory import job_memory, memory_of
-from carthinge.net.book import Book
 from carthinge.net.channel import Beat, Open, OpenAttempt, State, Waiting
 from carthinge.net.config import Config
-from carthinge.net.egress import Egress
-from carthinge.net.exchange import Attempt, Exchange, Job
 from carthinge.net.http import Address
 from carthinge.net.loop import MICROSECOND, Loop
-from carthinge.net.route_table import RouteTable
+from carthinge.net.request_tracker import RequestTracker
+from carthinge.net.tracked_request import Attempt, Job, TrackedRequest
+from carthinge.net.worker_client import WorkerClient
+from carthinge.net.worker_directory import WorkerDirectory
 from carthinge.policy import Dispatcher
 from carthinge.scheduler.upgrade import Upgrade
 
@@ -30,18 +30,18 @@
 OTHER: Final = -1  # the other process, as the sender of what it has at the workers
 
 
-class Partner:
+class HandoverPeer:
     """This process as the other one sees it."""
 
     def __init__(
         self,
         loop: Loop,
         upgrade: Upgrade,
-        table: RouteTable,
+        table: WorkerDirectory,
         dispatcher: Dispatcher,
-        book: Book,
-        egress: Egress,
-        ingress: Ingress,
+        tracker: RequestTracker,
+        worker_client: WorkerClient,
+        frontend: Frontend,
         durable: DurableJobs | None,
         config: Callable[[], Config],
         begin: Callable[[State | None], None],
@@ -54,13 +54,13 @@
         self._upgrade = upgrade
         self._table = table
         self._dispatcher = dispatcher
-        self._book = book
-        self._egress = egress
-        self._ingress = ingress
+        self._tracker = tracker
+        self._worker_client = worker_client
+        self._frontend = frontend
         self._durable = durable
         self._config = config
         self.fleet: FleetLink | None = None
-        self._most_in, self._most_out = ingress.places.most, egress.most
+        self._most_in, self._most_out = frontend.slots.most, worker_client.most
 
     def state(self) -> State:
         config = self._config()
@@ -76,24 +76,24 @@
         )
 
     def leave(self, leaving: bool) -> None:
-        self._book.tell(Leave(leaving))
+        self._tracker.tell(Leave(leaving))
         if self.fleet is not None:  # the other process talks in this one's place
             self.fleet.close(leave=False) if leaving else self.fleet.open()
         if leaving:
-            self._egress.most = self._most_out // 2
+            self._worker_client.most = self._most_out // 2
         else:
             self.alone()
-            if self._ingress.draining is None:
-                self._ingress.resume()
+            if self._frontend.draining is None:
+                self._frontend.resume()
             if self._durable is not None:
                 from carthinge.durable.handover import take_back
 
                 take_back(self._durable, self._store_taken_back)
 
     def _store_taken_back(self) -> None:
-        if self._ingress.durable is not None:
-            self._ingress.durable.resume_all()
-        self._ingress.go_on()
+        if self._frontend.durable is not None:
+            self._frontend.durable.resume_all()
+        self._frontend.go_on()
 
     @property
     def needs_word(self) -> bool:
@@ -104,7 +104,7 @@
 
         def gone(free: bool) -> None:
             if free:
-                self._ingress.rest()
+                self._frontend.rest()
             done(free)
 
         if self._durable is None:
@@ -112,31 +112,31 @@
         else:
             from carthinge.durable.handover import HandOver
 
-            HandOver(self._durable, self._egress.calling, gone)
+            HandOver(self._durable, self._worker_client.calling, gone)
 
     def alone(self) -> None:
-        """All places and descriptors are this process's again."""
-        self._ingress.places.most, self._egress.most = self._most_in, self._most_out
+        """All slots and descriptors are this process's again."""
+        self._frontend.slots.most, self._worker_client.most = self._most_in, self._most_out
 
     def call_back(self, body: bytes, known: Callable[[bool], None]) -> None:
-        self._ingress.call_backs.take_from_other(body, known)
+        self._frontend.call_backs.take_from_other(body, known)
 
     def adopt_incoming(self, sock: socket.socket, fresh: bool, read: bytes) -> None:
-        self._ingress.adopt(sock, fresh, read)
+        self._frontend.adopt(sock, fresh, read)
 
     def adopt_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
-        self._ingress.adopt_waiting(
+        self._frontend.adopt_waiting(
             sock, waiting.keep_alive, waiting.job, waiting.in_place, waiting.until_us * MICROSECOND
         )
 
-    def adopt_open(self, sock: socket.socket, exchange: Open) -> None:
+    def adopt_open(self, sock: socket.socket, tracked: Open) -> None:
         """The client waits here from now on, and call-backs for its job are looked for here."""
-        client = self._ingress.adopt_open(sock, exchange.keep_alive)
-        job = Job(exchange.id, exchange.subject, exchange.body, tuple(exchange.headers))
-        taken = Exchange(
-            0, job, exchange.class_name, exchange.tenant, client, exchange.give_up_us * MICROSECOND
+        client = self._frontend.adopt_open(sock, tracked.keep_alive)
+        job = Job(tracked.id, tracked.subject, tracked.body, tuple(tracked.headers))
+        taken = TrackedRequest(
+            0, job, tracked.class_name, tracked.tenant, client, tracked.give_up_us * MICROSECOND
         )
-        for number, sent in enumerate(exchange.attempts):
+        for number, sent in enumerate(tracked.attempts):
             target = self._table.target(sent.worker, Address.parse(sent.address))
             taken.attempts.append(
                 Attempt(
@@ -150,47 +150,47 @@
                 )
             )
         client.owe(taken)
-        self._book.take_over(taken, self._ingress.translator.tenant(exchange.tenant) or 0, exchange.memory)
+        self._tracker.take_over(taken, self._frontend.translator.tenant(tracked.tenant) or 0, tracked.memory)
 
     def adopt_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None:
-        self._egress.adopt(sock, address, idle_since)
+        self._worker_client.adopt(sock, address, idle_since)
 
     def beat(self) -> Beat:
-        return Beat(len(self._ingress.places), self._dispatcher.loads())
+        return Beat(len(self._frontend.slots), self._dispatcher.loads())
 
     def heard(self, beat: Beat | None) -> None:
-        self._book.tell(Message(OTHER, beat.loads if beat is not None else b""))
+        self._tracker.tell(Message(OTHER, beat.loads if beat is not None else b""))
         if beat is not None and not self._upgrade.leaving:
-            self.share(beat.places)
+            self.share(beat.slots)
 
-    def share(self, places: int) -> None:
-        """Descriptors are counted together: the old process keeps so many of the places for a while."""
-        self._ingress.places.most = max(LEAST_PLACES, self._most_in - places)
-        self._egress.most = self._most_out // 2
+    def share(self, slots: int) -> None:
+        """Descriptors are counted together: the old process keeps so many of the slots for a while."""
+        self._frontend.slots.most = max(LEAST_PLACES, self._most_in - slots)
+        self._worker_client.most = self._most_out // 2
 
     def pass_on_all_at_rest(self) -> None:
         """To be called when all that has come up is decided on: what the module knows is then complete."""
-        for sock, fresh in self._ingress.release_idle():
+        for sock, fresh in self._frontend.release_idle():
             self._upgrade.pass_incoming(sock, fresh)
         if self._durable is not None:
-            for sock, read in self._ingress.release_put_off():
+            for sock, read in self._frontend.release_put_off():
                 self._upgrade.pass_incoming(sock, False, read)
-            for sock, waiting in self._ingress.release_waiting():
+            for sock, waiting in self._frontend.release_waiting():
                 self._upgrade.pass_waiting(sock, waiting)
-        for exchange in list(self._book.exchanges.values()):
-            client = exchange.client
-            if not (exchange.owed and isinstance(client, IngressConnection) and client.at_rest()):
+        for tracked in list(self._tracker.tracked_requests.values()):
+            client = tracked.client
+            if not (tracked.owed and isinstance(client, ClientConnection) and client.at_rest()):
                 continue
             if all(
-                attempt.arrived and not (attempt.leaving or self._egress.calling(attempt))
-                for attempt in exchange.out()
+                attempt.arrived and not (attempt.leaving or self._worker_client.calling(attempt))
+                for attempt in tracked.out()
             ):
-                self._pass_on(exchange, client)
-        for sock, address, idle_since in self._egress.release_idle():
+                self._pass_on(tracked, client)
+        for sock, address, idle_since in self._worker_client.release_idle():
             self._upgrade.pass_outgoing(sock, address, idle_since)
 
-    def _pass_on(self, exchange: Exchange, client: IngressConnection) -> None:
-        job = exchange.job
+    def _pass_on(self, tracked: TrackedRequest, client: ClientConnection) -> None:
+        job = tracked.job
         attempts = [
             OpenAttempt(
                 sent.target.id,
@@ -199,19 +199,19 @@
                 sent.due // MICROSECOND,
                 sent.open,
             )
-            for sent in exchange.attempts
+            for sent in tracked.attempts
         ]
         passed = Open(
             job.id,
             job.subject,
             job.body,
             list(job.headers),
-            exchange.class_name,
-            exchange.tenant_name,
-            exchange.give_up // MICROSECOND,
+            tracked.class_name,
+            tracked.tenant_name,
+            tracked.give_up // MICROSECOND,
             client.keep_alive(),
             attempts,
-            job_memory(self._dispatcher, exchange.number),
+            job_memory(self._dispatcher, tracked.number),
         )
-        self._book.give_away(exchange)
+        self._tracker.give_away(tracked)
         self._upgrade.pass_open(client.release(), passed)
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -15,25 +15,25 @@
 from types import FrameType
 from typing import TYPE_CHECKING, Any, Final
 
-from carthinge.front.ingress import Ingress
-from carthinge.front.operator import PLACES, Operator
+from carthinge.front.frontend import Frontend
+from carthinge.front.operator import CONNECTIONS, Operator
 from carthinge.interface import ByHand, Inherit, Listing, Retune, WorkerList
 from carthinge.net import log
-from carthinge.net.book import Book
 from carthinge.net.channel import State
 from carthinge.net.config import Config, ConfigError
 from carthinge.net.counters import Counters
 from carthinge.net.deadlines import drain_schedule
 from carthinge.net.discovery import DiscoveryWatch
-from carthinge.net.egress import Egress
-from carthinge.net.exchange import Terms
 from carthinge.net.http import Address
 from carthinge.net.listener import bind
 from carthinge.net.loop import MICROSECOND, READ, Loop
 from carthinge.net.probes import Probes
-from carthinge.net.route_table import RouteTable, number_of
+from carthinge.net.request_tracker import RequestTracker
+from carthinge.net.tracked_request import Terms
+from carthinge.net.worker_client import WorkerClient
+from carthinge.net.worker_directory import WorkerDirectory, number_of
 from carthinge.policy import Dispatcher
-from carthinge.scheduler.partner import Partner
+from carthinge.scheduler.handover_peer import HandoverPeer
 from carthinge.scheduler.upgrade import Upgrade
 
 if TYPE_CHECKING:  # not loaded where no job is durable
@@ -58,20 +58,20 @@
         self._reload_config = reload
         self.loop = Loop()
         self.counters = Counters()
-        self.table = RouteTable(config.site, self.loop.clock)
+        self.table = WorkerDirectory(config.site, self.loop.clock)
         self.dispatcher = Dispatcher(config.site.decisions, config.seed)
-        self.book = Book(self.loop, self.dispatcher, self.table.targets, self.counters)
-        self.book.ended.name(config.site.classes)
+        self.tracker = RequestTracker(self.loop, self.dispatcher, self.table.targets, self.counters)
+        self.tracker.ended.name(config.site.classes)
         descriptors = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        rest = max(16, descriptors - SPARE_SOCKETS - (PLACES if config.operator else 0))
+        rest = max(16, descriptors - SPARE_SOCKETS - (CONNECTIONS if config.operator else 0))
         out = int(rest * EGRESS_SHARE)
-        self.egress = Egress(self.loop, config.site, self.book, self.counters, out)
+        self.worker_client = WorkerClient(self.loop, config.site, self.tracker, self.counters, out)
         self.upgrade = Upgrade(self.loop, str(config.listen))
-        self.ingress = Ingress(
+        self.frontend = Frontend(
             self.loop,
             config.site,
-            self.book,
-            self.egress,
+            self.tracker,
+            self.worker_client,
             self.counters,
             rest - out,
             lambda: bool(self.table.ready),
@@ -80,35 +80,35 @@
         self.watch = DiscoveryWatch(
             self.loop, config.discovery, self.table, config.site, self.counters, self._listed
         )
-        self.book.target = self.egress
-        self.book.watch = self.watch.start
-        probes = Probes(self.loop, self.egress, self.book.tell)
-        self.book.probe = lambda target: probes.send(target, self.config.site.connect_timeout)
+        self.tracker.target = self.worker_client
+        self.tracker.watch = self.watch.start
+        probes = Probes(self.loop, self.worker_client, self.tracker.tell)
+        self.tracker.probe = lambda target: probes.send(target, self.config.site.connect_timeout)
         self.operator: Operator | None = None
         self.durable: DurableJobs | None = None
         if config.options.durable.folder:
             self._make_durable()
-        self.partner = Partner(
+        self.handover_peer = HandoverPeer(
             self.loop,
             self.upgrade,
             self.table,
             self.dispatcher,
-            self.book,
-            self.egress,
-            self.ingress,
+            self.tracker,
+            self.worker_client,
+            self.frontend,
             self.durable,
             lambda: self.config,
             self.begin,
             self.by_hand_here,
         )
-        self.upgrade.scheduler = self.partner
+        self.upgrade.scheduler = self.handover_peer
         if config.options.fleet.listen:
             from carthinge.scheduler.fleet_link import FleetLink
 
-            self.partner.fleet = FleetLink(
-                self.loop, config.options.fleet, config.name, config.site, self.dispatcher, self.book.tell
+            self.handover_peer.fleet = FleetLink(
+                self.loop, config.options.fleet, config.name, config.site, self.dispatcher, self.tracker.tell
             )
-        self.fleet = self.partner.fleet
+        self.fleet = self.handover_peer.fleet
         self._quiet_since: timedelta | None = None
         self._serving = False
         self._over = False
@@ -123,20 +123,20 @@
         options = self.config.options
         self.durable = DurableJobs(
             self.loop,
-            self.book,
+            self.tracker,
             options,
             BOOT.read_text().strip(),
             self._terms_of,
             lambda number: self.dispatcher.fleet.workers[number].entry,
             self.table.target,
         )
-        self.ingress.call_backs.durable = self.durable
-        self.egress.lease = options.leases.duration
-        self.ingress.durable = DurableFront(self.loop, self.durable, lambda: self.ingress.max_retry_after)
+        self.frontend.call_backs.durable = self.durable
+        self.worker_client.lease = options.leases.duration
+        self.frontend.durable = DurableFront(self.loop, self.durable, lambda: self.frontend.max_retry_after)
 
     def _terms_of(self, accepted: Accepted, patience: timedelta) -> Terms | None:
         """A stored job by the settings of now; None where its class or tenant is not in them."""
-        translator = self.ingress.translator
+        translator = self.frontend.translator
         job_class, tenant = translator.job_class(accepted.class_name), translator.tenant(accepted.tenant)
         if job_class is None or tenant is None:
             return None
@@ -174,30 +174,30 @@
         )
         self.upgrade.find()
         while not self._over:
-            self.loop.turn(idle=not self.book.events)
-            self.book.decide()
-            if self.upgrade.handed_over and not self.book.events:
-                self.partner.pass_on_all_at_rest()
+            self.loop.turn(idle=not self.tracker.events)
+            self.tracker.decide()
+            if self.upgrade.handed_over and not self.tracker.events:
+                self.handover_peer.pass_on_all_at_rest()
         if self.durable is not None and not self.durable.close():
             log.logger().error("store_not_written", open=self.durable.limits.open)
         self.watch.stop()
         self.upgrade.close()
-        self.ingress.close()
+        self.frontend.close()
         if self.operator is not None:
             self.operator.close()
         self.loop.close()
-        owed = sum(e.owed and e.keeper is None for e in self.book.exchanges.values())
+        owed = sum(e.owed and e.keeper is None for e in self.tracker.tracked_requests.values())
         log.logger().info("stopped", unanswered=owed, **self.counters.as_dict())
 
     def begin(self, state: State | None) -> None:
         """Starts to serve, where another process does from what it has told."""
         if state is None:
-            self.book.tell(self.table.take(self.config.known, Listing.CACHED))
+            self.tracker.tell(self.table.take(self.config.known, Listing.CACHED))
         else:
             self.config = replace(self.config, discovery=Address.parse(state.discovery))
             self.watch.move(self.config.discovery)
             site = self.config.site
-            self.book.tell(
+            self.tracker.tell(
                 Inherit(
                     state.memory,
                     _positions(site.classes, state.classes),
@@ -205,13 +205,13 @@
                     _positions(site.kinds, state.kinds),
                 )
             )
-            self.book.tell(self.table.go_on(state))
-            self.partner.share(0)
+            self.tracker.tell(self.table.go_on(state))
+            self.handover_peer.share(0)
         if self.durable is not None:
             self.durable.open()
         if self.fleet is not None:
             self.fleet.open()
-        self.book.decide()
+        self.tracker.decide()
         listen = partial(self._listen, state is not None)
         if self.config.site.pushed:
             self.watch.begin(self.config.site, listen)
@@ -222,8 +222,8 @@
 
     def _listed(self, event: WorkerList) -> None:
         """News of the list: the module hears of it before it hears of attempts that it stops."""
-        self.book.tell(event)
-        self.egress.stop_unsent()
+        self.tracker.tell(event)
+        self.worker_client.stop_unsent()
 
     def _listen(self, taken_over: bool) -> None:
         """The last act of a start, in a turn of its own: what comes in from now on is read at once.
@@ -232,7 +232,7 @@
         has this process pay for its start: their clients' time runs, and nobody here knows since when.
         """
         listening = self.config.listening
-        self.ingress.listen(
+        self.frontend.listen(
             bind(self.config.listen, BACKLOG) if listening is None else socket.socket(fileno=listening)
         )
         self.upgrade.listen()
@@ -249,19 +249,19 @@
     # ---- what operators ask for -----------------------------------------------------------
 
     def serving(self) -> bool:
-        return self._serving and self.ingress.up()
+        return self._serving and self.frontend.up()
 
     def figures(self) -> dict[str, Any]:
-        ended, counters, fleet = self.book.ended, self.counters, self.dispatcher.fleet
+        ended, counters, fleet = self.tracker.ended, self.counters, self.dispatcher.fleet
         return {
             "served": ended.served,
             "refused": ended.refused,
             "failed": ended.failed,
             "attempts": counters.attempts_written,
-            "in_flight": self.book.in_flight(),
+            "in_flight": self.tracker.in_flight(),
             "workers_known": len(self.table.listed),
             "workers_excluded": fleet.excluded(self.loop.now // MICROSECOND),
-            "overload": self.dispatcher.desk.level.figures() | self.dispatcher.desk.budget.figures(),
+            "overload": self.dispatcher.context.level.figures() | self.dispatcher.context.budget.figures(),
             "reloads_ok": counters.reloads_ok,
             "reloads_failed": counters.reloads_failed,
             **({"durable": self.durable.figures()} if self.durable is not None else {}),
@@ -276,7 +276,7 @@
             return
 
         def elsewhere(known_there: bool) -> None:
-            done(known or known_there and self.by_hand_here(worker, out, sure=True))
+            done(known or (known_there and self.by_hand_here(worker, out, sure=True)))
 
         self.upgrade.pass_by_hand(worker, out, known, elsewhere)
 
@@ -286,9 +286,9 @@
         known = sure or worker in self.table.listed or number in self.dispatcher.fleet.out
         if known:
             log.logger().info("worker_out" if out else "worker_back", worker=worker)
-            self.book.tell(ByHand(number, out))
+            self.tracker.tell(ByHand(number, out))
             if number in self.table.targets:
-                self.egress.close_idle(self.table.targets[number].address)
+                self.worker_client.close_idle(self.table.targets[number].address)
         return known
 
     # ---- signals --------------------------------------------------------------------------
@@ -333,7 +333,7 @@
         )
         before, site = self.config.site, config.site
         self.config = replace(self.config, discovery=config.discovery, site=site, shape=config.shape)
-        self.book.tell(
+        self.tracker.tell(
             Retune(
                 site.decisions,
                 _positions(site.classes, before.classes),
@@ -342,19 +342,19 @@
             )
         )
         if (site.zones, site.kinds) != (before.zones, before.kinds):
-            self.book.tell(self.table.retune(site))
-        self.book.ended.name(site.classes)
-        self.ingress.retune(site)
-        self.egress.retune(site)
+            self.tracker.tell(self.table.retune(site))
+        self.tracker.ended.name(site.classes)
+        self.frontend.retune(site)
+        self.worker_client.retune(site)
         if self.fleet is not None:
             self.fleet.retune(site)
         self.watch.move(config.discovery)
         self.watch.retune(site)
 
     def _drain(self) -> None:
-        if self.ingress.draining is not None:
+        if self.frontend.draining is not None:
             return
-        log.logger().info("draining", owed=len(self.book.exchanges))
+        log.logger().info("draining", owed=len(self.tracker.tracked_requests))
         if self.fleet is not None:
             self.fleet.close(leave=not self.upgrade.leaving)
         decisions = self.config.site.decisions
@@ -363,22 +363,22 @@
         drain = drain_schedule(
             self.loop.since, longest, alone=decisions.instances == 1, leaving=self.upgrade.leaving
         )
-        self.ingress.draining = drain
-        if self.ingress.durable is not None:  # what is open goes on after the next start
-            self.loop.call_at(drain.answered_by, self.ingress.durable.let_go)
+        self.frontend.draining = drain
+        if self.frontend.durable is not None:  # what is open goes on after the next start
+            self.loop.call_at(drain.answered_by, self.frontend.durable.let_go)
         self.loop.call_at(self.loop.now if self.upgrade.leaving else drain.kept_until, self._check_over)
 
     def _check_over(self) -> None:
         """Ends once nothing has been under way for a little while: what is on its way here is taken still."""
         if not self.upgrade.leaving:  # else they go to the process that has taken over
-            self.ingress.end_idle()
-        owed = any(exchange.keeper is None for exchange in self.book.exchanges.values())
-        connected = len(self.ingress.places) > 0
-        front, drain = self.ingress.durable, self.ingress.draining
+            self.frontend.end_idle()
+        owed = any(tracked.keeper is None for tracked in self.tracker.tracked_requests.values())
+        connected = len(self.frontend.slots) > 0
+        front, drain = self.frontend.durable, self.frontend.draining
         if front is not None and drain is not None and self.loop.now >= drain.answered_by:
             # Workers go on calling back about durable jobs: those are the next process's.
             connected = bool(front.waiting)
-        if owed or connected or self.upgrade.passing or self.ingress.somebody_waits():
+        if owed or connected or self.upgrade.passing or self.frontend.somebody_waits():
             self._quiet_since = None
         elif self._quiet_since is None:
             self._quiet_since = self.loop.now
--- a/carthinge/scheduler/upgrade.py
+++ b/carthinge/scheduler/upgrade.py
@@ -66,7 +66,7 @@
 
     def adopt_waiting(self, sock: socket.socket, waiting: Waiting) -> None: ...
 
-    def adopt_open(self, sock: socket.socket, exchange: Open) -> None: ...
+    def adopt_open(self, sock: socket.socket, tracked: Open) -> None: ...
 
     def adopt_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None: ...
 
@@ -209,8 +209,8 @@
     def pass_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
         self._send(waiting, sock)
 
-    def pass_open(self, sock: socket.socket, exchange: Open) -> None:
-        self._send(exchange, sock)
+    def pass_open(self, sock: socket.socket, tracked: Open) -> None:
+        self._send(tracked, sock)
 
     def pass_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None:
         self._send(Outgoing(str(address), idle_since // MICROSECOND), sock)
--- a/carthinge/settings.py
+++ b/carthinge/settings.py
@@ -85,7 +85,7 @@
 
     def _check(self, path: str, value: object, *kinds: type) -> None:
         """Guards against JSON that would pass for what it is not: "5" for a number, or 1 for a flag."""
-        if self._typed and (not isinstance(value, kinds) or isinstance(value, bool) and bool not in kinds):
+        if self._typed and (not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds)):
             raise ValueError(f"{path}: of the wrong type: {value!r}")
 
     def span(self, path: str, default: timedelta) -> timedelta:
--- a/carthinge/timers.py
+++ b/carthinge/timers.py
@@ -15,7 +15,7 @@
     follows what is open, and not the rate of jobs times their deadlines.
     """
 
-    __slots__ = ("heap", "count", "most", "wake_at")
+    __slots__ = ("count", "heap", "most", "wake_at")
 
     def __init__(self) -> None:
         self.heap: list[tuple[int, int, Callable[..., None], Job | Attempt | None]] = []
--- a/carthinge/roster.py
+++ b/carthinge/worker_registry.py
@@ -46,19 +46,19 @@
     """All known workers, and the listed ones by machine kind in an order that all dispatchers share."""
 
     __slots__ = (
-        "workers",
+        "_groups",
+        "_homes",
+        "_part",
+        "_peers",
+        "_pools",
+        "_ranks",
+        "_together",
         "kinds",
-        "tags",
         "near",
         "out",
+        "tags",
         "version",
-        "_together",
-        "_part",
-        "_pools",
-        "_homes",
-        "_groups",
-        "_peers",
-        "_ranks",
+        "workers",
     )
 
     def __init__(self, together: bool, part: Callable[[list[Worker]], list[Worker]]) -> None:
@@ -73,7 +73,7 @@
         self._pools: dict[int, list[Worker]] = {}
         self._homes: dict[int, list[Worker]] = {}
         self._peers: dict[int, list[tuple[Worker, float, float]]] = {}  # what each has told of last
-        self._ranks: dict[int, int] = {}  # places in one dispatcher's own order, by id
+        self._ranks: dict[int, int] = {}  # slots in one dispatcher's own order, by id
         self._groups: dict[int, list[list[Worker]]] = {}  # of the pools kept here and of ``near``, by id()
 
     def add(self, entry: io.WorkerEntry, cap: float) -> Worker:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -64,7 +64,7 @@
     yield make
     for program in made:
         program.watch.stop()
-        program.ingress.close()
+        program.frontend.close()
         program.loop.close()
 
 
--- a/tests/in_process.py
+++ b/tests/in_process.py
@@ -16,7 +16,7 @@
     while not until():
         assert time.monotonic() < end
         program.loop.turn(idle=False)
-        program.book.decide()
+        program.tracker.decide()
 
 
 def readable(sock):
--- a/tests/model_book.py
+++ b/tests/model_tracker.py
@@ -1,16 +1,16 @@
-"""The real program's book around the module, in the place of the model's scheduler and in its time."""
+"""The real program's tracker around the module, in the place of the model's scheduler and in its time."""
 
 from datetime import timedelta
 
 from carthinge import interface as io
 from carthinge.model.agenda import micros
-from carthinge.net import book as real
+from carthinge.net import request_tracker as real
 from carthinge.net.counters import Counters
 from carthinge.net.loop import Timer
 
 
 class VirtualLoop:
-    """The loop as the book knows it, in the model's time."""
+    """The loop as the tracker knows it, in the model's time."""
 
     def __init__(self, scheduler):
         self.scheduler, self.clock = scheduler, self
@@ -27,7 +27,7 @@
     def _ring(self, timer):
         if timer.call is not None:
             timer.call()
-            self.scheduler.book.decide_all()
+            self.scheduler.tracker.decide_all()
 
 
 class NowAndCall(timedelta):
@@ -37,7 +37,7 @@
         return self
 
 
-class Book(real.Book):
+class RequestTracker(real.RequestTracker):
     """The real one; each of its turns goes on until nothing more comes up."""
 
     def decide_all(self):
@@ -46,7 +46,7 @@
 
 
 class Sent:
-    """An attempt of the real book, as a model worker knows it."""
+    """An attempt of the real tracker, as a model worker knows it."""
 
     def __init__(self, attempt, work):
         self.attempt, self.work, self.due = attempt, work, micros(attempt.due)
@@ -58,7 +58,7 @@
 
 
 class RealScheduler:
-    """In the place of the model's scheduler: the real book around the module."""
+    """In the place of the model's scheduler: the real tracker around the module."""
 
     def __init__(self, play, position):
         self.play, self.position, self.agenda, self.module = play, position, play.agenda, None
@@ -67,13 +67,13 @@
     def start(self, module, listed):
         self.module = module
         self.targets = {
-            entry.worker: real.EgressTarget(str(entry.worker), entry.worker, ("127.0.0.1", 1))
+            entry.worker: real.WorkerEndpoint(str(entry.worker), entry.worker, ("127.0.0.1", 1))
             for entry in listed
         }
-        self.book = Book(VirtualLoop(self), module, self.targets, Counters())
-        self.book.target, self.book.watch = self, lambda: None
-        self.book.tell(io.WorkerList(io.Listing.CACHED, listed))
-        self.book.decide_all()
+        self.tracker = RequestTracker(VirtualLoop(self), module, self.targets, Counters())
+        self.tracker.target, self.tracker.watch = self, lambda: None
+        self.tracker.tell(io.WorkerList(io.Listing.CACHED, listed))
+        self.tracker.decide_all()
 
     def take(self, client, work, patience, arrival):
         us = timedelta(microseconds=1)
@@ -92,18 +92,18 @@
             def fail(self, timed_out):
                 client.failed()
 
-        job = real.Job(f"{self.position}-{self.book._count}", b"", b"")
+        job = real.Job(f"{self.position}-{self.tracker._count}", b"", b"")
         self.works[job.id] = work
-        exchange = self.book.take(job, terms, Waiting())
-        self.book.decide_all()
-        return exchange
+        tracked = self.tracker.take(job, terms, Waiting())
+        self.tracker.decide_all()
+        return tracked
 
-    def abandon(self, exchange):
-        self.book.abandon(exchange)
-        self.book.decide_all()
+    def abandon(self, tracked):
+        self.tracker.abandon(tracked)
+        self.tracker.decide_all()
 
     def send(self, attempt):
-        work = self.play.attempt_work(self.works[attempt.exchange.job.id], 0)
+        work = self.play.attempt_work(self.works[attempt.tracked.job.id], 0)
         sent = self.sent[attempt] = Sent(attempt, work)
         worker = self.play.workers[attempt.target.number]
         self.agenda.at(self.agenda.now + self.play.worker_delay(), worker.take, sent, self)
@@ -118,12 +118,12 @@
         """A model's worker has an attempt as soon as it is sent."""
 
     def note(self, sent, done):
-        self.book.note(sent.attempt, done)
-        self.book.decide_all()
+        self.tracker.note(sent.attempt, done)
+        self.tracker.decide_all()
 
     def end(self, sent, result, report):
         if result is io.Result.CANCELLED:
             sent.gone()
         else:
-            self.book.end(sent.attempt, result, report)
-        self.book.decide_all()
+            self.tracker.end(sent.attempt, result, report)
+        self.tracker.decide_all()
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -18,9 +18,9 @@
     lists(program, member("s-0", worker.port))
     client = dial(program).send(job("a1"))
     client.close()
-    turns(program, lambda: program.counters.taken and not program.book.events)
+    turns(program, lambda: program.counters.taken and not program.tracker.events)
     assert (program.counters.attempts, program.counters.client_gone) == (0, 1)
-    assert program.book.exchanges == {} and program.dispatcher.jobs == {}
+    assert program.tracker.tracked_requests == {} and program.dispatcher.jobs == {}
 
 
 def test_one_that_leaves_between_the_decision_and_the_connect_is_not_sent(serve, dial, worker):
@@ -37,7 +37,7 @@
         return actions
 
     program.dispatcher.handle = decide
-    turns(program, lambda: program.counters.client_gone and not program.book.events)
+    turns(program, lambda: program.counters.client_gone and not program.tracker.events)
     assert program.counters.attempts == 0
 
 
@@ -49,8 +49,8 @@
     sockets = faulty(program)
     client = dial(program).send(job("a1"))
     sockets.before("connect_error", lambda sock: client.close())
-    turns(program, lambda: program.counters.client_gone and not program.book.events)
-    assert program.counters.attempts_written == 0 and program.egress._calls == {}
+    turns(program, lambda: program.counters.client_gone and not program.tracker.events)
+    assert program.counters.attempts_written == 0 and program.worker_client._calls == {}
 
 
 def test_an_attempt_that_waits_for_its_connection_ends_with_its_client(serve, dial):
@@ -62,10 +62,10 @@
             filler.connect_ex(full.getsockname())
         lists(program, member("s-0", full.getsockname()[1]))
         client = dial(program).send(job("a1"))
-        turns(program, lambda: program.egress._calls)
+        turns(program, lambda: program.worker_client._calls)
         client.close()
         turns(program, lambda: program.counters.client_gone)
-        assert program.egress._calls == {} and program.counters.attempt_moot == 1
+        assert program.worker_client._calls == {} and program.counters.attempt_not_sent == 1
         for filler in fillers:
             filler.close()
 
@@ -83,16 +83,16 @@
     queued = dial(program).send(job("b1", kind="charge"))
     turns(program, lambda: program.counters.taken == 2)
     assert program.counters.attempts == 1
-    end = program.book.end
+    end = program.tracker.end
 
     def ended(attempt, *more, **named):
         end(attempt, *more, **named)
         queued.close()
 
-    program.book.end = ended
+    program.tracker.end = ended
     dial(program).send(call_back("s-0", "a1"))
     turns(program, lambda: program.counters.client_gone)
-    turns(program, lambda: not program.book.events)
+    turns(program, lambda: not program.tracker.events)
     assert first.status() == 200 and program.counters.attempts == 1
 
 
@@ -105,16 +105,16 @@
     listening = worker if readable(worker.sock) else second
     peer = listening.accept()
     reading(peer, program)
-    end = program.book.end
+    end = program.tracker.end
 
     def ended(attempt, *more, **named):
         client.close()
         end(attempt, *more, **named)
 
-    program.book.end = ended
+    program.tracker.end = ended
     peer.answer(503, Srv_Declined=1)
     turns(program, lambda: program.counters.client_gone)
-    turns(program, lambda: not program.book.events)
+    turns(program, lambda: not program.tracker.events)
     assert program.counters.attempts == 1 and program.counters.attempt_full == 1
     second.close()
 
@@ -124,12 +124,12 @@
     program = serve()
     lists(program, member("s-0", worker.port))
     client = dial(program).send(UP)
-    turns(program, lambda: program.ingress.places.kept)
+    turns(program, lambda: program.frontend.slots.kept)
     assert client.status() == 200
     client.send(job("a1") + job("a2"))
     client.close()
     turns(program, lambda: program.counters.client_gone)
-    turns(program, lambda: not program.book.events)
+    turns(program, lambda: not program.tracker.events)
     assert program.counters.attempts == 0
 
 
@@ -151,7 +151,7 @@
     sockets.before("connect_error", lambda sock: let_pass(program, timedelta(milliseconds=200)))
     client = dial(program).send(job("a1", deadline="3000m"))
     peer = taken(worker, program)
-    since = program.book.by_id["a1"].give_up
+    since = program.tracker.by_id["a1"].give_up
     assert told(reading(peer, program)) <= since - program.loop.clock.now() + timedelta(milliseconds=150)
     assert told_within(since, program)
     client.close()
@@ -195,5 +195,5 @@
     turns(program, lambda: program.counters.attempt_reset)
     turns(program, lambda: program.counters.failed or program.counters.shed)
     assert (program.counters.attempts, program.counters.attempts_written) == (2, 1)
-    assert program.counters.attempt_moot
+    assert program.counters.attempt_not_sent
     assert client.status() in (502, 503)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -47,15 +47,15 @@
     gateway.handle(NOW, [cold(1)])
     actions = gateway.handle(NOW, [arrival(7, now=NOW, hint=60_000)])
     assert [send.worker for send in of(io.Send, actions)] == [2]
-    desk = gateway.desk
-    assert desk.pace(gateway.fleet.workers[1]) > 2 * desk.pace(gateway.fleet.workers[2])
-    assert desk.pace(gateway.fleet.workers[1], NOW + settings().cold_time) == 1.0
+    context = gateway.context
+    assert context.pace(gateway.fleet.workers[1]) > 2 * context.pace(gateway.fleet.workers[2])
+    assert context.pace(gateway.fleet.workers[1], NOW + settings().cold_time) == 1.0
 
 
 def test_a_cold_worker_that_may_have_a_job_is_looked_at_among_hundreds():
     """Of so many a pick draws a few, and an allowance that nobody looked at was lost with its second."""
     gateway = started(settings(), *range(1, 301))
-    gateway.desk.carried.per_s = 1e9
+    gateway.context.carried.per_s = 1e9
     gateway.handle(NOW, [cold(300)])
     for worker in gateway.fleet.pool(-1):
         worker.work_out = 0.0 if worker.id == 300 else 400_000.0
@@ -83,14 +83,14 @@
 def test_what_the_level_sheds_goes_to_a_cold_worker_that_can_begin_it_at_once():
     """Half of what came was refused while half of the fleet was cold and idle (genova-sala, upgrades)."""
     gateway = started(settings(WORTHLESS_LATE, reports=io.Reports.OFF), 1, 2)
-    desk = gateway.desk
-    desk.carried.per_s = 1e5  # two jobs in a second of a warm worker
+    context = gateway.context
+    context.carried.per_s = 1e5  # two jobs in a second of a warm worker
     gateway.handle(NOW, [cold(2)])
     for step in range(8):  # all that was sent to the warm one stands there
-        desk.level.waited(1e6, NOW + step)
-        desk.level.waiting = 50
-    gateway.cold.granted()
-    gateway.fleet.workers[2].cold_left = 2 * desk.mean_work
+        context.level.waited(1e6, NOW + step)
+        context.level.waiting = 50
+    gateway.slow_start.granted()
+    gateway.fleet.workers[2].cold_left = 2 * context.mean_work
     ends = []
     for request in range(60):
         actions = gateway.handle(NOW + 10, [arrival(request, now=NOW + 10)])
@@ -107,10 +107,10 @@
 def test_a_job_that_was_spared_and_finds_the_worker_taken_is_refused_in_the_same_turn():
     gateway = started(settings(WORTHLESS_LATE, reports=io.Reports.OFF), 1, 2)
     gateway.handle(NOW, [cold(2)])
-    gateway.desk.level.waiting = 50
+    gateway.context.level.waiting = 50
     for step in range(8):
-        gateway.desk.level.waited(1e6, NOW + step)
-    gateway.cold.granted()
+        gateway.context.level.waited(1e6, NOW + step)
+    gateway.slow_start.granted()
     gateway.fleet.workers[2].cold_left = 60_000.0  # one job
     burst = [arrival(request, now=NOW + 10) for request in range(40)]
     actions = gateway.handle(NOW + 10, burst)
@@ -125,10 +125,10 @@
     def sent(level_up):
         gateway = started(settings(WORTHLESS_LATE, reports=io.Reports.OFF), *range(1, 4))
         gateway.handle(NOW, [cold(3)])
-        gateway.cold.granted()
+        gateway.slow_start.granted()
         gateway.fleet.workers[3].cold_left = 1e6
-        gateway.desk.level.up = level_up
-        gateway.desk.level.waited(2e4, NOW)  # longer than where it falls, shorter than where it rises
+        gateway.context.level.up = level_up
+        gateway.context.level.waited(2e4, NOW)  # longer than where it falls, shorter than where it rises
         return [send.worker for send in of(io.Send, gateway.handle(NOW, [arrival(1, now=NOW, hint=90_000)]))]
 
     assert sent(True) == [3]
@@ -139,4 +139,4 @@
     gateway = started(settings(cold_start_share=0.0), 1, 2)
     gateway.handle(NOW, [cold(1, 2)])
     assert gateway.handle(NOW, [arrival(1, now=NOW)]) is not None
-    assert gateway.desk.pace(gateway.fleet.workers[1]) > 1
+    assert gateway.context.pace(gateway.fleet.workers[1]) > 1
--- a/tests/test_connections_end.py
+++ b/tests/test_connections_end.py
@@ -10,7 +10,7 @@
 from world import SETTINGS, job, member
 
 from carthinge.front.connection import SLOW_REQUEST
-from carthinge.front.ingress import FIRST_REQUEST
+from carthinge.front.frontend import FIRST_REQUEST
 from carthinge.net.stream import LINGER
 
 MANY = {**SETTINGS, "instances": 5}
@@ -20,7 +20,7 @@
     """Told to end, and past the time for which clients are kept."""
     program._signalled(bytes((signal.SIGTERM,)))
     program.loop.turn(idle=False)
-    let_pass(program, program.ingress.draining.kept_until - program.loop.clock.now())
+    let_pass(program, program.frontend.draining.kept_until - program.loop.clock.now())
     program.loop.turn(idle=False)
 
 
@@ -28,7 +28,7 @@
     """Turns up to the end of the program; time passes where nothing else happens."""
     for _ in range(400):
         program.loop.turn(idle=False)
-        program.book.decide()
+        program.tracker.decide()
         if program._over:
             return True
         let_pass(program, timedelta(milliseconds=25))
@@ -43,7 +43,7 @@
     program = serve(settings=MANY)
     drained(program)
     client = dial(program)
-    turns(program, lambda: program.ingress.places.fresh)
+    turns(program, lambda: program.frontend.slots.fresh)
     for _ in range(5):
         let_pass(program, timedelta(milliseconds=40))  # less than anybody needs to connect, in all
         program.loop.turn(idle=False)
@@ -57,7 +57,7 @@
     program = serve(settings=MANY)
     drained(program)
     silent = dial(program)
-    turns(program, lambda: program.ingress.places.fresh)
+    turns(program, lambda: program.frontend.slots.fresh)
     assert over(program) and silent.ended()
 
 
@@ -66,7 +66,7 @@
     lists(program, member("s-0", worker.port))
     text = job("a1")
     client = dial(program).send(text[:70])
-    turns(program, lambda: program.ingress.places.fresh)
+    turns(program, lambda: program.frontend.slots.fresh)
     for _ in range(3):
         program.loop.turn(idle=False)
     drained(program)
@@ -85,14 +85,14 @@
     program = serve(settings=MANY)
     lists(program, member("s-0", worker.port))
     client = dial(program).send(job("a1"))
-    take = program.book.take
+    take = program.tracker.take
 
     def told_then(*given):
-        exchange = take(*given)
+        tracked = take(*given)
         program._signalled(bytes((signal.SIGTERM,)))
-        return exchange
+        return tracked
 
-    program.book.take = told_then
+    program.tracker.take = told_then
     turns(program, lambda: program.counters.taken)
     peer = taken(worker, program)
     reading(peer, program)
@@ -120,15 +120,15 @@
     program = serve(settings=MANY)
     sockets = faulty(program)
     client = dial(program)
-    turns(program, lambda: program.ingress.places.fresh)
-    (connection,) = program.ingress.places.all()
+    turns(program, lambda: program.frontend.slots.fresh)
+    (connection,) = program.frontend.slots.all()
     connection._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     answer = connection._answer
     connection._answer = lambda status, *more, **named: answer(status, b"x" * 300_000)
     sockets.after("send", lambda sock, data: program._signalled(bytes((signal.SIGTERM,))))
     client.send(UP)
-    turns(program, lambda: program.ingress.draining is not None)
+    turns(program, lambda: program.frontend.draining is not None)
     assert connection._stream.unsent
     read = b""
     while not read.endswith(b"x" * 10) or len(read) < 300_000:
@@ -175,7 +175,7 @@
     assert client.ended() and sockets.made["receive"] == read
     for _ in range(20):
         program.loop.turn(idle=False)
-        program.book.decide()
+        program.tracker.decide()
     assert program.counters.taken == program.counters.attempts == 0
     client.close()
     assert over(program)
@@ -188,7 +188,7 @@
     client = dial(program).send(UP)
     sockets = faulty(program)
     sockets.before("end_sending", lambda sock: client.send(b"x" * 100_000))
-    turns(program, lambda: program.ingress.places.ending)
+    turns(program, lambda: program.frontend.slots.ending)
     for _ in range(10):
         program.loop.turn(idle=False)
     assert reading(client, program)[0].endswith("503 Service Unavailable") and client.ended()
@@ -201,13 +201,13 @@
     while program._quiet_since is None:
         program.loop.turn(idle=False)
         let_pass(program, timedelta(milliseconds=10))
-    program.ingress._listener._loop.forget(program.ingress._listener._sock)  # the selector is late to tell
-    program.ingress._listener._registered = False
+    program.frontend._listener._loop.forget(program.frontend._listener._sock)  # the selector is late to tell
+    program.frontend._listener._registered = False
     client = dial(program).send(UP)
     let_pass(program, timedelta(seconds=1))
     program.loop.turn(idle=False)
     assert not program._over
-    program.ingress._listener._update()
+    program.frontend._listener._update()
     assert reading(client, program)[0].endswith("503 Service Unavailable")
     assert over(program)
 
@@ -220,11 +220,11 @@
     reading(peer, program)
     peer.answer(202)
     program._signalled(bytes((signal.SIGHUP, signal.SIGTERM)))
-    drain = program.ingress.draining
+    drain = program.frontend.draining
     let_pass(program, timedelta(milliseconds=300))
     program.loop.turn(idle=False)
     program._signalled(bytes((signal.SIGTERM, signal.SIGHUP, signal.SIGINT)))
-    assert program.ingress.draining is drain and not program._over
+    assert program.frontend.draining is drain and not program._over
     dial(program).send(call_back("s-0", "a1", result="r"))
     assert reading(client, program)[2] == b"r"
     client.close()
@@ -251,7 +251,7 @@
 def test_one_that_says_nothing_is_ended_and_one_that_writes_slowly_is_not(serve, dial):
     program = serve()
     silent, slow = dial(program), dial(program).send(UP[:4])
-    turns(program, lambda: len(program.ingress.places.fresh) == 2)
+    turns(program, lambda: len(program.frontend.slots.fresh) == 2)
     for _ in range(3):
         program.loop.turn(idle=False)
     let_pass(program, FIRST_REQUEST + timedelta(milliseconds=300))
@@ -267,7 +267,7 @@
 def test_one_that_never_ends_its_request_is_told_so(serve, dial):
     program = serve()
     client = dial(program).send(UP[:4])
-    turns(program, lambda: program.ingress.places.fresh)
+    turns(program, lambda: program.frontend.slots.fresh)
     for _ in range(3):
         program.loop.turn(idle=False)
     let_pass(program, SLOW_REQUEST)
@@ -277,11 +277,11 @@
 def test_the_place_of_a_request_that_has_begun_is_the_last_to_go(serve, dial):
     program = serve(sockets=64)
     begun = [dial(program).send(UP[:4]) for _ in range(4)]
-    turns(program, lambda: len(program.ingress.places.fresh) == 4)
+    turns(program, lambda: len(program.frontend.slots.fresh) == 4)
     for _ in range(3):
         program.loop.turn(idle=False)
-    silent = [dial(program) for _ in range(program.ingress.places.most)]
-    turns(program, lambda: len(program.ingress.places) == program.ingress.places.most)
+    silent = [dial(program) for _ in range(program.frontend.slots.most)]
+    turns(program, lambda: len(program.frontend.slots) == program.frontend.slots.most)
     let_pass(program, timedelta(seconds=1))
     turns(program, lambda: program.counters.connections_in_closed_early == 4)
     assert all(peer.ended() for peer in silent[:4])
@@ -294,9 +294,9 @@
     program = serve(settings=MANY)
     client = dial(program).send(UP)
     drained(program)
-    turns(program, lambda: program.ingress.places.ending or not len(program.ingress.places))
+    turns(program, lambda: program.frontend.slots.ending or not len(program.frontend.slots))
     let_pass(program, LINGER)
-    turns(program, lambda: len(program.ingress.places) == 0)
+    turns(program, lambda: len(program.frontend.slots) == 0)
     assert client.status() == 503
 
 
@@ -314,9 +314,9 @@
     peer.answer(202)
     dial(program).send(call_back("s-0", "a1", result="r1"))
     assert reading(first, program)[2] == b"r1"
-    turns(program, lambda: program.egress._idle)
+    turns(program, lambda: program.worker_client._idle)
     peer.send(stray)
-    turns(program, lambda: not any(caller.usable() for caller in program.egress._idle))
+    turns(program, lambda: not any(caller.usable() for caller in program.worker_client._idle))
     for _ in range(3):
         program.loop.turn(idle=False)
     second = dial(program).send(job("a2"))
@@ -335,7 +335,7 @@
     peer = taken(worker, program)
     reading(peer, program)
     peer.send(b"HTTP/1.1 202 Accepted\r\nConnection: close\r\n\r\ntaken").close()
-    turns(program, lambda: not program.egress._calls)
+    turns(program, lambda: not program.worker_client._calls)
     assert program.counters.attempt_reset == 0
     dial(program).send(call_back("s-0", "a1", result="r"))
     assert reading(client, program)[2] == b"r"
@@ -357,6 +357,6 @@
     program = serve(settings=MANY)
     program.loop.since = told = program.loop.now - timedelta(milliseconds=400)
     program._signalled(bytes((signal.SIGTERM,)))
-    drain = program.ingress.draining
+    drain = program.frontend.draining
     assert drain.arriving_until < told + timedelta(milliseconds=700)
     assert drain.answered_by < told + timedelta(milliseconds=3700)
--- a/tests/test_deployment_settings.py
+++ b/tests/test_deployment_settings.py
@@ -126,7 +126,7 @@
     gateway = started(settings(SAFE, LONG, **TOLD), 1)
     fill(gateway, 1)
     gateway.fleet.workers[1].avoid_until = 10**9
-    grace = gateway.desk.settings.answer_grace
+    grace = gateway.context.settings.answer_grace
     gateway.handle(2, [io.Arrival(1, job_class, 2 + patience, hint=50_000)])
     assert io.Refuse(1) not in gateway.handle(patience - grace - 10, [io.Timer(0)])
     assert io.Refuse(1) in gateway.handle(2 + patience - grace, [io.Timer(0)])
