--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -130,7 +130,7 @@
         left = self.due.get(job, now) - now
         if job in self.due and told > max(left, 0.0) + TOLD + self.lag:
             self.breaches.append(f"{job}: is told {told:.3f} s where {left:.3f} s are left")
-        if number in out or out and not self.settings["caps"]["second_copies"]:
+        if number in out or (out and not self.settings["caps"]["second_copies"]):
             self.breaches.append(f"{job}: a second copy, at worker {number} beside {out}")
         if ran and not self.repeatable(job, {*ran, number}):
             self.breaches.append(f"{job}: a repeat at worker {number} after {ran}")
@@ -157,7 +157,7 @@
         spec = self.classes[job.split(".")[0]]
         keyed = spec["effect"] == "idempotency_key"
         together = spec["group"] == "all" or len({worker % self.groups for worker in workers}) == 1
-        return spec["effect"] == "read_like" or keyed and together
+        return spec["effect"] == "read_like" or (keyed and together)
 
     def refusable(self, job):
         """Whether a client may be told that it does no harm to try again."""
@@ -198,7 +198,7 @@
     body = await reader.readexactly(int(headers.get("content-length", 0)))
     if headers.get("connection") == "close":
         assert await reader.read() == b"", "something follows the last answer"
-    if headers.get("connection") == "close" or kept is None and data.startswith(b"POST /v1"):
+    if headers.get("connection") == "close" or (kept is None and data.startswith(b"POST /v1")):
         writer.close()
         return int(head[0].split()[1]), headers, body, None
     return int(head[0].split()[1]), headers, body, (reader, writer)
@@ -260,7 +260,7 @@
                 took = time.monotonic() - sent
                 found.append(f"{job}: {type(fault).__name__} after {took:.3f} s of {patience} s")
             continue
-        if status not in ANSWERS or status == 200 and body.decode() != f"of {job}":
+        if status not in ANSWERS or (status == 200 and body.decode() != f"of {job}"):
             found.append(f"{job}: {status} {body!r}")
         if status == 503 and not workers.refusable(job):
             found.append(f"{job}: refused, though it may have run")
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -8,16 +8,16 @@
 from in_process import call_back, lists, reading, taken, turns
 from world import SETTINGS, Listener, World, job, member
 
-from carthinge.front.ingress import FIRST_REQUEST
+from carthinge.front.frontend import FIRST_REQUEST
 from carthinge.net.http import Address
 
-TIGHT = 64  # descriptors: what is not kept back leaves places for ten connections
+TIGHT = 64  # descriptors: what is not kept back leaves slots for ten connections
 
 
 def filled(program, dial, half=b""):
-    """Clients by far more than there are places, that say nothing or never end what they begin to say."""
-    clients = [dial(program).send(half) for _ in range(5 * program.ingress.places.most)]
-    turns(program, lambda: len(program.ingress.places) == program.ingress.places.most)
+    """Clients by far more than there are slots, that say nothing or never end what they begin to say."""
+    clients = [dial(program).send(half) for _ in range(5 * program.frontend.slots.most)]
+    turns(program, lambda: len(program.frontend.slots) == program.frontend.slots.most)
     return clients
 
 
@@ -56,11 +56,11 @@
     let_pass(program, FIRST_REQUEST * 2)
     turns(program, lambda: program.counters.connections_in == len(clients))
     let_pass(program, FIRST_REQUEST * 2)
-    turns(program, lambda: len(program.ingress.places) == 0)
+    turns(program, lambda: len(program.frontend.slots) == 0)
 
 
 def test_a_limit_of_the_process_that_is_lower_than_the_settings_one_counts(make_program):
-    """Places were shared out by the number that was told: accepting took the last descriptor."""
+    """ConnectionSlots were shared out by the number that was told: accepting took the last descriptor."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     told = make_program(sockets=400)
     resource.setrlimit(resource.RLIMIT_NOFILE, (200, hard))
@@ -68,7 +68,11 @@
         held = make_program(sockets=400)
     finally:
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-    assert held.ingress.places.most + held.egress.most < 200 < told.ingress.places.most + told.egress.most
+    assert (
+        held.frontend.slots.most + held.worker_client.most
+        < 200
+        < told.frontend.slots.most + told.worker_client.most
+    )
 
 
 def test_the_real_process_answers_beside_hundreds_of_idle_clients(tmp_path):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -229,7 +229,7 @@
         peer.answer(200, told(9, member("s-1", port, phase="Terminating"), member("s-0", good)))
         assert world.take()[2][1]["req-id"] == "a1"
         counted = world.counters()
-        assert (counted["attempt_moot"], counted["attempts_written"]) == (1, 1)
+        assert (counted["attempt_not_sent"], counted["attempts_written"]) == (1, 1)
         for sock in [full, *fillers]:
             sock.close()
 
--- a/tests/test_discovery_terms.py
+++ b/tests/test_discovery_terms.py
@@ -16,7 +16,7 @@
 from carthinge.net.discovery import CHECK_OVERDUE, CHECK_WAIT, OVERDUE, WatchState
 from carthinge.net.http import Address
 from carthinge.net.loop import MICROSECOND
-from carthinge.net.route_table import number_of
+from carthinge.net.worker_directory import number_of
 
 TOLD_AFTER = timedelta(seconds=6)
 
@@ -49,7 +49,7 @@
     while program.loop.clock.now() < until:
         let_pass(program, timedelta(milliseconds=50))
         program.loop.turn(idle=False)
-        program.book.decide()
+        program.tracker.decide()
 
 
 @given(
@@ -151,7 +151,7 @@
     call = program.watch._caller.call
     for _ in range(20):
         program.loop.turn(idle=False)
-        program.book.decide()
+        program.tracker.decide()
     assert program.watch._caller.call is call and program.watch.state is WatchState.CALLING
     assert program.counters.watch_failures == 0
     reading(taken(discovery, program), program)
@@ -199,8 +199,8 @@
     )
     client = dial(program).send(job("a1"))
     turns(program, lambda: program.counters.attempts)
-    assert program.egress._calls
-    turns(program, lambda: program.counters.attempt_moot)
+    assert program.worker_client._calls
+    turns(program, lambda: program.counters.attempt_not_sent)
     assert program.counters.attempts_written == 0 and program.table.targets[number_of("s-0")].left
     client.close()
     worker.close()
--- a/tests/test_durable_crashes.py
+++ b/tests/test_durable_crashes.py
@@ -14,7 +14,7 @@
 from carthinge import interface as io
 from carthinge.durable.records import Ended, Granted, JobState
 from carthinge.durable.store import Store, Time
-from carthinge.net.route_table import number_of
+from carthinge.net.worker_directory import number_of
 
 OPERATOR_FILE = FILE  # of the fixture `world`
 
--- a/tests/test_durable_handover.py
+++ b/tests/test_durable_handover.py
@@ -52,7 +52,7 @@
     while not ended:
         began = time.monotonic()
         program.loop.turn(idle=False)
-        program.book.decide()
+        program.tracker.decide()
         longest = max(longest, timedelta(seconds=time.monotonic() - began))
         let_pass(program, timedelta(milliseconds=5))
         assert program.loop.clock.now() < until + CALM_WITHIN
@@ -65,16 +65,16 @@
 
 
 def test_what_comes_up_while_the_store_was_to_leave_is_carried_out_if_it_stays(program, dial):
-    """A job that got on disk meanwhile was in neither process's book, and its client was never answered."""
+    """A job that got on disk meanwhile was in neither process's tracker, and its client had no answer."""
     disk = SickDisk(program.durable._store)
     client = dial(program).send(job("a1", **ASYNC))
     turns(program, disk.entered.is_set)
     program.durable.leaving = True  # asked for while the job is being written
     disk.free.set()
     turns(program, lambda: program.durable._postponed)
-    assert not program.book.exchanges
+    assert not program.tracker.tracked_requests
     program.durable.stay()
-    turns(program, lambda: program.book.exchanges)
+    turns(program, lambda: program.tracker.tracked_requests)
     assert reading(client, program)[0].split()[1] == "202"
 
 
--- a/tests/test_durable_limits.py
+++ b/tests/test_durable_limits.py
@@ -2,9 +2,9 @@
 
 from datetime import timedelta
 
+from carthinge.durable.job_names import job_name, job_number
 from carthinge.durable.limits import Limits, Shed
 from carthinge.durable.recovery import Entrance
-from carthinge.durable.seal import job_name, job_number
 
 
 def test_limits_name_what_is_short_and_count_what_is_open():
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 
 from carthinge import interface as io
-from carthinge.fleet import comeback, doubts
-from carthinge.fleet.budget import Budget
-from carthinge.fleet.levels import FIRST, LEAST, Level, Offered, standing
+from carthinge.fleet import probe_backoff, retry_after
+from carthinge.fleet.load_shedding import FIRST, LEAST, Offered, SheddingLevel, standing
+from carthinge.fleet.retry_budget import RetryBudget
 
 spans = st.floats(0, 1e12) | st.just(float("inf"))
 points = st.integers(0, (1 << 64) - 1)
@@ -16,7 +16,7 @@
 
 @given(spans, st.floats(0, 1e9), st.integers(0, 10**9), points)
 def test_nobody_comes_back_before_there_is_room_nor_later_than_may_be_told(room, least, most, point):
-    away = comeback.stay_away(room, least, most, point)
+    away = retry_after.stay_away(room, least, most, point)
     assert 0 <= away <= most
     assert away >= int(min(max(room, least), most / 2))
 
@@ -24,14 +24,14 @@
 @given(spans, st.integers(1000, 10**9))
 def test_comers_back_are_spread_evenly(room, most):
     first = min(max(room, 100), most / 2)
-    times = [comeback.stay_away(room, 100, most, part << 60) for part in range(16)]
+    times = [retry_after.stay_away(room, 100, most, part << 60) for part in range(16)]
     assert times == sorted(times)
     assert times[-1] - times[0] >= int(first * 14 / 16)
 
 
 def test_room_is_what_is_held_over_what_ends():
-    assert comeback.until_room(3.0, 1.5) == 2_000_000
-    assert comeback.until_room(3.0, 0.0) == float("inf")
+    assert retry_after.until_room(3.0, 1.5) == 2_000_000
+    assert retry_after.until_room(3.0, 0.0) == float("inf")
 
 
 # ---- who is shed first --------------------------------------------------------------------------
@@ -86,7 +86,7 @@
 
 
 def test_the_level_goes_up_with_the_wait_for_starts_and_down_when_it_is_short_again():
-    level = Level(SECOND)
+    level = SheddingLevel(SECOND)
     assert lived(level, 10, 20_000, 0) == 1 and not level.up
     assert lived(level, 4, 500_000, 5, start=10 * SECOND) < 0.5 and level.up and level.rises == 1
     lived(level, 0.5, 100_000, 1, start=14 * SECOND)
@@ -95,7 +95,7 @@
 
 
 def test_the_level_comes_down_by_itself_when_nothing_is_seen_any_more():
-    level = Level(SECOND)
+    level = SheddingLevel(SECOND)
     lived(level, 10, 600_000, 6)
     level.waiting = 0
     assert level.kept(0.0, 10 * SECOND) < 1
@@ -103,13 +103,13 @@
 
 
 def test_a_scheduler_that_has_just_started_may_have_a_few_waiting_and_more_once_they_begin():
-    level = Level(SECOND)
+    level = SheddingLevel(SECOND)
     taken = 0
     for now in range(0, SECOND, 10_000):
         if not level.sheds(0, 1.0, SECOND, 1 << 63, 0.0, now):
             taken, level.waiting = taken + 1, level.waiting + 1
     assert FIRST / 2 <= taken <= 4 * FIRST
-    grown = Level(SECOND)
+    grown = SheddingLevel(SECOND)
     for now in range(0, SECOND, 10_000):
         assert not grown.sheds(0, 1.0, SECOND, 1 << 63, 0.0, now)
         grown.ended(True, True, now)
@@ -117,7 +117,7 @@
 
 @given(st.lists(st.tuples(st.integers(0, SECOND), st.floats(0, 1e9), st.integers(-2, 50), st.booleans())))
 def test_whatever_is_measured_a_part_is_kept_and_the_guess_is_a_number(steps):
-    level, now = Level(0.0), 0
+    level, now = SheddingLevel(0.0), 0
     for gap, wait, waiting, served in steps:
         now += gap
         level.waiting = waiting
@@ -147,7 +147,7 @@
 
 def test_under_pressure_the_least_worth_is_refused_at_once_and_the_dear_is_sent():
     gateway = overloaded()
-    assert gateway.desk.level.up
+    assert gateway.context.level.up
     actions = gateway.handle(8_100_000, [arrival(200 + n, n % 2, now=8_100_000) for n in range(20)])
     refused = {refusal.request for refusal in of(io.Refuse, actions)}
     assert refused and all(request % 2 for request in refused)
@@ -156,7 +156,7 @@
 def test_what_is_worth_something_late_is_never_shed():
     gateway = overloaded(late_worth=0.1)
     assert not of(io.Refuse, gateway.handle(8_100_000, [arrival(200 + n, now=8_100_000) for n in range(20)]))
-    assert gateway.desk.level.shed == 0
+    assert gateway.context.level.shed == 0
 
 
 # ---- budgets and doubts -------------------------------------------------------------------------
@@ -164,7 +164,7 @@
 
 @given(st.integers(1, 5000), st.lists(st.booleans(), max_size=200))
 def test_further_attempts_never_exceed_a_tenth_of_what_was_served_and_the_bound(instances, steps):
-    budget = Budget(instances)
+    budget = RetryBudget(instances)
     served = made = 0
     for step in steps:
         if step:
@@ -174,16 +174,17 @@
             budget.spend()
             made += 1
     assert made <= 0.1 * served + budget.most + 1e-6
-    assert Budget.bound(instances) <= max(200, instances) + 1e-6
-    assert Budget(instances).left * instances <= max(20, instances / 10) + 1e-6  # all of them just restarted
+    assert RetryBudget.bound(instances) <= max(200, instances) + 1e-6
+    restarted = RetryBudget(instances).left * instances  # all of them, just now
+    assert restarted <= max(20, instances / 10) + 1e-6
 
 
 def test_a_repeat_that_its_client_marks_costs_budget():
     gateway = started(settings(WORTHLESS_LATE), 1, 2)
     gateway.handle(1, [arrival(1, repeat=True)])
-    assert gateway.desk.budget.spent == 1 and not gateway.desk.budget.allows()
+    assert gateway.context.budget.spent == 1 and not gateway.context.budget.allows()
 
 
 @pytest.mark.parametrize("sharers", [1, 8, 30, 1000])
 def test_the_tries_on_a_dead_worker_do_not_grow_with_those_who_share_it(sharers):
-    assert sharers / doubts.owners(sharers) <= doubts.OWNERS
+    assert sharers / probe_backoff.factor(sharers) <= probe_backoff.TRIED_AS_BY
--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -9,8 +9,6 @@
 
 from carthinge.fleet.agreement import agreed, agreed_levels
 from carthinge.fleet.codec import BadPacketError, decode, encode
-from carthinge.fleet.doubts_shared import FIRST_TRY, HOLD, NEXT_OWNER, SharedDoubts
-from carthinge.fleet.levels_shared import SharedLevel
 from carthinge.fleet.packets import (
     CELLS_MOST,
     DOUBTS_MOST,
@@ -21,6 +19,8 @@
     Standing,
     Summary,
 )
+from carthinge.fleet.shared_ejections import FIRST_TRY, HOLD, NEXT_OWNER, SharedDoubts
+from carthinge.fleet.shared_shedding import SharedSheddingLevel
 from carthinge.fleet.summary import AGE_MOST, FRESH, Heard, Summaries, cell_of, shape_of
 
 PERIOD = timedelta(seconds=1)
@@ -159,7 +159,7 @@
 
 def shared(agreed=None):
     """Half of the work offered is cheap; the dear one is worth more, and that of one rank too."""
-    level = SharedLevel()
+    level = SharedSheddingLevel()
     level.agreed = agreed or {}
     for number in range(100):
         level.sheds((DEAR, CHEAP)[number % 2], (8, 0)[number % 2], 1e5, number << 57, 10**6)
@@ -181,7 +181,7 @@
     for before, part in ((0, 0.6), (4, 0.3), (8, 0.0)):
         shed = 0
         for point in range(0, 512, 2):
-            level = SharedLevel()
+            level = SharedSheddingLevel()
             for _ in range(before):
                 level.sheds(DEAR, 8, 1e5, 0, 10**6)
             level.agreed = {CHEAP: 60}
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -253,7 +253,7 @@
     insight, worker = Insight(dispatcher, {}, 1), dispatcher.fleet.workers[101]
     worker.strikes = 1
     assert insight.look((), 1_000_000).doubted == {101: 1}
-    dispatcher.desk.level.up = True
+    dispatcher.context.level.up = True
     assert insight.look((), 1_000_000).doubted == {}
     worker.errors = 3
     assert insight.look((), 1_000_000).doubted == {101: 2}
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -10,12 +10,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "benchmarks"))
-from virtual_net import SECOND, Net, Rough  # noqa: E402
+from virtual_net import SECOND, Net, Rough
 
-from carthinge.fleet.codec import BadPacketError, decode, encode  # noqa: E402
-from carthinge.fleet.membership import Membership  # noqa: E402
-from carthinge.fleet.membership_limits import AWAY, REMEMBERED  # noqa: E402
-from carthinge.fleet.packets import PACKET_MOST, Kind, Packet, Rumor, Standing  # noqa: E402
+from carthinge.fleet.codec import BadPacketError, decode, encode
+from carthinge.fleet.membership import Membership
+from carthinge.fleet.membership_limits import AWAY, REMEMBERED
+from carthinge.fleet.packets import PACKET_MOST, Kind, Packet, Rumor, Standing
 
 PERIOD = SECOND
 FOUND_WITHIN = 25  # periods, for fleets as small as here
--- a/tests/test_fleet_passing.py
+++ b/tests/test_fleet_passing.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies as st
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "benchmarks"))
-from ledger_world import PERIOD, World, partitions, played, spent  # noqa: E402
+from ledger_world import PERIOD, World, partitions, played, spent
 
-from carthinge.fleet.gifts import OPEN, PIECES, UNITS, Gifts  # noqa: E402
-from carthinge.fleet.passing import BASE, LENDABLE, NEIGHBOURS, SPAN, Ledger  # noqa: E402
+from carthinge.fleet.budget_transfer import OPEN, PIECES, UNITS, BudgetTransfer
+from carthinge.fleet.quota_lending import BASE, LENDABLE, NEIGHBOURS, SPAN, Ledger
 
 
 @pytest.mark.parametrize("busy", [(0,), (0, 1)])
@@ -120,7 +120,7 @@
 
 def test_a_busy_one_gets_what_lies_idle_and_a_liar_adds_a_piece_a_period():
     """And nothing comes twice, unasked, from another than was asked, or beyond a piece."""
-    giver, taker = Gifts(1), Gifts(1000)
+    giver, taker = BudgetTransfer(1), BudgetTransfer(1000)
     for gifts in (giver, taker):
         gifts.retune(8.0)
     piece = int(8.0 * UNITS) // PIECES
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -9,7 +9,7 @@
 
 from carthinge import Dispatcher
 from carthinge import interface as io
-from carthinge.policy.pick import Pick
+from carthinge.policy.worker_selection import WorkerSelector
 from carthinge.records import Worker
 
 COUNT = 1100
@@ -77,7 +77,7 @@
         return call
 
     monkeypatch.setattr(Worker, "strength", counted(Worker.strength))
-    monkeypatch.setattr(Pick, "may_repeat", counted(Pick.may_repeat))
+    monkeypatch.setattr(WorkerSelector, "may_repeat", counted(WorkerSelector.may_repeat))
     config = settings(
         io.JobClass(objective=100_000, deadline=5_000_000, late_worth=0.5),
         instances=COUNT,
@@ -115,6 +115,6 @@
             ],
         )
         pool = module.fleet.pool(-1)
-        for worker in module.pick.candidates(None, pool, []):
+        for worker in module.selector.candidates(None, pool, []):
             drawn[worker.entry.kind] += 1
     assert 0.8 < drawn[0] / drawn[1] < 1.25
--- a/tests/test_fleet_talk.py
+++ b/tests/test_fleet_talk.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "benchmarks"))
-from virtual_net import SECOND, Net, Rough  # noqa: E402
+from virtual_net import SECOND, Net, Rough
 
-from carthinge.fleet.codec import encode  # noqa: E402
-from carthinge.fleet.membership import Membership  # noqa: E402
-from carthinge.fleet.packets import LIFE_MOST, Kind, Packet, Rumor, Standing, Summary  # noqa: E402
-from carthinge.fleet.talk import Facts, Talk  # noqa: E402
+from carthinge.fleet.codec import encode
+from carthinge.fleet.membership import Membership
+from carthinge.fleet.packets import LIFE_MOST, Kind, Packet, Rumor, Standing, Summary
+from carthinge.fleet.talk import Facts, Talk
 
 
 class Told:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -8,7 +8,7 @@
 
 from carthinge import interface as io
 from carthinge.meters import Heat
-from carthinge.roster import Fleet
+from carthinge.worker_registry import Fleet
 
 ids = st.sets(st.integers(1, 1 << 48), min_size=2, max_size=12)
 
@@ -62,7 +62,7 @@
     for step in range(200):
         sent(gateway, step * 100_000, step, key=7 if step % 5 == 0 else step + 100)
     gateway.handle(10**8, [arrival(1000, now=10**8, key=7)])
-    _, homes = gateway.pick.homes(gateway.jobs[1000])
+    _, homes = gateway.selector.homes(gateway.jobs[1000])
     assert 24 <= len(homes) <= 48  # a fifth of all jobs fills twelve of sixty workers; three times as many
 
 
--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -7,8 +7,8 @@
 import pytest
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "benchmarks"))
-import durable  # noqa: E402
-from harness import Fleet, Run  # noqa: E402
+import durable
+from harness import Fleet, Run
 
 BROKEN = (
     "lost",
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -5,11 +5,11 @@
 import sys
 from pathlib import Path
 
-HOUSE = Path(__file__).resolve().parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 LONGEST = 400  # lines of one file
 
 # Packages, and the modules beside them, each above all that it may import. Those of a line may not meet.
-FLOORS = (
+LAYERS = (
     ("__main__",),
     ("cli",),
     ("serving",),
@@ -20,8 +20,8 @@
     ("carthinge",),  # its face, which is the module
     ("policy",),
     ("memory",),
-    ("desk",),
-    ("roster", "timers"),
+    ("dispatch_context",),
+    ("worker_registry", "timers"),
     ("fleet",),
     ("records", "settings"),
     ("interface",),
@@ -46,7 +46,7 @@
             assert node.level == 0, f"{file}: imports are written out"
             module = node.module or ""
             for alias in node.names:  # `from carthinge import interface` is of the module interface
-                path = HOUSE.joinpath(*module.split("."), alias.name)
+                path = ROOT.joinpath(*module.split("."), alias.name)
                 inner = path.is_dir() or path.with_suffix(".py").exists()
                 found.add(f"{module}.{alias.name}" if inner else module)
     return {module for module in found if module.split(".")[0] == "carthinge"}
@@ -55,21 +55,21 @@
 def modules() -> dict[str, set[str]]:
     """Each module of carthinge, with those that it imports."""
     found = {}
-    for file in sorted(HOUSE.glob("carthinge/**/*.py")):
-        name = ".".join(file.relative_to(HOUSE).with_suffix("").parts).removesuffix(".__init__")
+    for file in sorted(ROOT.glob("carthinge/**/*.py")):
+        name = ".".join(file.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
         found[name] = imports(file)
     return found
 
 
-def test_every_package_stands_on_a_floor_and_imports_from_lower_ones_only():
-    floor = {part: at for at, parts in enumerate(FLOORS) for part in parts}
+def test_every_package_is_in_a_layer_and_imports_from_lower_ones_only():
+    layer = {part: at for at, parts in enumerate(LAYERS) for part in parts}
     seen = modules()
-    assert {part_of(module) for module in seen} == set(floor), "FLOORS and the folders differ"
+    assert {part_of(module) for module in seen} == set(layer), "LAYERS and the folders differ"
     upward = [
         f"{module} imports {other}"
         for module, others in seen.items()
         for other in sorted(others)
-        if part_of(other) != part_of(module) and floor[part_of(other)] <= floor[part_of(module)]
+        if part_of(other) != part_of(module) and layer[part_of(other)] <= layer[part_of(module)]
     ]
     assert not upward, upward
 
@@ -84,9 +84,9 @@
 
 def test_no_file_is_longer_than_can_be_read_at_one_go():
     longer = {
-        str(file.relative_to(HOUSE))
+        str(file.relative_to(ROOT))
         for folder in ("carthinge", "tests", "benchmarks")
-        for file in HOUSE.glob(f"{folder}/**/*.py")
+        for file in ROOT.glob(f"{folder}/**/*.py")
         if len(file.read_text().splitlines()) > LONGEST
     }
     assert not longer, longer
@@ -96,7 +96,7 @@
     """Durable jobs cost no import where none is set; a plain start needs neither command line nor model."""
     loaded = subprocess.run(
         [sys.executable, "-c", "import carthinge.serving, sys; print(*sys.modules)"],
-        cwd=HOUSE,
+        cwd=ROOT,
         capture_output=True,
         text=True,
         check=True,
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -14,7 +14,7 @@
 from hypothesis import HealthCheck, given
 from hypothesis import settings as limits
 from hypothesis import strategies as st
-from model_book import RealScheduler
+from model_tracker import RealScheduler
 
 from carthinge import Dispatcher
 from carthinge import interface as io
@@ -110,7 +110,7 @@
     assert tallies[0] == tallies[1]
 
 
-# ---- against the real program's book ------------------------------------------------------------
+# ---- against the real program's tracker ------------------------------------------------------------
 
 
 def decisions(scheduler_type, seed):
@@ -123,7 +123,7 @@
             seen.append(
                 (
                     now,
-                    self.desk.settings.position,
+                    self.context.settings.position,
                     [repr(event) for event in events],
                     [repr(action) for action in actions],
                 )
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -65,7 +65,7 @@
 
 
 def test_silent_callers_keep_nobody_out_and_are_cut_off(world):
-    """The places are few: without room made for the next caller, silent ones would hold them for seconds."""
+    """The slots are few: without room made for the next caller, silent ones would hold them for seconds."""
     silent = [world.call().send(b"GET /re") for _ in range(40)]
     since = time.monotonic()
     assert world.operate("/ready")[0] == 200 and time.monotonic() - since < 0.5
@@ -76,7 +76,7 @@
 def test_clients_that_hold_every_place_keep_no_operator_out(tmp_path):
     with World(tmp_path, sockets=96) as world:
         clients = []
-        for number in range(40):  # more than there are places, each with a request under way
+        for number in range(40):  # more than there are slots, each with a request under way
             clients.append(world.submit(f"a{number}"))
             world.operate("/ready")  # it is read, and does not make room as one that says nothing
         assert clients[-1].status() == 503
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,6 +1,7 @@
 """One small test for each failure that was found or expected, without the bench."""
 
 from dataclasses import replace
+from itertools import pairwise
 
 import pytest
 from helpers import SAFE, WORTHLESS_LATE, arrival, listing, of, outcome, settings, started
@@ -115,7 +116,7 @@
 def test_an_absurd_hint_does_not_distort_the_mean_of_the_work():
     gateway = started(settings(), 1)
     gateway.handle(1, [arrival(1, hint=10**15)])
-    assert gateway.desk.mean_work < 2 * SAFE.deadline
+    assert gateway.context.mean_work < 2 * SAFE.deadline
 
 
 def test_one_huge_job_does_not_distort_a_learned_pace():
@@ -234,13 +235,13 @@
 def test_one_of_hundreds_goes_back_to_where_its_job_has_just_ended():
     """That slot is known here only, and the connection is open: 0.97 new ones a job were opened before."""
     gateway = started(blind(price_connection=0.02), *range(1, 101))
-    places = []
+    slots = []
     for step in range(40):
         now = 1 + step * 300_000
         send = of(io.Send, gateway.handle(now, [arrival(step, now=now)]))[0]
-        places.append(send.worker)
+        slots.append(send.worker)
         gateway.handle(now + 100_000, [outcome(step, 0, send.worker, R.OK, report=(1.0,))])
-    assert len(set(places)) <= 8
+    assert len(set(slots)) <= 8
 
 
 def test_absurd_sizes_do_not_end_the_pick():
@@ -269,7 +270,7 @@
     gateway = started(config, *range(1, 60))
     gateway.handle(1, [io.ProbeResult(worker, R.OK, 9, (float(worker == 8),)) for worker in range(1, 9)])
     gateway.handle(2, [arrival()])
-    looked_at = gateway.pick.candidates(gateway.jobs[1], [gateway.fleet.workers[50]] * 17, [])
+    looked_at = gateway.selector.candidates(gateway.jobs[1], [gateway.fleet.workers[50]] * 17, [])
     assert {worker.id for worker in looked_at} <= {8, 50}
 
 
@@ -304,7 +305,7 @@
     refusals = of(io.Refuse, gateway.handle(1, [arrival(number) for number in range(1, 101)]))
     spans = sorted(refusal.stay_away for refusal in refusals)
     assert len(spans) == 100 and spans[0] >= 1_000_000 and spans[-1] <= 2_000_000
-    assert max(later - sooner for sooner, later in zip(spans, spans[1:], strict=False)) < 100_000
+    assert max(later - sooner for sooner, later in pairwise(spans)) < 100_000
 
 
 def test_the_refused_are_told_to_come_back_when_there_is_room():
@@ -373,7 +374,7 @@
     for step in range(5000):
         for sent in of(io.Send, gateway.handle(step, [arrival(step, now=step)])):
             gateway.handle(step, [outcome(step, 0, sent.worker, io.Result.OK)])
-    assert not gateway.jobs and len(gateway.desk.timers.heap) <= 128
+    assert not gateway.jobs and len(gateway.context.timers.heap) <= 128
 
 
 def test_jobs_given_up_while_they_wait_do_not_lengthen_the_queue():
--- a/tests/test_policy_attempts.py
+++ b/tests/test_policy_attempts.py
@@ -8,12 +8,12 @@
 R = io.Result
 
 
-@pytest.mark.parametrize("result", [R.FULL, R.CONNECT_FAILED, R.MOOT])
+@pytest.mark.parametrize("result", [R.FULL, R.CONNECT_FAILED, R.NOT_SENT])
 def test_unsafe_is_resent_only_when_it_never_ran(result):
     gateway = started(settings(UNSAFE), 1, 2)
     sent = of(io.Send, gateway.handle(1, [arrival()]))[0].worker
     again = of(io.Send, gateway.handle(2, [outcome(1, 0, sent, result)]))
-    assert [action.worker for action in again] == [3 - sent] or result is R.MOOT and again
+    assert [action.worker for action in again] == [3 - sent] or (result is R.NOT_SENT and again)
 
 
 @pytest.mark.parametrize("result", [R.ERROR, R.TIMEOUT, R.RESET, R.CANCELLED])
@@ -100,12 +100,12 @@
 def test_what_silent_jobs_turned_out_to_be_is_learned(run, compare):
     """Lost ones end soon elsewhere, long ones take as long there."""
     gateway, first, left = begun_alone(well=True)
-    now, before = left + 10, gateway.signs.run_patience
+    now, before = left + 10, gateway.timeouts.run_patience
     gateway.handle(now, [outcome(1000, 0, first, R.CANCELLED)])
     gateway.handle(now + 1, [io.Note(1000, 1, 3 - first)])
     gateway.fleet.workers[3 - first].well_at = now + run - 1
     gateway.handle(now + run, [outcome(1000, 1, 3 - first, R.OK)])
-    assert compare(gateway.signs.run_patience, before)
+    assert compare(gateway.timeouts.run_patience, before)
 
 
 @pytest.mark.parametrize(("when", "again"), [(900_000, [io.Send]), (1_000_001, [io.Fail])])
--- a/tests/test_policy_workers.py
+++ b/tests/test_policy_workers.py
@@ -86,9 +86,9 @@
     gateway = started(config, *range(1, 101))
     far = next(worker for worker in gateway.fleet.workers.values() if not worker.near)
     far.started = 1
-    gateway.desk.served.per_s = 1e9
-    gateway.desk.now = 2
-    assert gateway.cold.allowance(far) == 0
+    gateway.context.served.per_s = 1e9
+    gateway.context.now = 2
+    assert gateway.slow_start.allowance(far) == 0
 
 
 def test_a_cold_worker_alone_gets_no_more_than_what_was_served_tells():
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from carthinge.policy.tenants import DeficitRing
+from carthinge.policy.fair_queueing import DeficitRing
 
 
 @dataclass
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -60,7 +60,7 @@
         self.requests: dict[int, Request] = {}
         self.listed: dict[int, io.WorkerEntry] = {}
         self.timers: list[int] = []
-        self.cold: dict[tuple[int, int], list[tuple[int, float]]] = {}
+        self.slow_start: dict[tuple[int, int], list[tuple[int, float]]] = {}
         self.hints: dict[int, int] = {}
         self.served: list[tuple[int, float]] = []
 
@@ -118,7 +118,7 @@
         # Its own account of the work served: a decaying rate over ten seconds, as the design page states.
         rate = sum(work * math.exp((at - self.now) / 10e6) for at, work in self.served) / 10
         assert rate > 0 or self.hints[request] == 0, "rule 4: nothing served yet"
-        spent = self.cold.setdefault((worker.worker, worker.started), [])
+        spent = self.slow_start.setdefault((worker.worker, worker.started), [])
         spent.append((self.now, self.hints[request]))
         window = [work for at, work in spent if at > self.now - self.config.fall_window]
         fair = rate * self.config.fall_window / 1e6
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -167,7 +167,7 @@
 
 
 def test_silent_connections_by_hundreds_make_room_for_each_other_and_not_for_themselves(tmp_path):
-    with World(tmp_path, sockets=128) as world:  # 48 places
+    with World(tmp_path, sockets=128) as world:  # 48 slots
         kept = world.connect()
         assert kept.send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200
         silent = [world.connect() for _ in range(200)]
--- a/tests/test_settings_carried.py
+++ b/tests/test_settings_carried.py
@@ -44,7 +44,7 @@
         for send in sends:
             gateway.handle(now + 1, [io.Note(step, 0, send.worker, begun=True)])
             gateway.handle(now + 350_000, [outcome(step, 0, send.worker, io.Result.OK)])
-    assert gateway.desk.mean_work > 200_000 and gateway.spans[0] > 4_000_000
+    assert gateway.context.mean_work > 200_000 and gateway.spans[0] > 4_000_000
     return gateway
 
 
@@ -52,23 +52,23 @@
     """Long jobs' means had the short ones' patience and cold allowance wrong for minutes."""
     gateway, fresh = learned(), started(settings(QUICK, instances=40), 1, 2)
     gateway.handle(30_000_000, [io.Retune(settings(QUICK, instances=40), [-1], [-1, -1])])
-    desk, signs = gateway.desk, gateway.signs
-    assert desk.mean_work == fresh.desk.mean_work and gateway.spans == fresh.spans
-    assert (signs.patience, signs.run_patience, signs.prompt) == (
-        fresh.signs.patience,
-        fresh.signs.run_patience,
-        fresh.signs.prompt,
+    context, timeouts = gateway.context, gateway.timeouts
+    assert context.mean_work == fresh.context.mean_work and gateway.spans == fresh.spans
+    assert (timeouts.patience, timeouts.run_patience, timeouts.prompt) == (
+        fresh.timeouts.patience,
+        fresh.timeouts.run_patience,
+        fresh.timeouts.prompt,
     )
-    assert desk.level.bearable == fresh.desk.level.bearable
-    assert desk.budget.most == fresh.desk.budget.most and desk.budget.left <= desk.budget.most
-    assert desk.carried.per_s == desk.served.per_s == desk.arrivals.per_s == 0
+    assert context.level.bearable == fresh.context.level.bearable
+    assert context.budget.most == fresh.context.budget.most and context.budget.left <= context.budget.most
+    assert context.carried.per_s == context.served.per_s == context.arrivals.per_s == 0
 
 
 def test_a_class_that_goes_on_keeps_what_was_learned_by_its_name():
     gateway = learned()
-    work, span = gateway.desk.mean_work, gateway.spans[0]
+    work, span = gateway.context.mean_work, gateway.spans[0]
     gateway.handle(30_000_000, [io.Retune(settings(UNSAFE, SAFE), [1, 0], [0, 1])])
-    assert gateway.desk.mean_work == work and gateway.spans == [0, span]
+    assert gateway.context.mean_work == work and gateway.spans == [0, span]
 
 
 def test_a_deadline_that_becomes_shorter_makes_no_job_late_that_has_just_come():
@@ -104,7 +104,7 @@
     clients = [dial(program).send(job("a1", kind="reindex")), dial(program).send(job("a2", kind="query"))]
     assert reading(taken(press, program), program)[1]["req-id"] == "a1"
     assert reading(taken(worker, program), program)[1]["req-id"] == "a2"
-    turns(program, lambda: not program.book.events)
+    turns(program, lambda: not program.tracker.events)
     for client in clients:
         client.close()
     press.close()
@@ -142,11 +142,11 @@
     swapped.handle(30_000_000, [io.Inherit(memory, [1, 0], [1, 0], [0, 1])])
     assert swapped.spans == [memory.spans[1], memory.spans[0]]
     assert [bucket.level for bucket in swapped.tenants.quotas] == [memory.quotas[1][0], memory.quotas[0][0]]
-    assert swapped.desk.mean_work == gateway.desk.mean_work
+    assert swapped.context.mean_work == gateway.context.mean_work
     other = started(settings(QUICK, SAFE))
-    fresh = other.desk.mean_work
+    fresh = other.context.mean_work
     other.handle(30_000_000, [io.Inherit(memory, [-1, -1], [-1, -1], [-1, -1])])
-    assert other.desk.mean_work == fresh and other.spans == [0, 0]
+    assert other.context.mean_work == fresh and other.spans == [0, 0]
     assert set(other.fleet.workers) == {1, 2}, "the machines are the same"
 
 
--- a/tests/test_socket_faults.py
+++ b/tests/test_socket_faults.py
@@ -24,7 +24,7 @@
     peer = taken(worker, program)
     reading(peer, program)
     peer.answer(202)
-    turns(program, lambda: not program.egress._calls)
+    turns(program, lambda: not program.worker_client._calls)
     dial(program).send(call_back("s-0", name, result="r"))
     assert reading(client, program)[2] == b"r"
     return peer
@@ -44,7 +44,7 @@
     for _ in range(3):
         let_pass(program, ACCEPT_PAUSE)
         program.loop.turn(idle=False)
-    turns(program, lambda: program.ingress.places.kept)
+    turns(program, lambda: program.frontend.slots.kept)
     assert client.status() == 200 and sockets.left("accept") == 0
     assert program.counters.accept_pauses == 3
 
@@ -54,7 +54,7 @@
     sockets = faulty(program)
     sockets.fail("accept", errno.ECONNABORTED, errno.EPROTO)
     client = dial(program).send(UP)
-    turns(program, lambda: program.ingress.places.kept)
+    turns(program, lambda: program.frontend.slots.kept)
     assert client.status() == 200 and program.counters.accept_pauses == 0
 
 
@@ -98,11 +98,11 @@
     client = dial(program).send(job("a1", deadline="2000m"))
     for _ in range(30):
         program.loop.turn(idle=False)
-        program.book.decide()
+        program.tracker.decide()
         let_pass(program, timedelta(milliseconds=100))
     assert reading(client, program)[0].startswith("HTTP/1.1 50")  # once, and in its time
     (only,) = (held for held in program.dispatcher.fleet.workers.values() if held.ready)
-    assert only.strikes == 0 and program.counters.attempt_moot == program.counters.attempts > 0
+    assert only.strikes == 0 and program.counters.attempt_not_sent == program.counters.attempts > 0
 
 
 @pytest.mark.parametrize("error", LOCAL, ids=errno.errorcode.get)
@@ -157,7 +157,7 @@
     sockets.fail("receive", error)
     client.send(b"x")
     turns(program, lambda: program.counters.client_gone)
-    assert len(program.ingress.places) == 0
+    assert len(program.frontend.slots) == 0
 
 
 @pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM], ids=errno.errorcode.get)
@@ -193,7 +193,7 @@
     turns(program, lambda: failed)
     monkeypatch.undo()
     client = dial(program).send(UP)
-    turns(program, lambda: program.ingress.places.kept)
+    turns(program, lambda: program.frontend.slots.kept)
     assert client.status() == 200
 
 
@@ -213,7 +213,7 @@
     turns(program, lambda: not failing)
     assert first.ended()
     client = dial(program).send(UP)
-    turns(program, lambda: program.ingress.places.kept)
+    turns(program, lambda: program.frontend.slots.kept)
     assert client.status() == 200
 
 
--- a/tests/test_spans.py
+++ b/tests/test_spans.py
@@ -8,8 +8,8 @@
 from durable_world import FILE, locked, put
 from world import SETTINGS, World
 
-from carthinge.net.exchange import Job, Terms
 from carthinge.net.load import read_load
+from carthinge.net.tracked_request import Job, Terms
 from carthinge.settings import Facts, read_site
 
 MS = timedelta(milliseconds=1)
@@ -26,14 +26,14 @@
 @pytest.mark.parametrize(("patience", "margin"), [(100 * MS, 5 * MS), (25_000 * MS, 10 * MS)])
 def test_a_short_patience_is_not_eaten_up_by_the_margin_for_the_answer(serve, patience, margin):
     program = serve()
-    exchange = program.book.take(Job("a1", b"/api", b""), Terms(0, "query", 0, "acme", patience), None)
-    assert program.loop.now + patience - exchange.give_up == margin
+    tracked = program.tracker.take(Job("a1", b"/api", b""), Terms(0, "query", 0, "acme", patience), None)
+    assert program.loop.now + patience - tracked.give_up == margin
 
 
 def test_a_drain_leaves_time_for_answers_where_all_deadlines_are_short(serve):
     program = serve(settings=short(200_000))
     program._drain()
-    drain = program.ingress.draining
+    drain = program.frontend.draining
     assert drain.arriving_until < drain.answered_by < program.loop.now + 900 * MS  # when SIGKILL may come
 
 
@@ -89,7 +89,7 @@
 )
 def test_the_free_slots_of_a_report_count_whatever_else_is_in_it(serve, raw, report):
     program = serve(settings=site(load_info={"how": "inline", "fields": ["queue", "x0"]}))
-    assert program.egress.report(read_load(raw)) == report
+    assert program.worker_client.report(read_load(raw)) == report
 
 
 def test_a_call_back_counts_though_its_report_has_gaps(tmp_path):
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -14,7 +14,7 @@
 from carthinge.net.clock import PERIODS_KEPT, STEP_LEAST, Clock
 from carthinge.net.loop import MICROSECOND
 from carthinge.net.members import Listed, Member
-from carthinge.net.route_table import RouteTable, number_of
+from carthinge.net.worker_directory import WorkerDirectory, number_of
 from carthinge.settings import Facts, read_site
 
 STEPS = [timedelta(hours=1), timedelta(hours=-1), timedelta(seconds=3), timedelta(seconds=-3)]
@@ -61,7 +61,8 @@
     clock.check_for_step(clock.now())
     assert clock.of_unix_ms(after) == then
     told = clock.of_unix_ms(before)
-    assert told == at or told > at and step < timedelta(), "where it is open, the later of the possible times"
+    later = told > at and step < timedelta()
+    assert told == at or later, "where it is open, the later of the possible times"
     assert told <= clock.now()
 
 
@@ -101,7 +102,7 @@
 def test_a_worker_that_is_listed_again_after_a_step_has_not_started_anew(machine, step):
     """Its start would be translated to another time, and all that was learned of it thrown away."""
     clock = Clock()
-    table = RouteTable(read_site(Facts.from_nested(SETTINGS)), clock)
+    table = WorkerDirectory(read_site(Facts.from_nested(SETTINGS)), clock)
     machine.passes(30 * S)
     named = Listed(revision=1, members=[Member(**member("s-0", 1, up_since_ms=machine.wall_ms()))])
     (first,) = table.take(named, Listing.WHOLE).entries
@@ -124,29 +125,29 @@
     monkeypatch.setattr(time, "time_ns", lambda: real() + step // MICROSECOND * 1000)
     program.loop.turn(idle=False)
     lists(program, member("s-0", 1, up_since_ms=time.time_ns() // 1_000_000))
-    turns(program, lambda: not program.book.events)
+    turns(program, lambda: not program.tracker.events)
     worker = program.dispatcher.fleet.workers[number_of("s-0")]
-    assert 0.3 < program.dispatcher.desk.warmth(worker) < 0.4
+    assert 0.3 < program.dispatcher.context.warmth(worker) < 0.4
 
 
 @pytest.mark.parametrize("step", STEPS, ids=str)
 def test_deadlines_and_timers_do_not_follow_the_wall_clock(serve, dial, monkeypatch, step):
     program = serve()
     client = dial(program).send(job("a1", deadline="5000m"))
-    turns(program, lambda: program.book.exchanges)
+    turns(program, lambda: program.tracker.tracked_requests)
     real = time.time_ns
     monkeypatch.setattr(time, "time_ns", lambda: real() + step // MICROSECOND * 1000)
     monkeypatch.setattr(time, "time", lambda: time.time_ns() / 1e9)
-    (exchange,) = program.book.exchanges.values()
-    left, due = exchange.give_up - program.loop.clock.now(), program.loop._timers[0][0]
+    (tracked,) = program.tracker.tracked_requests.values()
+    left, due = tracked.give_up - program.loop.clock.now(), program.loop._timers[0][0]
     assert timedelta(seconds=4) < left < timedelta(seconds=5)
     for _ in range(5):
         program.loop.turn(idle=False)
-        program.book.decide()
-    assert exchange.owed and program.loop._timers[0][0] >= due
+        program.tracker.decide()
+    assert tracked.owed and program.loop._timers[0][0] >= due
     again = dial(program).send(job("b1", deadline="5000m"))
-    turns(program, lambda: "b1" in program.book.by_id)
-    left = program.book.by_id["b1"].give_up - program.loop.clock.now()
+    turns(program, lambda: "b1" in program.tracker.by_id)
+    left = program.tracker.by_id["b1"].give_up - program.loop.clock.now()
     assert timedelta(seconds=4) < left < timedelta(seconds=5)
     client.close()
     again.close()
