--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,7 +1,11 @@
 """The order of a start: what is open to clients, and when."""
 
+import json
+import time
 from datetime import timedelta
 
+from world import SETTINGS, World, member
+
 from carthinge.scheduler import program as net
 
 
@@ -34,3 +38,19 @@
     assert program.serving()  # and nothing is left to do before it reads
     program.loop.turn(idle=False)
     assert order[-1] == "poll"
+
+
+def test_ten_restarts_in_a_row_are_ready_within_ten_seconds_each(tmp_path):
+    """With a list of over a thousand workers and a discovery that says nothing."""
+    with World(tmp_path, settings={**SETTINGS, "instances": 230}) as world:
+        world.config["known"]["members"] += [
+            {**member(f"s-far-{number}", 1), "host_port": f"127.9.{number // 250}.{number % 250 + 1}:9"}
+            for number in range(1100)
+        ]
+        world.config_path.write_text(json.dumps(world.config))
+        for _ in range(10):
+            world.kill()
+            began = time.monotonic()
+            world.restart()
+            assert world.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n")[0].endswith("200 OK")
+            assert time.monotonic() - began < 10
