--- a/carthinge/benchlink.py
+++ b/carthinge/benchlink.py
@@ -54,6 +54,7 @@
 
 
 def worker_id(raw: bytes) -> int:
+    """Return the integer id of a worker's address and port."""
     return int.from_bytes(raw, "little")
 
 
@@ -180,6 +181,7 @@
 
 
 def main() -> int:
+    """Serve the simulator until its input ends; return the exit code."""
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as fault:
--- a/carthinge/dispatch_context.py
+++ b/carthinge/dispatch_context.py
@@ -194,6 +194,7 @@
         return retry_after.stay_away(room, job.spec.objective, most, point)
 
     def watch(self) -> None:
+        """Ask for a watch on discovery."""
         self.actions.append(io.Watch())
 
     def nothing(self, _: io.Timer | None = None) -> None:
--- a/carthinge/durable/held.py
+++ b/carthinge/durable/held.py
@@ -47,13 +47,17 @@
 class HeldBy(Protocol):
     """Who carries out what the tracker says of a job."""
 
-    def end(self, held: Held, ending: Ending) -> None: ...
+    def end(self, held: Held, ending: Ending) -> None:
+        """Record the final end of a job."""
 
-    def grant(self, held: Held, attempt: Attempt, go: Callable[[], None]) -> None: ...
+    def grant(self, held: Held, attempt: Attempt, go: Callable[[], None]) -> None:
+        """Record that an attempt is about to be sent; call ``go`` once it may be."""
 
-    def renew(self, attempt: Attempt, begun: bool) -> None: ...
+    def renew(self, attempt: Attempt, begun: bool) -> None:
+        """Extend an attempt's lease after a sign of its worker."""
 
-    def attempt_ended(self, held: Held, attempt: Attempt, result: io.Result) -> None: ...
+    def attempt_ended(self, held: Held, attempt: Attempt, result: io.Result) -> None:
+        """Record the end of an attempt."""
 
 
 @dataclass(slots=True, eq=False)
@@ -79,26 +83,33 @@
         return False
 
     def serve(self, result: bytes) -> None:
+        """End the job with a result."""
         self.jobs.end(self, Ending(JobState.SERVED, result))
 
     def shed(self, stay_away: timedelta) -> None:
+        """End the job as refused."""
         self.jobs.end(self, Ending(JobState.REFUSED, stay_away=stay_away))
 
     def fail(self, timed_out: bool) -> None:
+        """End the job as failed."""
         self.jobs.end(self, Ending(JobState.FAILED, timed_out=timed_out))
 
     def reject(self) -> None:
+        """End the job as one that no worker can use."""
         self.jobs.end(self, Ending(JobState.FAILED, b"no worker can use this request\n"))
 
     # ---- the tracker's keeper ----------------------------------------------------------------
 
     def grant(self, attempt: Attempt, go: Callable[[], None]) -> None:
+        """Record that an attempt is about to be sent."""
         self.jobs.grant(self, attempt, go)
 
     def renew(self, attempt: Attempt, begun: bool) -> None:
+        """Extend an attempt's lease."""
         self.jobs.renew(attempt, begun)
 
     def attempt_ended(self, attempt: Attempt, result: io.Result) -> None:
+        """Record the end of an attempt."""
         self.jobs.attempt_ended(self, attempt, result)
 
     # ---- what is known of it --------------------------------------------------------------
--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -247,6 +247,7 @@
     # ---- the tracker's side ------------------------------------------------------------------
 
     def grant(self, held: Held, attempt: Attempt, go: Callable[[], None]) -> None:
+        """Record that an attempt is about to be sent; call ``go`` once that is on disk."""
         if self.leaving:
             self.postpone(lambda: self.grant(held, attempt, go) if attempt.open else None)
         elif self.writer is not None:
@@ -267,9 +268,11 @@
             call()
 
     def renew(self, attempt: Attempt, begun: bool) -> None:
+        """Extend an attempt's lease after a sign of its worker."""
         self.attempt_leases.renew(self.writer, attempt, begun)
 
     def attempt_ended(self, held: Held, attempt: Attempt, result: io.Result) -> None:
+        """Record the end of an attempt, and whose result counts."""
         if result is io.Result.OK and held.ending is None:  # of two copies the first to end has the result
             held.winner = attempt.token
         self.attempt_leases.end(self.writer, attempt, result)
--- a/carthinge/durable/rows.py
+++ b/carthinge/durable/rows.py
@@ -12,10 +12,12 @@
 
 
 def body_crc(number: int, subject: bytes, body: bytes) -> int:
+    """Return the checksum of what a client handed in."""
     return crc32(body, crc32(subject, number & 0xFFFFFFFF))
 
 
 def result_crc(number: int, state: int, result: bytes) -> int:
+    """Return the checksum of how a job has ended."""
     return crc32(result, crc32(bytes((state,)), number & 0xFFFFFFFF))
 
 
@@ -50,5 +52,6 @@
 
 
 def found_job(row: Sequence[Any]) -> Found:
+    """Return what a row says of a job, whatever its state."""
     number, state, digest, result, token, timed_out, req_id = row
     return Found(number, JobState(state), digest, result or b"", token, bool(timed_out), req_id)
--- a/carthinge/durable/store.py
+++ b/carthinge/durable/store.py
@@ -371,5 +371,6 @@
         return self.find(rows[0][0]) if rows else None
 
     def usage(self) -> Usage:
+        """Return how full the database is."""
         pages, free = self._one("PRAGMA page_count"), self._one("PRAGMA freelist_count")
         return Usage((pages - free) * PAGE, free * PAGE)
--- a/carthinge/durable/writer.py
+++ b/carthinge/durable/writer.py
@@ -115,6 +115,7 @@
 
     @property
     def stopped(self) -> bool:
+        """Whether the thread has ended."""
         return not self._thread.is_alive()
 
     @property
@@ -123,6 +124,7 @@
         return bool(self._records)
 
     def close(self) -> None:
+        """Close the sockets that wake the loop; the thread has to have ended."""
         self.wake_in.close()
         self._wake_out.close()
 
--- a/carthinge/fleet/gossip.py
+++ b/carthinge/fleet/gossip.py
@@ -41,10 +41,12 @@
         self._put(0, rumor, rumor.size())
 
     def drop(self, name: str) -> None:
+        """Forget what is told of a member."""
         if (told := self._told.pop(name, None)) is not None:
             del self._rumors[told][name]
 
     def clear(self) -> None:
+        """Forget everything that is told."""
         self._told.clear()
         self._rumors.clear()
 
--- a/carthinge/fleet/retry_budget.py
+++ b/carthinge/fleet/retry_budget.py
@@ -43,6 +43,7 @@
         self.left = min(self.left + SHARE, self.most)
 
     def allows(self) -> bool:
+        """Whether a further attempt may be made now."""
         return self.left >= 1 - 1e-9
 
     def figures(self) -> dict[str, float]:
--- a/carthinge/front/call_backs.py
+++ b/carthinge/front/call_backs.py
@@ -43,9 +43,11 @@
     """Another process of this scheduler, while there is one."""
 
     @property
-    def paired(self) -> bool: ...
+    def paired(self) -> bool:
+        """Whether there is another process of this scheduler now."""
 
-    def pass_call_back(self, body: bytes, done: Callable[[bool], None]) -> None: ...
+    def pass_call_back(self, body: bytes, done: Callable[[bool], None]) -> None:
+        """Hand a call-back to the other process; ``done`` hears whether its job is there."""
 
 
 class CallBacks:
--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -75,17 +75,21 @@
         self._stream = Stream(frontend.loop, sock, self)
 
     def idle(self) -> bool:
+        """Whether no request is being read, handled or answered."""
         return not (
             self._current or self._waiting or self._reader.under_way or self._finished or self._stream.unsent
         )
 
     def silent(self) -> bool:
+        """Whether nothing waits to be read or sent."""
         return not self._stream.unsent and self._stream.silent()
 
     def began(self) -> bool:
+        """Whether a part of a request has been read."""
         return self._reader.under_way
 
     def has_left(self) -> bool:
+        """Whether the client has closed the connection."""
         return self._stream.left()
 
     def at_rest(self) -> bool:
@@ -99,6 +103,7 @@
         )
 
     def keep_alive(self) -> bool:
+        """Whether the client of the current request wants the connection kept."""
         return self._current is not None and self._current.keep_alive
 
     def unhandled(self) -> bytes:
@@ -138,6 +143,7 @@
         self._current = Request(b"POST", b"", {}, b"", keep_alive)
 
     def owe(self, tracked: TrackedRequest) -> None:
+        """Wait for the answer to a job."""
         self._exchange = tracked
         self._frontend.waiting.add(self)
 
@@ -148,12 +154,14 @@
         return self._stream.release()
 
     def close(self) -> None:
+        """Close at once; what its client waited for is abandoned."""
         self._stream.close()
         self.ended("closed here")
 
     # ---- the stream -----------------------------------------------------------------------
 
     def received(self, data: bytes) -> None:
+        """Read requests from bytes, and handle what is whole."""
         try:
             requests = self._reader.feed(data)
             loop = self._frontend.loop
@@ -295,9 +303,11 @@
     # ---- answers --------------------------------------------------------------------------
 
     def serve(self, result: bytes) -> None:
+        """Answer the job with its result."""
         self._answer(HTTPStatus.OK, result)
 
     def shed(self, stay_away: timedelta) -> None:
+        """Answer that the job is refused, and when to come again."""
         self._shed(min(stay_away, self._frontend.max_retry_after))
 
     def _shed(self, away: timedelta, keep_alive: bool = True) -> None:
@@ -305,9 +315,11 @@
         self._answer(HTTPStatus.SERVICE_UNAVAILABLE, headers=headers, keep_alive=keep_alive)
 
     def fail(self, timed_out: bool) -> None:
+        """Answer that the job has failed."""
         self._answer(HTTPStatus.GATEWAY_TIMEOUT if timed_out else HTTPStatus.BAD_GATEWAY)
 
     def reject(self) -> None:
+        """Answer that no worker can use the request."""
         self._answer(HTTPStatus.BAD_REQUEST, b"no worker can use this request\n")
         self._frontend.slots.misused(self)
 
--- a/carthinge/front/durable_front.py
+++ b/carthinge/front/durable_front.py
@@ -53,6 +53,7 @@
 
     @classmethod
     def of(cls, request: Request) -> Preference:
+        """Read the ``Prefer`` header of a request."""
         raw = text(request.headers, b"prefer")
         if not raw:
             return NO_PREFERENCE
@@ -163,12 +164,14 @@
         return self._front.jobs.name(self.number) if self.number else ""
 
     def accepted(self, number: int) -> None:
+        """Answer that the job is taken on, if that is waited for."""
         self.number = number
         if self.mode is Mode.ASYNC:
             self.mode = Mode.WATCH
             self._watch()
 
     def ended(self, ending: Ending) -> None:
+        """Answer with the job's end."""
         headers = [("Job-State", STATES[ending.state])]
         if self.number:
             headers.append(("Location", BASE + self.name))
@@ -187,13 +190,16 @@
             self._reply(HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY, b"", headers)
 
     def moved(self, number: int) -> None:
+        """Note that another process goes on with the job."""
         self.number = number
         self.held = None
 
     def shed(self, why: Shed, stay_away: timedelta) -> None:
+        """Answer that the job is not taken on."""
         self._reply(HTTPStatus.SERVICE_UNAVAILABLE, f"{why.value}\n".encode(), self._stay_away(stay_away))
 
     def mismatch(self) -> None:
+        """Answer that the key belongs to another request."""
         self._reply(HTTPStatus.UNPROCESSABLE_ENTITY, b"Idempotency-Key: belongs to another request\n", [])
 
     # ---- asked for by name ----------------------------------------------------------------
--- a/carthinge/front/frontend.py
+++ b/carthinge/front/frontend.py
@@ -60,6 +60,7 @@
         self._pause_told = timedelta()
 
     def listen(self, sock: socket.socket) -> None:
+        """Begin to accept connections."""
         self._listener = Listener(self.loop, sock, self)
 
     def retune(self, site: Site) -> None:
@@ -69,9 +70,11 @@
         self._greeting = site.connect_timeout
 
     def up(self) -> bool:
+        """Whether new jobs are welcome."""
         return self._ready() and self.draining is None
 
     def keeps_connections(self) -> bool:
+        """Whether connections may go on after an answer."""
         return self.draining is None or self.loop.now < self.draining.kept_until
 
     def patience(self, asked: timedelta, came: timedelta) -> timedelta:
@@ -84,6 +87,7 @@
             self._listener.pause()
 
     def resume(self) -> None:
+        """Accept connections again after ``rest``."""
         if self._listener is not None:
             self._listener.resume()
 
@@ -159,6 +163,7 @@
         return self._listener is not None and self._listener.somebody_waits()
 
     def close(self) -> None:
+        """Stop listening and close all connections."""
         if self._listener is not None:
             self._listener.close()
         for connection in self.slots.all():
@@ -167,6 +172,7 @@
     # ---- the listener ---------------------------------------------------------------------
 
     def free(self) -> int:
+        """Return how many connections fit without making room."""
         return self.slots.most - len(self.slots)
 
     def room(self) -> str | None:
@@ -181,6 +187,7 @@
         return None
 
     def enter(self, sock: socket.socket, since: timedelta) -> None:
+        """Take in a connection that was accepted."""
         self.counters.connections_in += 1
         self._hold(sock, since)
 
@@ -193,6 +200,7 @@
         return connection
 
     def resting(self, why: str) -> None:
+        """Log that no connection can be accepted for a moment."""
         self.counters.accept_pauses += 1
         if self.loop.now >= self._pause_told + PAUSE_TOLD:
             self._pause_told = self.loop.now
--- a/carthinge/front/operator.py
+++ b/carthinge/front/operator.py
@@ -33,9 +33,11 @@
 class Operations(Protocol):
     """What operators may ask for and have done."""
 
-    def serving(self) -> bool: ...
+    def serving(self) -> bool:
+        """Whether the scheduler takes work."""
 
-    def figures(self) -> dict[str, Any]: ...
+    def figures(self) -> dict[str, Any]:
+        """Return the figures for ``/metrics``."""
 
     def by_hand(self, worker: str, out: bool, done: Callable[[bool], None]) -> None:
         """Takes a worker out or puts it back; ``done`` hears False where nobody has that id."""
@@ -52,6 +54,7 @@
         self._listener = Listener(loop, bind(address, BACKLOG), self)
 
     def close(self) -> None:
+        """Stop listening and close all connections."""
         self._listener.close()
         for call in list(self.calls):
             call.close()
@@ -59,6 +62,7 @@
     # ---- the listener ---------------------------------------------------------------------
 
     def free(self) -> int:
+        """Return how many connections fit without making room."""
         return CONNECTIONS - len(self.calls)
 
     def room(self) -> str | None:
@@ -68,9 +72,11 @@
         return None
 
     def enter(self, sock: socket.socket, since: timedelta) -> None:
+        """Take in a connection that was accepted."""
         self.calls[_Call(self, sock)] = None
 
     def resting(self, why: str) -> None:
+        """Log that no connection can be accepted for a moment."""
         log.logger().warning("operator_paused", why=why)
 
 
--- a/carthinge/front/translator.py
+++ b/carthinge/front/translator.py
@@ -32,6 +32,7 @@
         return self._classes.get(name)
 
     def tenant(self, name: str) -> int | None:
+        """Return a tenant's position; None where this site has no such tenant."""
         return self._tenants.get(name) if self._tenants else 0
 
     def read(self, request: Request) -> tuple[Job, Terms]:
@@ -73,10 +74,12 @@
 
 
 def text(headers: dict[bytes, bytes], name: bytes) -> str:
+    """Return a header as text, empty where it is missing."""
     return headers.get(name, b"").decode("latin-1")
 
 
 def span(text: str) -> timedelta:
+    """Parse a number with the unit ``m`` (milliseconds) or ``u`` (microseconds)."""
     found = SPAN.fullmatch(text)
     if found is None:
         raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Deadline: not a number with the unit m or u")
@@ -84,6 +87,7 @@
 
 
 def extra(text: str) -> dict[str, float]:
+    """Parse ``name=number,...``."""
     try:
         pairs = [part.split("=", 1) for part in text.split(",") if part]
         figures = {name.strip(): float(value) for name, value in pairs}
--- a/carthinge/memory.py
+++ b/carthinge/memory.py
@@ -19,7 +19,8 @@
 
     quotas: list[Bucket]
 
-    def queue(self, tenant: int) -> TenantQueue: ...
+    def queue(self, tenant: int) -> TenantQueue:
+        """Return a tenant's queue."""
 
 
 class SlowStart(Protocol):
@@ -43,13 +44,16 @@
     spans: list[int]
 
     @property
-    def tenants(self) -> Tenants: ...
+    def tenants(self) -> Tenants:
+        """The tenants of the dispatcher."""
 
     @property
-    def slow_start(self) -> SlowStart: ...
+    def slow_start(self) -> SlowStart:
+        """The slow start of the dispatcher."""
 
     @property
-    def timeouts(self) -> ResponseTimeouts: ...
+    def timeouts(self) -> ResponseTimeouts:
+        """The response timeouts of the dispatcher."""
 
     def arrive(self, event: io.Arrival, sent: Sequence[AttemptMemory] = ()) -> None:
         """Takes a job in, with the attempts that it has had elsewhere."""
--- a/carthinge/meters.py
+++ b/carthinge/meters.py
@@ -18,6 +18,7 @@
     seen: int = 0
 
     def add(self, wait: float, now: int, gain: float = 1.0) -> None:
+        """Count the wait of a job that has begun now."""
         self.wait += (wait - self.wait) * gain
         self.seen = now
 
--- a/carthinge/model/clients.py
+++ b/carthinge/model/clients.py
@@ -75,12 +75,15 @@
             self.scheduler.abandon(self.tracked)
 
     def served(self) -> None:
+        """End this try with a result."""
         self._answer(End.IN_TIME, 0)
 
     def refused(self, stay_away: int) -> None:
+        """End this try; the client may come again after a while."""
         self._answer(End.REFUSED, stay_away)
 
     def failed(self) -> None:
+        """End this try without a result."""
         self._answer(End.FAILED, 0)
 
     def broken(self) -> None:
--- a/carthinge/model/play.py
+++ b/carthinge/model/play.py
@@ -99,6 +99,7 @@
     # ---- what schedulers and clients ask for ----------------------------------------------
 
     def attempt_work(self, work: int, job_class: int) -> int:
+        """Return the work of one attempt of a job."""
         return max(1, int(work * lognormal(self._work, self.world.sorts[job_class].noise)))
 
     def choose(self) -> Scheduler:
--- a/carthinge/model/scheduler.py
+++ b/carthinge/model/scheduler.py
@@ -23,7 +23,8 @@
 class Module(Protocol):
     """What decides: ``carthinge.Dispatcher``, or another that takes the same events."""
 
-    def handle(self, now: int, events: Sequence[io.Event]) -> Sequence[io.Action]: ...
+    def handle(self, now: int, events: Sequence[io.Event]) -> Sequence[io.Action]:
+        """Return what to do about events."""
 
 
 #: Makes a module from its settings and a seed.
@@ -33,11 +34,14 @@
 class Client(Protocol):
     """Who waits for an answer; the scheduler calls at the time when it is sent."""
 
-    def served(self) -> None: ...
+    def served(self) -> None:
+        """Hear that the request is served."""
 
-    def refused(self, stay_away: int) -> None: ...
+    def refused(self, stay_away: int) -> None:
+        """Hear that the request is refused."""
 
-    def failed(self) -> None: ...
+    def failed(self) -> None:
+        """Hear that the request has failed."""
 
 
 class World(Protocol):
--- a/carthinge/model/workers.py
+++ b/carthinge/model/workers.py
@@ -30,9 +30,11 @@
 class Home(Protocol):
     """Where an attempt comes from; called when the news is there."""
 
-    def note(self, attempt: Attempt, done: float | None) -> None: ...
+    def note(self, attempt: Attempt, done: float | None) -> None:
+        """Hear of the start or the progress of a job."""
 
-    def end(self, attempt: Attempt, result: io.Result, report: tuple[float, ...]) -> None: ...
+    def end(self, attempt: Attempt, result: io.Result, report: tuple[float, ...]) -> None:
+        """Hear of the end of a job."""
 
 
 @dataclass(slots=True, eq=False)
--- a/carthinge/net/caller.py
+++ b/carthinge/net/caller.py
@@ -31,9 +31,11 @@
     def written(self) -> None:
         """The last byte of the request has gone out."""
 
-    def answered(self, answer: Answer) -> None: ...
+    def answered(self, answer: Answer) -> None:
+        """Hear the answer."""
 
-    def broken(self, written: bool, why: str) -> None: ...
+    def broken(self, written: bool, why: str) -> None:
+        """Hear that there will be no answer; ``written``: the whole request went out."""
 
 
 class CallerState(Enum):
@@ -147,21 +149,25 @@
 
     @property
     def closed(self) -> bool:
+        """Whether it is of no further use."""
         return self.state is CallerState.CLOSED
 
     # ---- the stream -----------------------------------------------------------------------
 
     def connected(self) -> None:
+        """Write the request that has waited for the connection."""
         self.state = CallerState.UP
         self._cancel_timers()
         if self.call is not None:
             self._write_request()
 
     def flushed(self) -> None:
+        """Tell the call that its request went out."""
         if self.call is not None:
             self.call.written()
 
     def received(self, data: bytes) -> None:
+        """Read the answer from bytes."""
         if self.call is None:  # nobody has asked: what follows could be taken for the next call's answer
             self.close()
             return
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -161,14 +161,17 @@
 
     @property
     def unsent(self) -> bool:
+        """Whether something waits to be sent."""
         return bool(self._out)
 
     def send(self, message: Message, along: socket.socket | None = None) -> None:
+        """Send a message, and an open socket with it."""
         body = msgspec.msgpack.encode(message)
         self._out.append((bytearray(len(body).to_bytes(LENGTH, "big") + body), message, along))
         self._flush()
 
     def close(self) -> None:
+        """Close the channel and the sockets that came on it unclaimed."""
         if not self.closed:
             self.closed = True
             self._loop.forget(self._sock)
--- a/carthinge/net/connection_slots.py
+++ b/carthinge/net/connection_slots.py
@@ -23,7 +23,8 @@
     def began(self) -> bool:
         """A part of a request has come on it."""
 
-    def close(self) -> None: ...
+    def close(self) -> None:
+        """Close it at once."""
 
     def release(self) -> socket.socket:
         """Lets go of its socket, which stays open."""
@@ -46,9 +47,11 @@
         return len(self.fresh) + len(self.kept) + len(self.ending)
 
     def all(self) -> list[Holder]:
+        """Return all connections."""
         return [*self.fresh, *self.kept, *self.ending]
 
     def enter(self, holder: Holder, now: timedelta) -> None:
+        """Count a new connection."""
         self.fresh[holder] = now
 
     def used(self, holder: Holder) -> None:
@@ -64,10 +67,12 @@
             self.kept.move_to_end(holder, last=False)
 
     def end(self, holder: Holder) -> None:
+        """Note that the last answer on a connection is written."""
         if self.fresh.pop(holder, self) is not self or self.kept.pop(holder, self) is not self:
             self.ending[holder] = None
 
     def leave(self, holder: Holder) -> None:
+        """Forget a connection that is closed."""
         for order in (self.fresh, self.kept, self.ending):
             order.pop(holder, None)
 
--- a/carthinge/net/counters.py
+++ b/carthinge/net/counters.py
@@ -50,6 +50,7 @@
     operator_silent: int = 0  #: callers at the operators' address that were cut off without a whole call
 
     def as_dict(self) -> dict[str, int]:
+        """Return all counters by name."""
         return asdict(self)
 
 
--- a/carthinge/net/discovery.py
+++ b/carthinge/net/discovery.py
@@ -203,6 +203,7 @@
         self._spoken()
 
     def broken(self, why: str) -> None:
+        """Hear that the call under way ended without an answer."""
         self._failed(why)
 
     def _overdue(self) -> None:
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -112,10 +112,12 @@
         return done
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header (called by the parser)."""
         if self._in_head:  # what follows a body is no header: it must not replace one that counted
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
+        """Check the announced size (called by the parser)."""
         self._in_head = False
         length = self.headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > BODY_LIMIT:
@@ -123,6 +125,7 @@
         self.expects_go_ahead = self.headers.get(b"expect", b"").lower() == b"100-continue"
 
     def on_message_complete(self) -> None:
+        """Keep the whole request (called by the parser)."""
         parser = self._parser
         self.under_way = self.expects_go_ahead = False
         self._in_head = True
@@ -144,6 +147,7 @@
         self._ends_with_connection = False
 
     def feed(self, data: bytes) -> list[Answer]:
+        """Return the answers that ``data`` completes; raises the errors of httptools."""
         self._parser.feed_data(data)
         done, self._done = self._done, []
         return done
@@ -156,14 +160,17 @@
         return Answer(self._parser.get_status_code(), self.headers, bytes(self.body), keep_alive=False)
 
     def on_message_begin(self) -> None:
+        """Begin an answer (called by the parser)."""
         super().on_message_begin()
         self._ends_with_connection = False
 
     def on_headers_complete(self) -> None:
+        """Note how the body ends (called by the parser)."""
         framed = b"content-length" in self.headers or b"transfer-encoding" in self.headers
         self._ends_with_connection = not framed and self._parser.get_status_code() >= HTTPStatus.OK
 
     def on_message_complete(self) -> None:
+        """Keep the whole answer (called by the parser)."""
         self.under_way = False
         status = self._parser.get_status_code()
         if status >= HTTPStatus.OK:
@@ -208,6 +215,7 @@
 
     @classmethod
     def parse(cls, text: str) -> Address:
+        """Parse ``host:port``; raises ValueError."""
         host, colon, port = text.rpartition(":")
         if not colon or not host or not port.isdigit():
             raise ValueError(f"not an address of the form host:port: {text!r}")
--- a/carthinge/net/listener.py
+++ b/carthinge/net/listener.py
@@ -74,6 +74,7 @@
         self._update()
 
     def resume(self) -> None:
+        """Accept again after ``pause``."""
         if self._paused and not self._closed:
             self._left = self._backlog()
         self._paused = False
--- a/carthinge/net/loop.py
+++ b/carthinge/net/loop.py
@@ -30,6 +30,7 @@
         self.call: Callable[[], None] | None = call
 
     def cancel(self) -> None:
+        """Have the call not made."""
         self.call = None
 
 
@@ -49,15 +50,19 @@
         self._soon: deque[Callable[[], None]] = deque()
 
     def register(self, sock: socket.socket, interest: int, ready: Callable[[int], None]) -> None:
+        """Call ``ready`` with the mask when the socket is ready; OSError where there is no room."""
         self._selector.register(sock, interest, ready)
 
     def change(self, sock: socket.socket, interest: int, ready: Callable[[int], None]) -> None:
+        """Ask for other readiness of a registered socket."""
         self._selector.modify(sock, interest, ready)
 
     def forget(self, sock: socket.socket) -> None:
+        """Stop watching a socket."""
         self._selector.unregister(sock)
 
     def call_at(self, due: timedelta, call: Callable[[], None]) -> Timer:
+        """Make a call in the first turn after ``due``."""
         timer = Timer(call)
         self._count += 1
         if len(self._timers) >= self._sweep_at:  # cancelled ones would stay until they are due
@@ -68,6 +73,7 @@
         return timer
 
     def call_after(self, span: timedelta, call: Callable[[], None]) -> Timer:
+        """Make a call in the first turn after a span of time."""
         return self.call_at(self.clock.now() + span, call)
 
     def soon(self, call: Callable[[], None]) -> None:
@@ -93,6 +99,7 @@
                 call()
 
     def close(self) -> None:
+        """Close the selector."""
         self._selector.close()
 
     def _patience(self, idle: bool) -> float:
--- a/carthinge/net/probes.py
+++ b/carthinge/net/probes.py
@@ -38,6 +38,7 @@
     def ended(
         self, target: WorkerEndpoint, result: Result, took: timedelta, report: tuple[float, ...]
     ) -> None:
+        """Tell the result of a probe."""
         self._tell(ProbeResult(target.number, result, took // MICROSECOND, report))
 
 
--- a/carthinge/net/request_tracker.py
+++ b/carthinge/net/request_tracker.py
@@ -246,16 +246,14 @@
         attempt = Attempt(tracked, len(tracked.attempts), self._targets[action.worker], now, due, start_by)
         tracked.attempts.append(attempt)
         tracked.attempt_changed()
-        why_not = self.why_not_sent(attempt)
-        if why_not is not None:
-            self.end(attempt, io.Result.NOT_SENT, why=why_not)
+        if self._stopped(attempt):
             return
         attempt.timer = self._loop.call_at(due, lambda: self._time_out(attempt))
         if tracked.keeper is None:
             self._start(attempt)
         else:
             attempt.held_back = True
-            tracked.keeper.grant(attempt, partial(self._start, attempt))
+            tracked.keeper.grant(attempt, partial(self._granted, attempt))
 
     def why_not_sent(self, attempt: Attempt) -> str | None:
         """Why an attempt of which nothing has gone out must not go out now; None where it may.
@@ -275,15 +273,21 @@
             return "a repeat is not harmless any more"
         return "its worker leaves" if attempt.target.left else None
 
-    def _start(self, attempt: Attempt) -> None:
-        """Its grant is on disk, where it needs one."""
-        if not attempt.open:  # it was given up before that
-            return
-        attempt.held_back = False
+    def _stopped(self, attempt: Attempt) -> bool:
+        """Ends an attempt that must not go out now; False for one that may."""
         why_not = self.why_not_sent(attempt)
         if why_not is not None:
             self.end(attempt, io.Result.NOT_SENT, why=why_not)
-            return
+        return why_not is not None
+
+    def _granted(self, attempt: Attempt) -> None:
+        """Its grant is on disk, unless it was given up before that."""
+        if attempt.open:
+            attempt.held_back = False
+            if not self._stopped(attempt):
+                self._start(attempt)
+
+    def _start(self, attempt: Attempt) -> None:
         self._counters.attempts += 1
         log.logger().debug(
             "attempt_sent", id=attempt.tracked.job.id, worker=attempt.target.id, attempt=attempt.number
--- a/carthinge/net/sockets.py
+++ b/carthinge/net/sockets.py
@@ -51,9 +51,11 @@
         return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
     def accept(self, listening: socket.socket) -> socket.socket:
+        """Accept one connection; BlockingIOError where none waits."""
         return listening.accept()[0]
 
     def receive(self, sock: socket.socket, most: int) -> bytes:
+        """Read what has come, empty at the other side's end."""
         return sock.recv(most)
 
     def peek(self, sock: socket.socket) -> bytes:
@@ -61,6 +63,7 @@
         return sock.recv(PEEKED, socket.MSG_PEEK)
 
     def send(self, sock: socket.socket, data: bytes | bytearray) -> int:
+        """Write a part of the data; return how many bytes."""
         return sock.send(data)
 
     def end_sending(self, sock: socket.socket) -> None:
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -35,17 +35,21 @@
 class StreamOwner(Protocol):
     """Who is told what happens on a stream; after ``ended`` nothing more comes."""
 
-    def received(self, data: bytes) -> None: ...
+    def received(self, data: bytes) -> None:
+        """Take bytes that have come."""
 
-    def flushed(self) -> None: ...
+    def flushed(self) -> None:
+        """Hear that all that was written has gone out."""
 
-    def ended(self, why: str) -> None: ...
+    def ended(self, why: str) -> None:
+        """Hear that the connection has ended by itself."""
 
 
 class ConnectingOwner(StreamOwner, Protocol):
     """The owner of a stream that this side has opened."""
 
-    def connected(self) -> None: ...
+    def connected(self) -> None:
+        """Hear that the connection is up."""
 
 
 class Stream:
@@ -71,14 +75,17 @@
 
     @property
     def closed(self) -> bool:
+        """Whether the connection has ended."""
         return self.state is StreamState.CLOSED
 
     @property
     def connecting(self) -> bool:
+        """Whether the connection is not up yet."""
         return self.state is StreamState.CONNECTING
 
     @property
     def unsent(self) -> int:
+        """How many bytes wait to be sent."""
         return len(self._out)
 
     def write(self, data: bytes) -> None:
--- a/carthinge/net/tracked_request.py
+++ b/carthinge/net/tracked_request.py
@@ -45,11 +45,14 @@
     def has_left(self) -> bool:
         """It has closed its connection, as far as this machine knows by now."""
 
-    def serve(self, result: bytes) -> None: ...
+    def serve(self, result: bytes) -> None:
+        """Take the result."""
 
-    def shed(self, stay_away: timedelta) -> None: ...
+    def shed(self, stay_away: timedelta) -> None:
+        """Hear that the request is refused, and for how long to stay away."""
 
-    def fail(self, timed_out: bool) -> None: ...
+    def fail(self, timed_out: bool) -> None:
+        """Hear that the request has failed."""
 
     def reject(self) -> None:
         """No worker could use the request."""
@@ -144,10 +147,12 @@
             self.state = RequestState.QUEUED if self.current() is None else RequestState.SENT
 
     def answered(self) -> None:
+        """Note that the final answer is written."""
         assert self.owed, "a request has one final answer"
         self.state = RequestState.ANSWERED
 
     def client_gone(self) -> None:
+        """Note that nobody waits for an answer any more."""
         assert self.owed, "it was answered before"
         self.state = RequestState.CLIENT_GONE
 
--- a/carthinge/net/worker_client.py
+++ b/carthinge/net/worker_client.py
@@ -51,6 +51,7 @@
         self._sweeping = False
 
     def retune(self, site: Site) -> None:
+        """Take other settings for calls from now on."""
         self._site = site
 
     def report(self, values: dict[str, float]) -> tuple[float, ...]:
@@ -67,6 +68,7 @@
     # ---- attempts -------------------------------------------------------------------------
 
     def send(self, attempt: Attempt) -> None:
+        """Start an attempt."""
         caller = self._connection(attempt.target.address)
         call = self._calls[attempt] = _AttemptCall(self, caller, attempt)
         caller.start(call)
@@ -118,6 +120,7 @@
         self.ended(attempt, Result.NOT_SENT, None, why)
 
     def withdraw(self, attempt: Attempt, gone: Callable[[], None]) -> None:
+        """Give an attempt up; ``gone`` is called once its worker cannot miss that."""
         call = self._calls.pop(attempt, None)
         if call is not None:  # before its 202 has come, closing is enough; but that may be lost on its way
             self._drop(call.caller)
@@ -161,9 +164,11 @@
         self._tracker.end(attempt, result, self._report_of(answer), why=why)
 
     def unusable(self, attempt: Attempt, why: str) -> None:
+        """Hear that a worker cannot use the request."""
         self._tracker.reject(attempt, why)
 
     def arrived(self, attempt: Attempt) -> None:
+        """Hear that the last byte of an attempt is written."""
         self._tracker.arrived(attempt)
 
     def takes_part(self, attempt: Attempt) -> None:
--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -28,6 +28,7 @@
         self.selector, self.timeouts = WorkerSelector(context, reports, cold), ResponseTimeouts(context)
 
     def send(self, job: Job, worker: Worker) -> None:
+        """Send a job to a worker, and watch the attempt from now on."""
         context = self.context
         start_by = job.repeat_by()
         attempt = job.sent(worker, context.now, self.timeouts.expected(worker, job))
@@ -53,6 +54,7 @@
             )
 
     def hear(self, event: io.Note) -> None:
+        """Take a worker's note of a start or of progress."""
         if attempt := self.context.attempt(event):
             self.ejector.heard(attempt.worker)
             attempt.sign = self.context.now
--- a/carthinge/policy/discovery_events.py
+++ b/carthinge/policy/discovery_events.py
@@ -22,6 +22,7 @@
         self._tries = 0  # lists that failed in a row
 
     def listed(self, event: io.WorkerList) -> None:
+        """Take a list, or the failure of one."""
         context, settings = self.context, self.context.settings
         if event.listing is io.Listing.FAILED:  # where no time to ask within is told, the grace bounds it
             self._tries += 1
--- a/carthinge/policy/load_reports.py
+++ b/carthinge/policy/load_reports.py
@@ -20,6 +20,7 @@
         self._probes = 0.0  # that may be sent
 
     def take(self, worker: Worker, report: tuple[float, ...]) -> None:
+        """Take a report that came with an answer."""
         settings = self.context.settings
         values = dict(zip(settings.report_fields, report, strict=False))
         if "free_slots" not in values:
@@ -50,6 +51,7 @@
                 self.context.actions.append(io.Probe(worker.id))
 
     def probed(self, event: io.ProbeResult) -> None:
+        """Take the result of a probe."""
         worker = self.context.fleet.workers.get(event.worker)
         if worker and event.result is not io.Result.OK:
             worker.avoid(self.context.now + int(self.context.mean_work))
--- a/carthinge/policy/slow_start.py
+++ b/carthinge/policy/slow_start.py
@@ -22,6 +22,7 @@
         self._span, self._granted = -1, list[Worker]()
 
     def is_cold(self, worker: Worker) -> bool:
+        """Whether a worker has not warmed up yet."""
         return self.context.warmth(worker) < 1
 
     def allows(self, worker: Worker, job: Job) -> bool:
--- a/carthinge/policy/worker_selection.py
+++ b/carthinge/policy/worker_selection.py
@@ -40,6 +40,7 @@
         self.context, self.reports, self.slow_start = context, reports, cold
 
     def adopt(self, settings: io.Settings) -> None:
+        """Derive what the selection needs from the settings."""
         self.draws = max(SAMPLE_LEAST, min(SAMPLE, 3 * SAMPLE // settings.instances))
         self.blind = self.draws == SAMPLE_LEAST  # what is at a worker is hardly ever from here
         self.apart = self.blind and settings.reports is io.Reports.OFF  # what it draws it does not see
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -226,6 +226,7 @@
         )
 
     def never_ran(self) -> bool:
+        """Whether no attempt can have run."""
         return not any(attempt.may_have_run for attempt in self.attempts)
 
 
--- a/carthinge/scheduler/handover_peer.py
+++ b/carthinge/scheduler/handover_peer.py
@@ -63,6 +63,7 @@
         self._most_in, self._most_out = frontend.slots.most, worker_client.most
 
     def state(self) -> State:
+        """Return what the process that takes over goes on from."""
         config = self._config()
         site = config.site
         return State(
@@ -76,6 +77,7 @@
         )
 
     def leave(self, leaving: bool) -> None:
+        """Stop serving new clients, or serve them again."""
         self._tracker.tell(Leave(leaving))
         if self.fleet is not None:  # the other process talks in this one's place
             self.fleet.close(leave=False) if leaving else self.fleet.open()
@@ -97,6 +99,7 @@
 
     @property
     def needs_word(self) -> bool:
+        """Whether the process that takes over can still fail at that."""
         return self._durable is not None
 
     def let_go(self, done: Callable[[bool], None]) -> None:
@@ -119,12 +122,15 @@
         self._frontend.slots.most, self._worker_client.most = self._most_in, self._most_out
 
     def call_back(self, body: bytes, known: Callable[[bool], None]) -> None:
+        """Take a call-back that came to the other process."""
         self._frontend.call_backs.take_from_other(body, known)
 
     def adopt_incoming(self, sock: socket.socket, fresh: bool, read: bytes) -> None:
+        """Take over a client's connection."""
         self._frontend.adopt(sock, fresh, read)
 
     def adopt_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
+        """Take over a connection whose client waits for a durable job."""
         self._frontend.adopt_waiting(
             sock, waiting.keep_alive, waiting.job, waiting.in_place, waiting.until_us * MICROSECOND
         )
@@ -153,12 +159,15 @@
         self._tracker.take_over(taken, self._frontend.translator.tenant(tracked.tenant) or 0, tracked.memory)
 
     def adopt_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None:
+        """Take over an idle connection to a worker."""
         self._worker_client.adopt(sock, address, idle_since)
 
     def beat(self) -> Beat:
+        """Return what this process holds just now."""
         return Beat(len(self._frontend.slots), self._dispatcher.loads())
 
     def heard(self, beat: Beat | None) -> None:
+        """Take what the other process holds, None once it has gone."""
         self._tracker.tell(Message(OTHER, beat.loads if beat is not None else b""))
         if beat is not None and not self._upgrade.leaving:
             self.share(beat.slots)
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -249,9 +249,11 @@
     # ---- what operators ask for -----------------------------------------------------------
 
     def serving(self) -> bool:
+        """Whether the scheduler takes work."""
         return self._serving and self.frontend.up()
 
     def figures(self) -> dict[str, Any]:
+        """Return the figures for ``/metrics``."""
         ended, counters, fleet = self.tracker.ended, self.counters, self.dispatcher.fleet
         return {
             "served": ended.served,
--- a/carthinge/scheduler/upgrade.py
+++ b/carthinge/scheduler/upgrade.py
@@ -39,7 +39,8 @@
 class Scheduler(Protocol):
     """What the process on the other side of the channel may want of this one."""
 
-    def state(self) -> State: ...
+    def state(self) -> State:
+        """Return what the process that takes over goes on from."""
 
     def begin(self, state: State | None) -> None:
         """Starts to serve, from the other's state or, without one, alone."""
@@ -60,17 +61,23 @@
     def call_back(self, body: bytes, known: Callable[[bool], None]) -> None:
         """A call-back that came to the other; ``known`` hears False where its job is not here."""
 
-    def by_hand_here(self, worker: str, out: bool, sure: bool) -> bool: ...
+    def by_hand_here(self, worker: str, out: bool, sure: bool) -> bool:
+        """Take a worker out or put it back; return whether it is known."""
 
-    def adopt_incoming(self, sock: socket.socket, fresh: bool, read: bytes) -> None: ...
+    def adopt_incoming(self, sock: socket.socket, fresh: bool, read: bytes) -> None:
+        """Take over a client's connection."""
 
-    def adopt_waiting(self, sock: socket.socket, waiting: Waiting) -> None: ...
+    def adopt_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
+        """Take over a connection whose client waits for a durable job."""
 
-    def adopt_open(self, sock: socket.socket, tracked: Open) -> None: ...
+    def adopt_open(self, sock: socket.socket, tracked: Open) -> None:
+        """Take over an open request with its connection."""
 
-    def adopt_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None: ...
+    def adopt_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None:
+        """Take over an idle connection to a worker."""
 
-    def beat(self) -> Beat: ...
+    def beat(self) -> Beat:
+        """Return what this process holds just now."""
 
     def heard(self, beat: Beat | None) -> None:
         """What the other holds; nothing once it has gone."""
@@ -117,6 +124,7 @@
 
     @property
     def leaving(self) -> bool:
+        """Whether this is the old process."""
         return self._leaving
 
     @property
@@ -168,6 +176,7 @@
         self._loop.register(sock, READ, self._accept)
 
     def close(self) -> None:
+        """Close the channel and stop listening."""
         if self._channel is not None:
             self._channel.close()
         self._end_listening()
@@ -204,21 +213,27 @@
     # ---- messages -------------------------------------------------------------------------
 
     def pass_incoming(self, sock: socket.socket, fresh: bool, read: bytes = b"") -> None:
+        """Hand over a client's connection."""
         self._send(Incoming(fresh, read), sock)
 
     def pass_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
+        """Hand over a connection whose client waits for a durable job."""
         self._send(waiting, sock)
 
     def pass_open(self, sock: socket.socket, tracked: Open) -> None:
+        """Hand over an open request with its connection."""
         self._send(tracked, sock)
 
     def pass_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None:
+        """Hand over an idle connection to a worker."""
         self._send(Outgoing(str(address), idle_since // MICROSECOND), sock)
 
     def pass_call_back(self, body: bytes, done: Callable[[bool], None]) -> None:
+        """Hand over a call-back; ``done`` hears whether its job is known there."""
         self._ask(lambda number: CallBack(number, body), done)
 
     def pass_by_hand(self, worker: str, out: bool, sure: bool, done: Callable[[bool], None]) -> None:
+        """Hand over an operator's call; ``done`` hears whether the worker is known there."""
         self._ask(lambda number: ByHandCall(number, worker, out, sure), done)
 
     def _ask(self, message: Callable[[int], Message], done: Callable[[bool], None]) -> None:
--- a/carthinge/settings.py
+++ b/carthinge/settings.py
@@ -56,6 +56,7 @@
         return cls(dict(_flatten(nested)), typed=True)
 
     def text(self, path: str, default: str | None = None) -> str:
+        """Return a text; ValueError where it is missing and has no default."""
         value = self.values.get(path, default)
         if value is None:
             raise ValueError(f"{path}: missing")
@@ -68,6 +69,7 @@
         return self.text(path, "").replace(" ", "_")
 
     def number(self, path: str, default: float | None = None) -> float:
+        """Return a finite number."""
         raw = self.values.get(path, default)
         if raw is None:
             raise ValueError(f"{path}: missing")
@@ -81,6 +83,7 @@
         return figure
 
     def whole(self, path: str, default: int | None = None) -> int:
+        """Return a number without its fraction."""
         return int(self.number(path, default))
 
     def _check(self, path: str, value: object, *kinds: type) -> None:
@@ -89,19 +92,23 @@
             raise ValueError(f"{path}: of the wrong type: {value!r}")
 
     def span(self, path: str, default: timedelta) -> timedelta:
+        """Return a span that is given in microseconds."""
         return timedelta(microseconds=self.number(path, default / timedelta(microseconds=1)))
 
     def flag(self, path: str) -> bool:
+        """Return a flag, False where it is missing."""
         value = self.values.get(path, False)
         self._check(path, value, bool)
         return value in ("true", True)
 
     def listed(self, path: str) -> list[str]:
+        """Return a list of texts, empty where it is missing."""
         raw = self.values.get(path) or []
         self._check(path, raw, list)
         return [str(item) for item in (raw.split(",") if isinstance(raw, str) else _items(raw))]
 
     def choice(self, path: str, choices: dict[str, T], default: str) -> T:
+        """Return what a word stands for; ValueError where it stands for nothing."""
         raw = self.text(path, default)
         if raw not in choices:
             raise ValueError(f"{path}: unknown value {raw!r}")
--- a/carthinge/timers.py
+++ b/carthinge/timers.py
@@ -23,6 +23,7 @@
         self.most = SMALL_HEAP
 
     def add(self, due: int, call: Callable[..., None], subject: Job | Attempt | None = None) -> None:
+        """Make a call about a job or an attempt once its time has come."""
         self.count += 1
         if len(self.heap) >= self.most:
             self.heap = [timer for timer in self.heap if timer[3] is None or not timer[3].over()]
--- a/carthinge/worker_registry.py
+++ b/carthinge/worker_registry.py
@@ -23,6 +23,7 @@
 
     @staticmethod
     def pack(workers: Iterable[Worker], rng: Random) -> bytes:
+        """Encode what is out at workers, as many as fit a message."""
         out = [worker for worker in workers if worker.slots_out > 0]
         if len(out) > Loads.MOST:
             out = rng.sample(out, Loads.MOST)
