--- a/carthinge/model/scheduler.py
+++ b/carthinge/model/scheduler.py
@@ -4,17 +4,14 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from datetime import timedelta
 from typing import Any, Final, Protocol
 
 from carthinge import interface as io
-from carthinge.model.agenda import Agenda, micros
+from carthinge.model.agenda import MICROSECOND, Agenda, micros
 from carthinge.model.tally import Tally
 from carthinge.model.workers import MUTE, ModelWorker
+from carthinge.net.deadlines import give_up_at
 
-#: As in the real program: the answer has to arrive before the client leaves.
-ANSWER_MARGIN: Final = micros(timedelta(milliseconds=10))
-ANSWER_SHARE: Final = 0.05  # of a patience, at the most, as in the real program's tracker
 NO_ANSWER: Final = frozenset(
     {io.Result.CONNECT_FAILED, io.Result.RESET, io.Result.TIMEOUT, io.Result.CANCELLED}
 )
@@ -141,7 +138,8 @@
     def take(self, client: Client, work: int, patience: int, arrival: io.Arrival) -> TrackedRequest:
         """A request has come; its number and the time up to which it may be answered are set here."""
         self._count += 1
-        give_up = self._agenda.now + patience - min(ANSWER_MARGIN, int(ANSWER_SHARE * patience))
+        now = self._agenda.now
+        give_up = micros(give_up_at(now * MICROSECOND, patience * MICROSECOND))
         tracked = TrackedRequest(self._count, client, arrival.job_class, work, give_up, arrival.key)
         self.tracked_requests[tracked.number] = tracked
         arrival.request, arrival.give_up = tracked.number, give_up
--- a/carthinge/net/request_tracker.py
+++ b/carthinge/net/request_tracker.py
@@ -258,8 +258,10 @@
     def why_not_sent(self, attempt: Attempt) -> str | None:
         """Why an attempt of which nothing has gone out must not go out now; None where it may.
 
-        Asked when it is decided on, and again when its connection is up.
+        Asked when it is decided on, and again when its connection is up, if that is in a later turn.
         """
+        if attempt.cleared == self._loop.turns:
+            return None
         tracked, now = attempt.tracked, self._loop.clock.now()
         if not attempt.open:
             return "it has ended"
@@ -271,7 +273,10 @@
             return "its time is over"
         if attempt.start_by is not None and now >= attempt.start_by:
             return "a repeat is not harmless any more"
-        return "its worker leaves" if attempt.target.left else None
+        if attempt.target.left:
+            return "its worker leaves"
+        attempt.cleared = self._loop.turns
+        return None
 
     def _stopped(self, attempt: Attempt) -> bool:
         """Ends an attempt that must not go out now; False for one that may."""
--- a/carthinge/net/tracked_request.py
+++ b/carthinge/net/tracked_request.py
@@ -109,6 +109,7 @@
     leaving: bool = False  # given up, but its worker may not know yet
     arrived: bool = False  # its last byte is written: what the worker says may be about it
     held_back: bool = False  # until its grant is on disk; nothing of it has been sent
+    cleared: int = -1  # the turn of the loop in which it was last found that it may be sent
     token: int = 0  # of its lease; 0 without one
     timer: Timer | None = None
 
--- a/tests/model_tracker.py
+++ b/tests/model_tracker.py
@@ -14,6 +14,7 @@
 
     def __init__(self, scheduler):
         self.scheduler, self.clock = scheduler, self
+        self.turns = 0
 
     @property
     def now(self):
@@ -42,6 +43,7 @@
 
     def decide_all(self):
         while self.events:
+            self._loop.turns += 1
             self.decide()
 
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -31,9 +31,10 @@
     WorkerKind,
     World,
 )
-from carthinge.model.agenda import Agenda
-from carthinge.model.scheduler import ANSWER_MARGIN, Scheduler
+from carthinge.model.agenda import Agenda, micros
+from carthinge.model.scheduler import Scheduler
 from carthinge.model.workers import ModelWorker
+from carthinge.net.deadlines import ANSWER_MARGIN
 
 MS = timedelta(milliseconds=1)
 SPEC = io.JobClass(objective=300_000, deadline=3_000_000, stretch=1.75)
@@ -258,7 +259,8 @@
     play = Play(world, 3, Refuses)
     tally = play.run()
     came = play.schedulers[0].module.came
-    first = [time for time, give_up in came if abs(give_up - time + ANSWER_MARGIN - SPEC.deadline) < 2000]
+    margin = micros(ANSWER_MARGIN)
+    first = [time for time, give_up in came if abs(give_up - time + margin - SPEC.deadline) < 2000]
     assert len(first) == play.clients.jobs == sum(tally.ends().values()) > 0
     assert len(came) == 3 * len(first) and sum(s.tries for s in tally.seconds) == 2 * len(first)
     again = [time for time, _ in came[len(first) :]]
