Send the store's file calls through one seam, and keep no lock that nobody knows

With the disk full the owner's name could not be written into the lock's file: opening failed, and the descriptor that held the lock was lost, so that no later try of this process could have the store. The name is for people; failing to write it is passed over.

--- a/carthinge/durable/check.py
+++ b/carthinge/durable/check.py
@@ -12,10 +12,11 @@
 
 from carthinge.durable import wal
 from carthinge.durable.errors import StoreError
+from carthinge.durable.files import Files
 from carthinge.durable.records import JobState
 from carthinge.durable.rows import body_crc, result_crc
 from carthinge.durable.schema import APPLICATION, FORMAT, PAGE
-from carthinge.durable.store import DATABASE, Store
+from carthinge.durable.store import DATABASE, take
 
 AT_ONCE: Final = 200  # rows read between two steps of the progress
 
@@ -102,7 +103,7 @@
     """Writes the store anew; the bytes on disk before and after.  StoreError where somebody has it."""
     with reader(folder):  # it is one
         pass
-    lock = Store.take(folder)
+    lock = take(folder, Files())
     try:
         with closing(sqlite3.connect(folder / DATABASE, isolation_level=None)) as database:
             before = _bytes(folder)
@@ -122,7 +123,7 @@
 def _in_use(folder: Path) -> bool:
     """Somebody writes to the log while it is read: what it looks like then tells nothing."""
     try:
-        os.close(Store.take(folder))
+        os.close(take(folder, Files()))
     except StoreError:
         return True
     return False
--- a/carthinge/durable/store.py
+++ b/carthinge/durable/store.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-import fcntl
+import contextlib
 import os
 import secrets
 import sqlite3
@@ -25,6 +25,7 @@
 
 from carthinge.durable.database import Connect, Database, connect
 from carthinge.durable.errors import StoreError
+from carthinge.durable.files import Files
 from carthinge.durable.records import (
     Accepted,
     AttemptState,
@@ -43,6 +44,7 @@
 from carthinge.durable.rows import FOUND_COLUMNS, body_crc, found_job, result_crc, stored_job
 from carthinge.durable.schema import APPLICATION, FORMAT, PAGE, TABLES
 from carthinge.durable.wal import examine
+from carthinge.net import log
 
 DATABASE: Final = "jobs.db"
 LOCK: Final = "owner.lock"
@@ -69,11 +71,35 @@
     bytes_free: int  #: of the file, to be used before it grows
 
 
+def take(folder: Path, files: Files) -> int:
+    """The lock of a folder, as a descriptor that holds it; StoreError where another process has it."""
+    lock = files.open_lock(folder / LOCK)
+    try:
+        files.lock(lock)
+    except OSError as fault:
+        holder = files.owner(lock) if isinstance(fault, BlockingIOError) else ""
+        files.close(lock)
+        if not isinstance(fault, BlockingIOError):
+            raise
+        raise StoreError(f"{folder}: in use by process {holder or 'unknown'}") from None
+    with contextlib.suppress(OSError):  # a full disk: the lock is what counts, the name is for people
+        files.note_owner(lock, str(os.getpid()))
+    return lock
+
+
 class Store(Database):
     """One owner's hold of a folder.  ``open`` first; then from one thread at a time."""
 
-    def __init__(self, folder: str | Path, max_bytes: int, connect: Connect = connect) -> None:
+    def __init__(
+        self,
+        folder: str | Path,
+        max_bytes: int,
+        connect: Connect = connect,
+        files: Files | None = None,
+    ) -> None:
+        """``connect`` and ``files``: the calls of the disk, which tests have fail."""
         super().__init__()
+        self._files = files or Files()
         self.folder = Path(folder)
         self.path = self.folder / DATABASE
         self.secret = b""
@@ -88,8 +114,8 @@
     def open(self, time: Time) -> None:
         """Takes the folder, makes what is missing, and brings times onto this clock."""
         try:
-            self.folder.mkdir(parents=True, exist_ok=True)
-            self._lock = self.take(self.folder)
+            self._files.make_folder(self.folder)
+            self._lock = take(self.folder, self._files)
             self._examine_log()
             self._database = self._connect(str(self.path))
             self._prepare(time)
@@ -102,32 +128,23 @@
     def close(self) -> None:
         """Lets go of the folder; what was applied stays."""
         database, self._database = self._database, None
-        if database is not None:
-            database.close()
-        lock, self._lock = self._lock, None
-        if lock is not None:
-            os.close(lock)
-
-    @staticmethod
-    def take(folder: Path) -> int:
-        """The lock of a folder, as a descriptor that holds it; StoreError where another process has it."""
-        lock = os.open(folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
-            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except BlockingIOError:
-            holder = os.read(lock, 32).decode("ascii", "replace").strip()
-            os.close(lock)
-            raise StoreError(f"{folder}: in use by process {holder or 'unknown'}") from None
-        os.ftruncate(lock, 0)
-        os.pwrite(lock, f"{os.getpid()}\n".encode(), 0)
-        return lock
+            if database is not None:
+                database.close()
+        except sqlite3.Error as fault:  # what was applied is on disk all the same
+            log.logger().warning("store_not_closed", why=str(fault), path=str(self.path))
+        finally:
+            lock, self._lock = self._lock, None
+            if lock is not None:
+                self._files.close(lock)
 
     def _examine_log(self) -> None:
         """Guards against damage further up in the log, after which SQLite silently takes no more."""
-        log = self.path.with_name(f"{DATABASE}-wal")
-        if log.is_file() and (found := examine(log.read_bytes())).damaged:
+        wal = self.path.with_name(f"{DATABASE}-wal")
+        content = self._files.read(wal)
+        if content is not None and (found := examine(content)).damaged:
             raise StoreError(
-                f"{log}: damaged after {found.commits} commits, with {found.beyond} more behind "
+                f"{wal}: damaged after {found.commits} commits, with {found.beyond} more behind "
                 "that: what was taken on then would be lost. Restore it, or move it away to go "
                 "on without them"
             )
