Send Unix sockets and datagrams through the seam; rest where no upgrade can be accepted

An accept on the upgrades' listener that failed for want of a descriptor was tried again in every turn: the listener stays ready, and the loop turned for nothing. The channel of an upgrade and the datagrams of schedulers that talk make their calls through net/sockets.py, where tests have them fail: a socket that could not be handed over is kept, a datagram that failed is counted.

--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -175,9 +175,8 @@
         if not self.closed:
             self.closed = True
             self._loop.forget(self._sock)
-            self._sock.close()
-            for sock in self._sockets:
-                sock.close()
+            for sock in (self._sock, *self._sockets):
+                self._loop.sockets.close(sock)
 
     def _ready(self, mask: int) -> None:
         if mask & WRITE:
@@ -187,13 +186,13 @@
 
     def _receive(self) -> None:
         try:
-            data, descriptors, _, _ = socket.recv_fds(self._sock, CHUNK, SOCKETS_AT_ONCE)
+            data, sockets = self._loop.sockets.receive_with_sockets(self._sock, CHUNK, SOCKETS_AT_ONCE)
         except BlockingIOError:
             return
         except OSError:
             self._end()
             return
-        self._sockets.extend(socket.socket(fileno=descriptor) for descriptor in descriptors)
+        self._sockets.extend(sockets)
         self._in += data
         if not data:
             self._end()
@@ -220,11 +219,11 @@
             while self._out and not self.closed:
                 data, message, along = self._out[0]
                 if along is not None:
-                    sent = socket.send_fds(self._sock, [data], [along.fileno()])
+                    sent = self._loop.sockets.send_with_socket(self._sock, data, along)
                     along.close()
                     self._out[0] = (data, message, None)
                 else:
-                    sent = self._sock.send(data)
+                    sent = self._loop.sockets.send(self._sock, data)
                 del data[:sent]
                 if not data:
                     self._out.popleft()
--- a/carthinge/net/sockets.py
+++ b/carthinge/net/sockets.py
@@ -66,6 +66,21 @@
         """Write a part of the data; return how many bytes."""
         return sock.send(data)
 
+    def receive_with_sockets(
+        self, sock: socket.socket, most: int, most_sockets: int
+    ) -> tuple[bytes, list[socket.socket]]:
+        """Read what has come on a Unix socket, and the open sockets that came along."""
+        data, descriptors, _, _ = socket.recv_fds(sock, most, most_sockets)
+        return data, [socket.socket(fileno=descriptor) for descriptor in descriptors]
+
+    def send_with_socket(self, sock: socket.socket, data: bytes | bytearray, along: socket.socket) -> int:
+        """Write a part of the data to a Unix socket, and an open socket with it."""
+        return socket.send_fds(sock, [data], [along.fileno()])
+
+    def send_to(self, sock: socket.socket, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram."""
+        sock.sendto(data, address)
+
     def end_sending(self, sock: socket.socket) -> None:
         """Tells the other side that nothing more will come."""
         sock.shutdown(socket.SHUT_WR)
--- a/carthinge/scheduler/fleet_link.py
+++ b/carthinge/scheduler/fleet_link.py
@@ -167,7 +167,7 @@
             if self._sock is None or self._talk is None:
                 return
             try:
-                data = self._sock.recv(PACKET_MOST + 1)
+                data = self.loop.sockets.receive(self._sock, PACKET_MOST + 1)
             except BlockingIOError:
                 break
             except OSError:  # what came back of one that was sent: nobody listens there
@@ -233,7 +233,7 @@
                 if self._sock is None or target is None:
                     raise OSError("no numeric address")
                 data = encode(packet, self._key)
-                self._sock.sendto(data, target)
+                self.loop.sockets.send_to(self._sock, data, target)
             except (OSError, ValueError) as fault:
                 self.counts["not_sent"] += 1
                 log.logger().debug("not_sent", to=address, why=str(fault))
--- a/carthinge/scheduler/upgrade.py
+++ b/carthinge/scheduler/upgrade.py
@@ -29,6 +29,7 @@
     Waiting,
 )
 from carthinge.net.http import Address
+from carthinge.net.listener import ACCEPT_PAUSE
 from carthinge.net.loop import MICROSECOND, READ, Loop, Timer
 
 STATE_WITHIN: Final = timedelta(seconds=2)  # of asking to take over; else the other is taken for stuck
@@ -183,8 +184,9 @@
 
     def _end_listening(self) -> None:
         if self._listener is not None:
-            self._loop.forget(self._listener)
-            self._listener.close()
+            with contextlib.suppress(KeyError):  # it rests
+                self._loop.forget(self._listener)
+            self._loop.sockets.close(self._listener)
             self._listener = None
             with contextlib.suppress(OSError):
                 if self._path is not None and self._path.stat().st_ino == self._inode:
@@ -193,14 +195,23 @@
     def _accept(self, _: int) -> None:
         assert self._listener is not None
         try:
-            sock, _ = self._listener.accept()
-        except OSError:
+            sock = self._loop.sockets.accept(self._listener)
+        except BlockingIOError:
+            return
+        except OSError as fault:  # it stays ready, and the loop would turn for nothing
+            log.logger().warning("upgrade_paused", why=str(fault))
+            self._loop.forget(self._listener)
+            self._loop.call_after(ACCEPT_PAUSE, partial(self._accept_again, self._listener))
             return
         if self._channel is not None:  # one at a time
             sock.close()
             return
         self._open(sock)
 
+    def _accept_again(self, listener: socket.socket) -> None:
+        if self._listener is listener:
+            self._loop.register(listener, READ, self._accept)
+
     def _open(self, sock: socket.socket) -> None:
         self._channel = Channel(self._loop, sock, self._received, self._lost)
 
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -6,7 +6,19 @@
 
 from carthinge.net.sockets import Sockets
 
-CALLS = ("connect", "connect_error", "accept", "receive", "peek", "send", "end_sending", "close")
+CALLS = (
+    "connect",
+    "connect_error",
+    "accept",
+    "receive",
+    "peek",
+    "send",
+    "end_sending",
+    "close",
+    "receive_with_sockets",
+    "send_with_socket",
+    "send_to",
+)
 
 
 class FaultySockets(Sockets):
--- a/tests/test_socket_faults.py
+++ b/tests/test_socket_faults.py
@@ -7,10 +7,11 @@
 from datetime import timedelta
 
 import pytest
-from faults import BROKEN, LOCAL, faulty, let_pass
+from faults import BROKEN, LOCAL, FaultySockets, faulty, let_pass
 from in_process import UP, call_back, lists, reading, taken, turns
-from world import job, member
+from world import HOST, free_port, job, member
 
+from carthinge.net.channel import Channel, Incoming
 from carthinge.net.listener import ACCEPT_PAUSE, GONE_AT_ONCE
 from carthinge.net.loop import Loop
 from carthinge.net.stream import Stream
@@ -255,3 +256,65 @@
             loop.turn(idle=False)
         assert stream.closed and stream.left()
     loop.close()
+
+
+# ---- the channel between two processes, and datagrams ---------------------------------------------
+
+
+@pytest.mark.parametrize("error", LISTENER, ids=errno.errorcode.get)
+def test_an_upgrade_s_accept_that_fails_pauses_its_listener(serve, tmp_path, monkeypatch, error):
+    """It stayed ready with no descriptor left, and the loop turned for nothing."""
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    program = serve()
+    sockets = faulty(program)
+    sockets.fail("accept", error, error)
+    with socket.socket(socket.AF_UNIX) as other:
+        other.connect(str(program.upgrade._path))
+        turns(program, lambda: sockets.made["accept"])
+        for _ in range(20):
+            program.loop.turn(idle=False)
+        assert sockets.made["accept"] == 1, "it was tried again within the pause"
+        for _ in range(2):
+            let_pass(program, ACCEPT_PAUSE)
+            program.loop.turn(idle=False)
+        turns(program, lambda: program.upgrade.paired)
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.EPIPE, errno.ETOOMANYREFS], ids=errno.errorcode.get)
+def test_a_socket_that_could_not_be_handed_over_is_kept(error):
+    loop, lost = Loop(), []
+    here, there = socket.socketpair(socket.AF_UNIX)
+    client, _ = socket.socketpair(socket.AF_UNIX)
+    loop.sockets = FaultySockets()
+    loop.sockets.fail("send_with_socket", error)
+    channel = Channel(loop, here, lambda *_: None, lost.extend)
+    channel.send(Incoming(fresh=True), client)
+    loop.turn(idle=False)
+    ((message, kept),) = lost
+    assert isinstance(message, Incoming) and kept is client and client.fileno() >= 0
+    there.close()
+    loop.close()
+
+
+@pytest.mark.parametrize("error", [*LOCAL, errno.ECONNREFUSED, errno.EPERM], ids=errno.errorcode.get)
+def test_a_datagram_that_fails_is_counted_and_the_next_ones_go_out(make_program, tmp_path, error):
+    file = tmp_path / "carthinge.toml"
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+        other.bind(("127.0.0.1", 0))
+        member_address = f"127.0.0.1:{other.getsockname()[1]}"
+        file.write_text(
+            f"[fleet]\nlisten = '{HOST}:{free_port()}'\nmembers = ['{member_address}']\nperiod = 0.1\n"
+        )
+        program = make_program(file=file)
+        sockets = faulty(program)
+        sockets.fail("send_to", error)
+        sockets.fail("receive", error)
+        program.upgrade.find()
+        turns(program, lambda: program.fleet.counts["not_sent"])
+        until = time.monotonic() + 10
+        while not program.fleet.counts["sent"]:
+            assert time.monotonic() < until
+            let_pass(program, timedelta(milliseconds=50))
+            program.loop.turn(idle=False)
+            program.tracker.decide()
+        program.fleet.close(leave=False)
