--- a/tests/test_connections_end.py
+++ b/tests/test_connections_end.py
@@ -360,3 +360,17 @@
     drain = program.frontend.draining
     assert drain.arriving_until < told + timedelta(milliseconds=700)
     assert drain.answered_by < told + timedelta(milliseconds=3700)
+
+
+def test_no_connection_holds_small_writes_back(serve, dial, worker):
+    """What the system held back would go with a connection that is reset."""
+    program = serve()
+    lists(program, member("s-0", worker.port))
+    client = dial(program).send(job("a1"))
+    reading(taken(worker, program), program)
+    clients = [connection._stream for connection in program.frontend.slots.all()]
+    workers = [call.caller._stream for call in program.worker_client._calls.values()]
+    assert len(clients) == len(workers) == 1
+    for stream in clients + workers:
+        assert stream._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    client.close()
