--- a/carthinge/durable/handover.py
+++ b/carthinge/durable/handover.py
@@ -17,6 +17,7 @@
 from carthinge.net.tracked_request import Attempt
 
 CALM_WITHIN: Final = timedelta(milliseconds=500)  # of asking; what is under way then counts as perhaps sent
+WRITTEN_WITHIN: Final = timedelta(seconds=1.2)  # after that: whoever asked waits for 2 s in all
 CALM_CHECKED: Final = timedelta(milliseconds=10)
 TAKEN_BACK_WITHIN: Final = timedelta(seconds=5)  # one that is being killed has the store a moment longer
 
@@ -47,7 +48,7 @@
         elif not jobs.loaded or (jobs.under_way(self._busy) and jobs.loop.clock.now() < self._until):
             jobs.loop.call_after(CALM_CHECKED, self._wait_for_calm)
         else:
-            self._until = jobs.loop.clock.now() + CALM_WITHIN
+            self._until = jobs.loop.clock.now() + WRITTEN_WITHIN
             writer.request_stop()
             self._wait_for_writer(writer)
 
