--- a/carthinge/front/operator.py
+++ b/carthinge/front/operator.py
@@ -19,7 +19,9 @@
 from carthinge.net.loop import Loop, Timer
 from carthinge.net.stream import Stream
 
-CONNECTIONS: Final = 16  # apart from all others, so that no client can keep an operator out
+MAX_CONNECTIONS: Final = (
+    16  # at the operators' address, apart from all others, so that no client can keep an operator out
+)
 BACKLOG: Final = 64
 WHOLE_CALL: Final = timedelta(seconds=5)  # from connecting to the last byte of the call
 CALLS: Final = {
@@ -63,7 +65,7 @@
 
     def free(self) -> int:
         """Return how many connections fit without making room."""
-        return CONNECTIONS - len(self.calls)
+        return MAX_CONNECTIONS - len(self.calls)
 
     def room(self) -> str | None:
         """Whoever is open still has sent no whole call, or has its answer: the first makes room."""
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -16,7 +16,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from carthinge.front.frontend import Frontend
-from carthinge.front.operator import CONNECTIONS, Operator
+from carthinge.front.operator import MAX_CONNECTIONS, Operator
 from carthinge.interface import ByHand, Inherit, Listing, Retune, WorkerList
 from carthinge.net import log
 from carthinge.net.channel import State
@@ -44,7 +44,7 @@
 COLLECTIONS: Final = (20_000, 50, 100)  # durable jobs are many and live long
 SPARE_SOCKETS: Final = 48  # of the limit: for the listener, discovery, the log and what the runtime holds
 BACKLOG: Final = 1024
-EGRESS_SHARE: Final = 0.4  # of the rest: a call holds its connection only until the 202
+WORKER_CONNECTIONS_SHARE: Final = 0.4  # of the rest: a call holds its connection only until the 202
 QUIET: Final = timedelta(milliseconds=300)  # with nothing owed, before the program ends
 SETTLE: Final = timedelta(milliseconds=1)  # any wait will do: processor time that is owed comes due in it
 BOOT: Final = Path("/proc/sys/kernel/random/boot_id")
@@ -63,8 +63,8 @@
         self.tracker = RequestTracker(self.loop, self.dispatcher, self.table.targets, self.counters)
         self.tracker.ended.name(config.site.classes)
         descriptors = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        rest = max(16, descriptors - SPARE_SOCKETS - (CONNECTIONS if config.operator else 0))
-        out = int(rest * EGRESS_SHARE)
+        rest = max(16, descriptors - SPARE_SOCKETS - (MAX_CONNECTIONS if config.operator else 0))
+        out = int(rest * WORKER_CONNECTIONS_SHARE)
         self.worker_client = WorkerClient(self.loop, config.site, self.tracker, self.counters, out)
         self.upgrade = Upgrade(self.loop, str(config.listen))
         self.frontend = Frontend(
