Log every close, request state and refusal with its reason, by request and connection

At debug level there are now request_taken, request_ended (with the module's reason of a refusal or failure, which takes no part in any decision), connection_closed and worker_connection_closed; attempt_sent tells how the attempt before it ended. Reasons of closes are one enumeration.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -17,10 +17,11 @@
 from carthinge.front.translator import JOBS, Translator
 from carthinge.net import log
 from carthinge.net.channel import Waiting
+from carthinge.net.close_reason import CloseReason
 from carthinge.net.connection_slots import ConnectionSlots
 from carthinge.net.counters import Counters
 from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes, call_bytes
-from carthinge.net.loop import MICROSECOND, Loop, Timer
+from carthinge.net.loop import MICROSECOND, MILLISECOND, Loop, Timer
 from carthinge.net.request_tracker import RequestTracker
 from carthinge.net.stream import Stream
 from carthinge.net.tracked_request import TrackedRequest
@@ -62,6 +63,8 @@
 
     def __init__(self, frontend: Gate, sock: socket.socket, since: timedelta) -> None:
         self._frontend = frontend
+        self.number = frontend.counters.connections_in + frontend.counters.connections_taken_over
+        self._requests = 0  # whole ones that were read
         self._since = since  # something may wait on it to be read since then
         self._entered = frontend.loop.turns
         self._reader = RequestReader()
@@ -153,10 +156,10 @@
         self._frontend.waiting.discard(self)
         return self._stream.release()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close at once; what its client waited for is abandoned."""
         self._stream.close()
-        self.ended("closed here")
+        self.ended(reason.value)
 
     # ---- the stream -----------------------------------------------------------------------
 
@@ -168,6 +171,7 @@
             for request in requests:
                 request.came = self._since if loop.turns <= self._entered + 1 else loop.since
             self._waiting.extend(requests)
+            self._requests += len(requests)
             if len(self._waiting) > PIPELINED:
                 raise BadRequestError(HTTPStatus.BAD_REQUEST, "too many requests at once")
         except BadRequestError as fault:
@@ -186,6 +190,14 @@
 
     def ended(self, why: str) -> None:
         """The client has gone; what it waited for is not owed any more."""
+        log.logger().debug(
+            "connection_closed",
+            connection=self.number,
+            why=why,
+            requests=self._requests,
+            owed=self._current is not None or bool(self._waiting),
+            half_read=self._reader.under_way,
+        )
         self._frontend.slots.leave(self)
         self._waiting.clear()
         if self._slow is not None:
@@ -273,7 +285,7 @@
         if self._current is request and not self._stream.closed:  # else whoever asked has gone meanwhile
             self._call = None
             if status == NO_ANSWER:
-                self.close()
+                self.close(CloseReason.CALL_BACK_ELSEWHERE)
             else:
                 self._answer(status, body, headers)
 
@@ -292,11 +304,18 @@
             self._shed(away, keep_alive=False)
             return
         terms = replace(terms, patience=frontend.patience(terms.patience, request.came))
+        log.logger().debug(
+            "request_taken",
+            id=job.id,
+            connection=self.number,
+            job_class=terms.class_name,
+            left_ms=terms.patience // MILLISECOND,
+        )
         self.owe(frontend.tracker.take(job, terms, self))
 
     def _refuse(self, fault: BadRequestError, readable: bool = True) -> None:
         self._frontend.counters.bad_input += 1
-        log.logger().debug("bad_input", status=int(fault.status), why=str(fault))
+        log.logger().debug("bad_input", connection=self.number, status=int(fault.status), why=str(fault))
         self._answer(fault.status, f"{fault}\n".encode(), readable=readable)
         self._frontend.slots.misused(self)
 
--- a/carthinge/front/frontend.py
+++ b/carthinge/front/frontend.py
@@ -12,6 +12,7 @@
 from carthinge.front.translator import Translator
 from carthinge.net import log
 from carthinge.net.channel import Waiting
+from carthinge.net.close_reason import CloseReason
 from carthinge.net.connection_slots import ConnectionSlots
 from carthinge.net.counters import Counters
 from carthinge.net.deadlines import Drain, patience_left
@@ -156,7 +157,7 @@
             if since is not None and self.loop.now < since + self._greeting:
                 continue
             if connection.idle() and connection.silent():
-                connection.close()
+                connection.close(CloseReason.IDLE_IN_DRAIN)
 
     def somebody_waits(self) -> bool:
         """A connection has come in and was not accepted yet: what is on it is taken already."""
@@ -167,7 +168,7 @@
         if self._listener is not None:
             self._listener.close()
         for connection in self.slots.all():
-            connection.close()
+            connection.close(CloseReason.PROGRAM_ENDS)
 
     # ---- the listener ---------------------------------------------------------------------
 
@@ -183,7 +184,7 @@
         if holder is None:
             return "every connection has a request under way or unread"
         self.counters.connections_in_closed_early += 1
-        holder.close()
+        holder.close(CloseReason.SLOT_NEEDED)
         return None
 
     def enter(self, sock: socket.socket, since: timedelta) -> None:
@@ -210,7 +211,7 @@
         """Guards against clients that connect and say nothing."""
         for holder in self.slots.overdue(self.loop.now, FIRST_REQUEST):
             self.counters.connections_in_silent += 1
-            holder.close()
+            holder.close(CloseReason.NO_REQUEST)
         self._checking = bool(self.slots.fresh)
         if self._checking:
             self.loop.call_after(FRESH_CHECKED, self._check_fresh)
--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
-from enum import IntEnum
+from enum import Enum, IntEnum
 
 from carthinge.handover_memory import AttemptMemory as AttemptMemory
 from carthinge.handover_memory import JobMemory as JobMemory
@@ -242,12 +242,23 @@
     start_by: int = 0  #: clock time from which on it may not go out any more; 0 for no such limit
 
 
+class GaveUp(Enum):
+    """Why a request is refused or fails; for logs alone, nothing is decided by it."""
+
+    UNKNOWN = "unknown"
+    OVERLOAD = "load is shed"
+    NO_WORKER = "no worker may have it"
+    OUT_OF_TIME = "its time is over"
+    NO_RETRY = "no further attempt is allowed"
+
+
 @dataclass(slots=True)
 class Refuse:
     """Final answer: not served, trying again is harmless."""
 
     request: int
     stay_away: int = 0
+    why: GaveUp = field(default=GaveUp.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True)
@@ -255,6 +266,7 @@
     """Final answer: failed, nothing is promised about the effect."""
 
     request: int
+    why: GaveUp = field(default=GaveUp.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True)
--- a/carthinge/net/connection_slots.py
+++ b/carthinge/net/connection_slots.py
@@ -8,6 +8,8 @@
 from datetime import timedelta
 from typing import Final, Protocol
 
+from carthinge.net.close_reason import CloseReason
+
 FRESH_SHARE: Final = 0.5  # of all slots: more connections without a request yet push out each other
 
 
@@ -23,7 +25,7 @@
     def began(self) -> bool:
         """A part of a request has come on it."""
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close it at once."""
 
     def release(self) -> socket.socket:
--- a/carthinge/net/request_tracker.py
+++ b/carthinge/net/request_tracker.py
@@ -111,6 +111,7 @@
         if tracked.owed:
             tracked.client_gone()
         self._counters.requests_given_away += 1
+        _log_end(tracked, "given_away")
         for attempt in tracked.attempts:
             attempt.open = False
             if attempt.timer is not None:
@@ -134,6 +135,7 @@
         """The client has gone."""
         if tracked.owed:
             tracked.client_gone()
+            _log_end(tracked, "client_left")
             self._counters.client_gone += 1
             self.events.append(io.Abandoned(tracked.number))
             for attempt in list(tracked.out()):
@@ -181,6 +183,7 @@
         if not attempt.open:
             return
         attempt.open = False
+        attempt.result = result
         if attempt.timer is not None:
             attempt.timer.cancel()
         tracked = attempt.tracked
@@ -211,6 +214,7 @@
 
     def _serve(self, tracked: TrackedRequest, result: bytes) -> None:
         tracked.answered()
+        _log_end(tracked, "served")
         self._counters.served += 1
         self.ended.served[tracked.class_name] += 1
         tracked.client.serve(result)
@@ -222,7 +226,7 @@
         """
         tracked = attempt.tracked
         if attempt.open and tracked.owed:
-            self._count_failed(tracked)
+            self._count_failed(tracked, "no worker can use it")
             tracked.client.reject()
         self.end(attempt, io.Result.NOT_SENT, why=why)
 
@@ -294,8 +298,14 @@
 
     def _start(self, attempt: Attempt) -> None:
         self._counters.attempts += 1
+        tracked = attempt.tracked
+        before = tracked.attempts[attempt.number - 1].result if attempt.number else None
         log.logger().debug(
-            "attempt_sent", id=attempt.tracked.job.id, worker=attempt.target.id, attempt=attempt.number
+            "attempt_sent",
+            id=tracked.job.id,
+            worker=attempt.target.id,
+            attempt=attempt.number,
+            after=before.name if before is not None else "",
         )
         self.target.send(attempt)
 
@@ -323,6 +333,7 @@
         tracked = self.tracked_requests.get(action.request)
         if tracked is not None and tracked.owed:
             tracked.answered()
+            _log_end(tracked, "refused", action.why.value)
             self._counters.shed += 1
             self.ended.refused[tracked.class_name] += 1
             tracked.client.shed(action.stay_away * MICROSECOND)
@@ -331,12 +342,13 @@
     def _fail(self, action: io.Fail) -> None:
         tracked = self.tracked_requests.get(action.request)
         if tracked is not None and tracked.owed:
-            self._count_failed(tracked)
+            self._count_failed(tracked, action.why.value)
             tracked.client.fail(timed_out=self._loop.now >= tracked.give_up)
             self._forget_if_over(tracked)
 
-    def _count_failed(self, tracked: TrackedRequest) -> None:
+    def _count_failed(self, tracked: TrackedRequest, why: str) -> None:
         tracked.answered()
+        _log_end(tracked, "failed", why)
         self._counters.failed += 1
         self.ended.failed[tracked.class_name] += 1
 
@@ -357,3 +369,9 @@
             self.tracked_requests.pop(tracked.number, None)
             if self.by_id.get(tracked.job.id) is tracked:
                 del self.by_id[tracked.job.id]
+
+
+def _log_end(tracked: TrackedRequest, state: str, why: str = "") -> None:
+    log.logger().debug(
+        "request_ended", id=tracked.job.id, state=state, attempts=len(tracked.attempts), why=why
+    )
--- a/carthinge/net/tracked_request.py
+++ b/carthinge/net/tracked_request.py
@@ -112,6 +112,7 @@
     cleared: int = -1  # the turn of the loop in which it was last found that it may be sent
     token: int = 0  # of its lease; 0 without one
     timer: Timer | None = None
+    result: io.Result | None = None  # how it has ended; None while it is open, or where that is not known
 
 
 class RequestState(Enum):
--- a/carthinge/net/worker_client.py
+++ b/carthinge/net/worker_client.py
@@ -12,6 +12,7 @@
 from carthinge.interface import Result
 from carthinge.net import log
 from carthinge.net.caller import Caller
+from carthinge.net.close_reason import CloseReason
 from carthinge.net.counters import Counters
 from carthinge.net.deadlines import deadline_header
 from carthinge.net.http import Address, Answer, call_bytes
@@ -116,14 +117,14 @@
 
     def _stop_unsent(self, attempt: Attempt, call: _AttemptCall, why: str) -> None:
         del self._calls[attempt]
-        self._drop(call.caller)
+        self._drop(call.caller, CloseReason.NOT_WANTED)
         self.ended(attempt, Result.NOT_SENT, None, why)
 
     def withdraw(self, attempt: Attempt, gone: Callable[[], None]) -> None:
         """Give an attempt up; ``gone`` is called once its worker cannot miss that."""
         call = self._calls.pop(attempt, None)
         if call is not None:  # before its 202 has come, closing is enough; but that may be lost on its way
-            self._drop(call.caller)
+            self._drop(call.caller, CloseReason.NOT_WANTED)
             if not attempt.arrived:
                 self.withdrawn(attempt, "never sent")
                 gone()
@@ -211,7 +212,7 @@
                 if caller.usable():
                     return caller
                 # Its worker has closed it: a call on it would end as a reset, which proves nothing.
-                self._drop(caller)
+                self._drop(caller, CloseReason.WORKER_CLOSED)
                 return self._connection(address)
         caller = Caller(self._loop, address, self._site.connect_timeout)
         caller.admitted = lambda: self._admit(caller)
@@ -225,7 +226,7 @@
         if len(self._open) >= self.most:
             if not self._idle:
                 return False
-            self._drop(next(iter(self._idle)))
+            self._drop(next(iter(self._idle)), CloseReason.POOL_FULL)
         self._open.add(caller)
         self._counters.connections_out += 1
         return True
@@ -233,7 +234,7 @@
     def close_idle(self, address: Address) -> None:
         """Guards against connections to a worker that is restarted by hand: what is sent on them is lost."""
         for caller in [caller for caller in self._idle if caller.address == address]:
-            self._drop(caller)
+            self._drop(caller, CloseReason.WORKER_OUT)
 
     def adopt(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None:
         """An idle connection of the process before this one."""
@@ -255,7 +256,7 @@
     def free(self, caller: Caller) -> None:
         """A call is over: its connection is kept for the next one, if it still stands."""
         if caller.closed:
-            self._drop(caller)
+            self._drop(caller, CloseReason.UNUSABLE)
         else:
             self._keep_idle(caller, self._loop.now)
 
@@ -269,7 +270,8 @@
             self._sweeping = True
             self._loop.call_after(self._keep(), self._sweep)
 
-    def _drop(self, caller: Caller) -> None:
+    def _drop(self, caller: Caller, reason: CloseReason) -> None:
+        log.logger().debug("worker_connection_closed", address=str(caller.address), why=reason.value)
         caller.close()
         self._idle.pop(caller, None)
         self._open.discard(caller)
@@ -285,7 +287,7 @@
             if not caller.closed and now < since + self._keep():
                 self._loop.call_at(since + self._keep(), self._sweep)
                 return
-            self._drop(caller)
+            self._drop(caller, CloseReason.IDLE_TOO_LONG)
         self._sweeping = False
 
 
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -120,7 +120,7 @@
         if not sent and context.sheds(job, over, event):  # but not what a cold worker can begin at once
             job.spared, job.bearable, job.rank = True, 0.0, -math.inf
         if job.spared and not self.selector.at_once(job):
-            self._conclude(job)
+            self._conclude(job, io.GaveUp.OVERLOAD)
         elif not job.open:
             self.enqueue(job)
         if self.reports.asks:
@@ -157,20 +157,20 @@
         """A held job is answered in time; one that waits at a worker would only make others late as well."""
         if job.waiting:
             job.waiting = False
-            self._conclude(job)
+            self._conclude(job, io.GaveUp.OUT_OF_TIME)
         elif job.hedged and not job.answered and not any(attempt.begun for attempt in job.attempts):
             self.attempts.call_off(job)
 
-    def _conclude(self, job: Job) -> None:
+    def _conclude(self, job: Job, why: io.GaveUp) -> None:
         """The final answer of a job that will not be served: a refusal only where nothing can have run."""
         if job.answered or job.open:
             return
         job.answered = True
         del self.jobs[job.id]
         if job.harmless():
-            self.context.actions.append(io.Refuse(job.id, self.context.away(job)))
+            self.context.actions.append(io.Refuse(job.id, self.context.away(job), why))
         else:
-            self.context.actions.append(io.Fail(job.id))
+            self.context.actions.append(io.Fail(job.id, why))
 
     def _abandon(self, event: io.Abandoned) -> None:
         if (job := self.jobs.get(event.request)) and not job.answered:
@@ -195,7 +195,7 @@
             if job.choice:
                 self.attempts.send(job, job.choice)
             else:  # no eligible worker: it proceeds, to fail
-                self._conclude(job)
+                self._conclude(job, io.GaveUp.NO_WORKER)
         put_back(ring.queues)
 
     def _dispatchable(self, job: Job) -> bool:
@@ -235,7 +235,7 @@
         settings = self.context.settings
         spent = job.spent(settings.try_limit) or self.context.now >= job.give_up - settings.answer_grace
         if spent or (job.spec.effect is io.Effect.UNSAFE and not job.never_ran()):
-            self._conclude(job)
+            self._conclude(job, io.GaveUp.NO_RETRY)
         else:
             job.queue.deficit += 0.0 if attempt.may_have_run else job.cost  # as if it had never left the heap
             self.enqueue(job)
