Count a client's time from its connecting where it had to wait to be accepted

Cause: ConnectionSlots.enter took the time of the accept for the beginning of the connection, though the listener knows since when it may have waited; and what was first read on it counted as having come just then. The search for silent ones no longer ends at the first that is young, as the order of accepting is not that of connecting.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -167,9 +167,9 @@
         """Read requests from bytes, and handle what is whole."""
         try:
             requests = self._reader.feed(data)
-            loop = self._frontend.loop
+            came = self._came_at()
             for request in requests:
-                request.came = self._since if loop.turns <= self._entered + 1 else loop.since
+                request.came = came
             self._waiting.extend(requests)
             self._requests += len(requests)
             if len(self._waiting) > PIPELINED:
@@ -185,9 +185,14 @@
         if requests or not self._reader.under_way:
             self._read_timer.stop()
         if self._reader.under_way:  # where requests are sent ahead it may be another one than before
-            self._read_timer.progressed(first=not self._requests, connected=self._since)
+            self._read_timer.progressed(came, self._since if not self._requests else came)
         self._next()
 
+    def _came_at(self) -> timedelta:
+        """What is read now came no earlier than then."""
+        loop = self._frontend.loop
+        return self._since if loop.turns <= self._entered + 1 else loop.since
+
     def flushed(self) -> None:
         """Nothing follows from that."""
 
--- a/carthinge/front/frontend.py
+++ b/carthinge/front/frontend.py
@@ -13,7 +13,7 @@
 from carthinge.net import log
 from carthinge.net.channel import Waiting
 from carthinge.net.close_reason import CloseReason
-from carthinge.net.connection_slots import ConnectionSlots
+from carthinge.net.connection_slots import ConnectionSlots, Opened
 from carthinge.net.counters import Counters
 from carthinge.net.deadlines import Drain, patience_left
 from carthinge.net.listener import Listener
@@ -26,8 +26,7 @@
     from carthinge.front.durable_front import DurableFront
 
 PAUSE_TOLD: Final = timedelta(seconds=10)  # pauses that follow on one another are logged once in a while
-FIRST_REQUEST: Final = timedelta(milliseconds=2500)  # from connecting to the first byte of a request
-FRESH_CHECKED: Final = timedelta(milliseconds=200)  # how often that is looked at
+FRESH_CHECKED: Final = timedelta(milliseconds=200)  # how often it is looked at who has sent nothing
 
 
 class Frontend:
@@ -153,8 +152,8 @@
         elsewhere.  No answer can be lost with it, as a client has its answer before it asks again.
         """
         for connection in self._connections():
-            since = self.slots.fresh.get(connection)
-            if since is not None and self.loop.now < since + self._greeting:
+            opened = self.slots.fresh.get(connection)
+            if opened is not None and self.loop.now < opened.entered + self._greeting:
                 continue
             if connection.idle() and connection.silent():
                 connection.close(CloseReason.IDLE_IN_DRAIN)
@@ -193,8 +192,9 @@
         self._hold(sock, since)
 
     def _hold(self, sock: socket.socket, since: timedelta | None = None) -> ClientConnection:
-        connection = ClientConnection(self, sock, self.loop.now if since is None else since)
-        self.slots.enter(connection, self.loop.now)
+        connected = self.loop.now if since is None else since
+        connection = ClientConnection(self, sock, connected)
+        self.slots.enter(connection, Opened(connected, self.loop.now))
         if not self._checking:
             self._checking = True
             self.loop.call_after(FRESH_CHECKED, self._check_fresh)
@@ -209,7 +209,7 @@
 
     def _check_fresh(self) -> None:
         """Guards against clients that connect and say nothing."""
-        for holder in self.slots.overdue(self.loop.now, FIRST_REQUEST):
+        for holder in self.slots.overdue(self.loop.now):
             self.counters.connections_in_silent += 1
             holder.close(CloseReason.NO_REQUEST)
         self._checking = bool(self.slots.fresh)
--- a/carthinge/front/read_timer.py
+++ b/carthinge/front/read_timer.py
@@ -18,14 +18,16 @@
         self._partial: PartialRequest | None = None
         self._timer: Timer | None = None
 
-    def progressed(self, first: bool, connected: timedelta) -> None:
-        """A part of a request has come, which is not whole yet; ``first``: of its connection."""
-        loop = self._loop
+    def progressed(self, came: timedelta, began: timedelta) -> None:
+        """A part of a request was read, which ``came`` no earlier than then; it is not whole yet.
+
+        ``began``: where this was its first part, when its time began.
+        """
         if self._partial is None:
-            self._partial = PartialRequest(connected if first else loop.since, loop.now, loop.since)
-            self._timer = loop.call_at(self._partial.overdue_at(), self._check)
+            self._partial = PartialRequest(began, self._loop.now, came)
+            self._timer = self._loop.call_at(self._partial.overdue_at(), self._check)
         else:
-            self._partial.progressed = loop.since
+            self._partial.progressed = came
 
     def stop(self) -> None:
         """The request is whole, or its connection is over."""
--- a/carthinge/net/connection_slots.py
+++ b/carthinge/net/connection_slots.py
@@ -5,10 +5,12 @@
 import socket
 from collections import OrderedDict
 from collections.abc import Iterable
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final, Protocol
 
 from carthinge.net.close_reason import CloseReason
+from carthinge.net.read_timeouts import silent_at
 
 FRESH_SHARE: Final = 0.5  # of all slots: more connections without a request yet push out each other
 
@@ -32,6 +34,14 @@
         """Lets go of its socket, which stays open."""
 
 
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """The beginning of a connection."""
+
+    connected: timedelta  #: its client has connected no earlier
+    entered: timedelta  #: it was accepted here
+
+
 class ConnectionSlots:
     """The connections that came in, by how they have behaved; each is in one of the three orders.
 
@@ -41,7 +51,7 @@
 
     def __init__(self, most: int) -> None:
         self.most = most
-        self.fresh: OrderedDict[Holder, timedelta] = OrderedDict()  # no request yet; since when
+        self.fresh: OrderedDict[Holder, Opened] = OrderedDict()  # no request yet
         self.kept: OrderedDict[Holder, None] = OrderedDict()  # the longest unused first
         self.ending: OrderedDict[Holder, None] = OrderedDict()  # their last answer is written
 
@@ -52,9 +62,9 @@
         """Return all connections."""
         return [*self.fresh, *self.kept, *self.ending]
 
-    def enter(self, holder: Holder, now: timedelta) -> None:
+    def enter(self, holder: Holder, opened: Opened) -> None:
         """Count a new connection."""
-        self.fresh[holder] = now
+        self.fresh[holder] = opened
 
     def used(self, holder: Holder) -> None:
         """A whole request has come on it."""
@@ -78,15 +88,13 @@
         for order in (self.fresh, self.kept, self.ending):
             order.pop(holder, None)
 
-    def overdue(self, now: timedelta, span: timedelta) -> list[Holder]:
-        """Those on which nothing has come within ``span`` of their start, not even unread."""
-        late = []
-        for holder, since in self.fresh.items():
-            if now < since + span:
-                break
-            if holder.silent() and not holder.began():
-                late.append(holder)
-        return late
+    def overdue(self, now: timedelta) -> list[Holder]:
+        """Those on which nothing has come in time, not even unread."""
+        return [
+            holder
+            for holder, opened in self.fresh.items()
+            if now >= silent_at(opened.connected, opened.entered) and not holder.began() and holder.silent()
+        ]
 
     def make_room(self, now: timedelta, greeting: timedelta) -> Holder | None:
         """The one to be closed for a new one, where all slots are taken; None where all are at work.
@@ -97,7 +105,7 @@
         # Guards against a request that has come and was not read yet: with the connection it would be lost.
         if done := _first_silent(self.ending):
             return done
-        greeted = [holder for holder, since in self.fresh.items() if now >= since + greeting]
+        greeted = [holder for holder, opened in self.fresh.items() if now >= opened.entered + greeting]
         greeted.sort(key=lambda holder: holder.began())  # of a request that has begun some would be lost
         if len(self.fresh) > self.most * FRESH_SHARE:  # the kept ones do not suffer for these
             return _first_silent(greeted)
--- a/carthinge/net/read_timeouts.py
+++ b/carthinge/net/read_timeouts.py
@@ -30,4 +30,13 @@
     def overdue_at(self) -> timedelta:
         """When its client counts as one that has stopped."""
         whole_by = max(self.began + READ_TIMEOUT, self.progressed + SLOW_WRITER_PAUSE)
-        return max(min(whole_by, self.began + SLOW_REQUEST), self.first_read + LAST_CHANCE)
+        return max(min(whole_by, self.first_read + SLOW_REQUEST), self.first_read + LAST_CHANCE)
+
+
+def silent_at(connected: timedelta, entered: timedelta) -> timedelta:
+    """When a connection on which nothing has come counts as silent.
+
+    It may have waited for long before it ``entered``, and ``connected`` is the earliest that it can have
+    been made: what its client sends first has to have the time to come.
+    """
+    return max(connected + READ_TIMEOUT, entered + LAST_CHANCE)
--- a/tests/test_connection_slots.py
+++ b/tests/test_connection_slots.py
@@ -2,7 +2,8 @@
 
 from datetime import timedelta
 
-from carthinge.net.connection_slots import ConnectionSlots
+from carthinge.net.connection_slots import ConnectionSlots, Opened
+from carthinge.net.read_timeouts import LAST_CHANCE, READ_TIMEOUT
 
 LATER, GREETING = timedelta(minutes=1), timedelta(milliseconds=250)
 
@@ -32,7 +33,7 @@
         for count, idle in ((kept, True), (busy, False), (fresh, True))
     ]
     for number, connection in enumerate(connection for group in groups for connection in group):
-        slots.enter(connection, timedelta(seconds=number))
+        slots.enter(connection, Opened(timedelta(seconds=number), timedelta(seconds=number)))
     for connection in groups[0] + groups[1]:
         slots.used(connection)
     return slots, *groups
@@ -64,7 +65,25 @@
 
 def test_only_those_that_have_sent_no_request_are_overdue():
     slots, _, _, fresh = filled(9, fresh=3, kept=2)  # the fresh ones began at 2, 3 and 4 s
-    assert slots.overdue(timedelta(seconds=5), timedelta(seconds=2)) == fresh[:2]
+    assert slots.overdue(timedelta(seconds=2) + READ_TIMEOUT) == fresh[:1]
+    assert slots.overdue(timedelta(seconds=3) + READ_TIMEOUT) == fresh[:2]
+
+
+def test_one_that_waited_to_be_accepted_has_its_close_when_its_client_is_owed_it():
+    """Its time began with its accept, so that it was closed as much too late as it had waited."""
+    slots = ConnectionSlots(4)
+    younger, waited = Connection(), Connection()
+    slots.enter(younger, Opened(timedelta(seconds=9), timedelta(seconds=9)))
+    slots.enter(waited, Opened(timedelta(seconds=7), timedelta(seconds=9)))
+    assert slots.overdue(timedelta(seconds=7) + READ_TIMEOUT) == [waited]
+
+
+def test_one_that_waited_for_longer_than_that_has_the_time_to_send_something():
+    slots = ConnectionSlots(4)
+    waited = Connection()
+    slots.enter(waited, Opened(timedelta(seconds=1), timedelta(seconds=9)))
+    assert slots.overdue(timedelta(seconds=9)) == []
+    assert slots.overdue(timedelta(seconds=9) + LAST_CHANCE) == [waited]
 
 
 def test_one_with_something_unread_is_passed_over_in_every_order():
@@ -79,7 +98,7 @@
     assert slots.make_room(LATER, GREETING) is kept[1]
     kept[1].unread = fresh[1].unread = True
     assert slots.make_room(LATER, GREETING) is None
-    assert slots.overdue(timedelta(minutes=1), timedelta(seconds=2)) == []
+    assert slots.overdue(timedelta(minutes=1)) == []
 
 
 def test_one_that_has_just_come_is_not_closed_before_its_first_request_can_be_here():
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -8,8 +8,8 @@
 from in_process import call_back, lists, reading, taken, turns
 from world import SETTINGS, Listener, World, job, member
 
-from carthinge.front.frontend import FIRST_REQUEST
 from carthinge.net.http import Address
+from carthinge.net.read_timeouts import READ_TIMEOUT
 
 TIGHT = 64  # descriptors: what is not kept back leaves slots for ten connections
 
@@ -53,9 +53,9 @@
 def test_those_that_say_nothing_leave_in_the_end(serve, dial):
     program = serve(sockets=TIGHT)
     clients = filled(program, dial)
-    let_pass(program, FIRST_REQUEST * 2)
+    let_pass(program, READ_TIMEOUT * 2)
     turns(program, lambda: program.counters.connections_in == len(clients))
-    let_pass(program, FIRST_REQUEST * 2)
+    let_pass(program, READ_TIMEOUT * 2)
     turns(program, lambda: len(program.frontend.slots) == 0)
 
 
