Let a client's time go on when an upgrade moves its connection

A client that had connected and said nothing was closed 4.3 to 4.4 s after connecting where an upgrade came in between (3 s are owed), and a durable request that was put off until the store had changed hands had its whole deadline anew in the next process.

Cause: a connection that is handed over began anew at the process that took it in (Frontend.adopt). When it was made, and since when what waits on it may have come, goes along in the message; a process of the release before this one says nothing of that, and its connections begin anew as they did. The message keeps its format number: fields with defaults were added.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -61,11 +61,15 @@
 class ClientConnection:
     """One connection of a client or of a worker that calls back.  Answers go out in the order of requests."""
 
-    def __init__(self, frontend: Gate, sock: socket.socket, since: timedelta) -> None:
+    def __init__(
+        self, frontend: Gate, sock: socket.socket, connected: timedelta, unread_since: timedelta
+    ) -> None:
+        """It was made no earlier than ``connected``; what waits on it unread came after ``unread_since``."""
         self._frontend = frontend
         self.number = frontend.counters.connections_in + frontend.counters.connections_taken_over
         self._requests = 0  # whole ones that were read
-        self._since = since  # something may wait on it to be read since then
+        self._connected = connected
+        self._unread_since = unread_since
         self._entered = frontend.loop.turns
         self._reader = RequestReader()
         self._waiting: deque[Request] = deque()
@@ -109,6 +113,11 @@
         """Whether the client of the current request wants the connection kept."""
         return self._current is not None and self._current.keep_alive
 
+    def put_off_since(self) -> timedelta:
+        """When the request that was put off had come: its client's time has run since."""
+        assert self._current is not None
+        return self._current.came
+
     def unhandled(self) -> bytes:
         """The requests that were put off, as they may have come."""
         requests = [self._current, *self._waiting] if self._current is not None else []
@@ -185,13 +194,13 @@
         if requests or not self._reader.under_way:
             self._read_timer.stop()
         if self._reader.under_way:  # where requests are sent ahead it may be another one than before
-            self._read_timer.progressed(came, self._since if not self._requests else came)
+            self._read_timer.progressed(came, came if self._requests else self._connected)
         self._next()
 
     def _came_at(self) -> timedelta:
         """What is read now came no earlier than then."""
         loop = self._frontend.loop
-        return self._since if loop.turns <= self._entered + 1 else loop.since
+        return self._unread_since if loop.turns <= self._entered + 1 else loop.since
 
     def flushed(self) -> None:
         """Nothing follows from that."""
--- a/carthinge/front/frontend.py
+++ b/carthinge/front/frontend.py
@@ -11,13 +11,13 @@
 from carthinge.front.connection import ClientConnection
 from carthinge.front.translator import Translator
 from carthinge.net import log
-from carthinge.net.channel import Waiting
+from carthinge.net.channel import Incoming, Waiting
 from carthinge.net.close_reason import CloseReason
 from carthinge.net.connection_slots import ConnectionSlots, Opened
 from carthinge.net.counters import Counters
 from carthinge.net.deadlines import Drain, patience_left
 from carthinge.net.listener import Listener
-from carthinge.net.loop import Loop
+from carthinge.net.loop import MICROSECOND, Loop
 from carthinge.net.request_tracker import RequestTracker
 from carthinge.net.worker_client import WorkerClient
 from carthinge.settings import Site
@@ -91,14 +91,17 @@
         if self._listener is not None:
             self._listener.resume()
 
-    def adopt(self, sock: socket.socket, fresh: bool, read: bytes = b"") -> None:
-        """A connection that another process took in; what it had ``read`` there is handled here."""
+    def adopt(self, sock: socket.socket, incoming: Incoming) -> None:
+        """A connection that another process took in; what was read there is handled here."""
         self.counters.connections_taken_over += 1
-        connection = self._hold(sock)
-        if not fresh:
+        now = self.loop.now // MICROSECOND
+        connected = now if incoming.connected_us is None else incoming.connected_us
+        came = now if incoming.came_us is None else incoming.came_us
+        connection = self._hold(sock, connected * MICROSECOND, came * MICROSECOND)
+        if not incoming.fresh:
             self.slots.used(connection)
-        if read:
-            connection.received(read)
+        if incoming.read:
+            connection.received(incoming.read)
 
     def adopt_waiting(
         self, sock: socket.socket, keep_alive: bool, job: str, in_place: bool, until: timedelta
@@ -116,19 +119,22 @@
         connection.wait_for_answer(keep_alive)
         return connection
 
-    def release_idle(self) -> Iterator[tuple[socket.socket, bool]]:
-        """Lets go of the connections on which nothing is under way, and says which had no request yet."""
-        for connection in self.slots.all():
+    def release_idle(self) -> Iterator[tuple[socket.socket, Incoming]]:
+        """Lets go of the connections on which nothing is under way; what is known of each comes along."""
+        came = self.loop.since // MICROSECOND
+        for connection in self._connections():
             if connection.idle():
-                fresh = connection in self.slots.fresh
-                yield connection.release(), fresh
+                opened = self.slots.fresh.get(connection)
+                connected = came if opened is None else opened.connected // MICROSECOND
+                yield connection.release(), Incoming(opened is not None, b"", connected, came)
 
-    def release_put_off(self) -> Iterator[tuple[socket.socket, bytes]]:
+    def release_put_off(self) -> Iterator[tuple[socket.socket, Incoming]]:
         """Lets go of the connections whose request is for the other process, with that request."""
         for connection in self._connections():
             if connection.put_off:
+                came = connection.put_off_since() // MICROSECOND
                 read = connection.unhandled()
-                yield connection.release(), read
+                yield connection.release(), Incoming(False, read, came, came)
 
     def release_waiting(self) -> Iterator[tuple[socket.socket, Waiting]]:
         """Lets go of the connections whose clients wait for a durable job that is the other process's."""
@@ -191,9 +197,12 @@
         self.counters.connections_in += 1
         self._hold(sock, since)
 
-    def _hold(self, sock: socket.socket, since: timedelta | None = None) -> ClientConnection:
-        connected = self.loop.now if since is None else since
-        connection = ClientConnection(self, sock, connected)
+    def _hold(
+        self, sock: socket.socket, connected: timedelta | None = None, came: timedelta | None = None
+    ) -> ClientConnection:
+        """``connected`` no earlier than then; what may wait on it unread ``came`` no earlier than then."""
+        connected = self.loop.now if connected is None else connected
+        connection = ClientConnection(self, sock, connected, connected if came is None else came)
         self.slots.enter(connection, Opened(connected, self.loop.now))
         if not self._checking:
             self._checking = True
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -58,6 +58,8 @@
 
     fresh: bool
     read: bytes = b""  # what came on it and waits to be handled
+    connected_us: int | None = None  # on the monotonic clock; a fresh one's time to send something began then
+    came_us: int | None = None  # what waits on it, read or unread, came no earlier
 
 
 class Waiting(msgspec.Struct, frozen=True, tag=True):
--- a/carthinge/scheduler/handover_peer.py
+++ b/carthinge/scheduler/handover_peer.py
@@ -11,7 +11,7 @@
 from carthinge.front.frontend import Frontend
 from carthinge.interface import Leave, Message
 from carthinge.memory import job_memory, memory_of
-from carthinge.net.channel import Beat, Open, OpenAttempt, State, Waiting
+from carthinge.net.channel import Beat, Incoming, Open, OpenAttempt, State, Waiting
 from carthinge.net.config import Config
 from carthinge.net.http import Address
 from carthinge.net.loop import MICROSECOND, Loop
@@ -125,9 +125,9 @@
         """Take a call-back that came to the other process."""
         self._frontend.call_backs.take_from_other(body, known)
 
-    def adopt_incoming(self, sock: socket.socket, fresh: bool, read: bytes) -> None:
+    def adopt_incoming(self, sock: socket.socket, incoming: Incoming) -> None:
         """Take over a client's connection."""
-        self._frontend.adopt(sock, fresh, read)
+        self._frontend.adopt(sock, incoming)
 
     def adopt_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
         """Take over a connection whose client waits for a durable job."""
@@ -179,11 +179,11 @@
 
     def pass_on_all_at_rest(self) -> None:
         """To be called when all that has come up is decided on: what the module knows is then complete."""
-        for sock, fresh in self._frontend.release_idle():
-            self._upgrade.pass_incoming(sock, fresh)
+        for sock, incoming in self._frontend.release_idle():
+            self._upgrade.pass_incoming(sock, incoming)
         if self._durable is not None:
-            for sock, read in self._frontend.release_put_off():
-                self._upgrade.pass_incoming(sock, False, read)
+            for sock, incoming in self._frontend.release_put_off():
+                self._upgrade.pass_incoming(sock, incoming)
             for sock, waiting in self._frontend.release_waiting():
                 self._upgrade.pass_waiting(sock, waiting)
         for tracked in list(self._tracker.tracked_requests.values()):
--- a/carthinge/scheduler/upgrade.py
+++ b/carthinge/scheduler/upgrade.py
@@ -65,7 +65,7 @@
     def by_hand_here(self, worker: str, out: bool, sure: bool) -> bool:
         """Take a worker out or put it back; return whether it is known."""
 
-    def adopt_incoming(self, sock: socket.socket, fresh: bool, read: bytes) -> None:
+    def adopt_incoming(self, sock: socket.socket, incoming: Incoming) -> None:
         """Take over a client's connection."""
 
     def adopt_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
@@ -223,9 +223,9 @@
 
     # ---- messages -------------------------------------------------------------------------
 
-    def pass_incoming(self, sock: socket.socket, fresh: bool, read: bytes = b"") -> None:
+    def pass_incoming(self, sock: socket.socket, incoming: Incoming) -> None:
         """Hand over a client's connection."""
-        self._send(Incoming(fresh, read), sock)
+        self._send(incoming, sock)
 
     def pass_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
         """Hand over a connection whose client waits for a durable job."""
@@ -286,8 +286,8 @@
                     self._beat()
             case Begun():
                 self._handed_over = self._leaving
-            case Incoming(fresh=fresh, read=read) if along is not None:
-                scheduler.adopt_incoming(along, fresh, read)
+            case Incoming() if along is not None:
+                scheduler.adopt_incoming(along, message)
             case Waiting() if along is not None:
                 scheduler.adopt_waiting(along, message)
             case Open() if along is not None:
@@ -348,8 +348,8 @@
             self.scheduler.leave(False)
             for message, sock in unsent:
                 match message:
-                    case Incoming(fresh=fresh, read=read):
-                        self.scheduler.adopt_incoming(sock, fresh, read)
+                    case Incoming():
+                        self.scheduler.adopt_incoming(sock, message)
                     case Waiting():
                         self.scheduler.adopt_waiting(sock, message)
                     case Open():
--- a/tests/test_durable_handover.py
+++ b/tests/test_durable_handover.py
@@ -1,5 +1,6 @@
 """The store changes hands on a disk that is sick, or while requests are half read: the loop is never held."""
 
+import socket
 import threading
 import time
 from datetime import timedelta
@@ -11,6 +12,9 @@
 from world import World, job
 
 from carthinge.durable.handover import CALM_WITHIN, HandOver, take_back
+from carthinge.net.channel import Incoming
+from carthinge.net.deadlines import ANSWER_MARGIN
+from carthinge.net.loop import MICROSECOND
 
 ASYNC = {"kind": "reindex", "deadline": "9000m", "Idempotency_Key": "k1", "Prefer": "respond-async"}
 
@@ -155,3 +159,18 @@
             world.tell(headers["req-id"], "done", number, result="r", token=int(headers["lease-token"]))
         for name in names:
             assert get(world, name)[0] == 200
+
+
+def test_a_request_that_was_put_off_is_as_old_in_the_next_process_as_its_client_has_waited(
+    make_program, worker
+):
+    """Its client's time began anew there, and its answer came as much too late as it had been put off."""
+    program = make_program()
+    program.upgrade.find()
+    while not program.serving():
+        program.loop.turn()
+    came = program.loop.now - timedelta(seconds=2)
+    passed = Incoming(False, job("a1", deadline="5000m"), came // MICROSECOND, came // MICROSECOND)
+    program.frontend.adopt(socket.create_connection(("127.0.0.1", worker.port)), passed)
+    (tracked,) = program.tracker.tracked_requests.values()
+    assert tracked.give_up == came + timedelta(seconds=5) - ANSWER_MARGIN
