Pass a put-off request on only once the one behind it is whole

In a hand-over of the store a connection whose durable request is put off went to the next process with its whole requests alone; of a request sent ahead that had been read in half, the beginning stayed behind, so that its rest could not be read there and both were turned away.

The new test fails with the condition taken out.

--- a/carthinge/front/frontend.py
+++ b/carthinge/front/frontend.py
@@ -131,7 +131,7 @@
     def release_put_off(self) -> Iterator[tuple[socket.socket, Incoming]]:
         """Lets go of the connections whose request is for the other process, with that request."""
         for connection in self._connections():
-            if connection.put_off:
+            if connection.put_off and not connection.began():  # the half of another would be lost
                 came = connection.put_off_since() // MICROSECOND
                 read = connection.unhandled()
                 yield connection.release(), Incoming(False, read, came, came)
--- a/tests/test_durable_handover.py
+++ b/tests/test_durable_handover.py
@@ -174,3 +174,20 @@
     program.frontend.adopt(socket.create_connection(("127.0.0.1", worker.port)), passed)
     (tracked,) = program.tracker.tracked_requests.values()
     assert tracked.give_up == came + timedelta(seconds=5) - ANSWER_MARGIN
+
+
+def test_one_with_the_half_of_another_request_behind_it_is_passed_on_once_that_is_whole(program, dial):
+    """What had been read of the other one was left behind with the old process."""
+    client = dial(program).send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+    turns(program, lambda: program.frontend.slots.kept)
+    program.durable.leaving = True
+    text = job("a2", **ASYNC)
+    client.send(job("a1", **ASYNC) + text[:50])
+    (connection,) = program.frontend.slots.all()
+    turns(program, lambda: connection.put_off and connection.began())
+    assert list(program.frontend.release_put_off()) == []
+    client.send(text[50:])
+    turns(program, lambda: not connection.began())
+    ((sock, passed),) = program.frontend.release_put_off()
+    assert passed.read.count(b"Req-Id") + passed.read.count(b"req-id") == 2
+    sock.close()
