Stop the timer of a half request with the last answer of its connection

A connection whose half request had been followed by something unreadable was answered 400 and ended, and once the half request was overdue, answered 408 as well: that was written behind the last answer, counted as bad input twice, and kept the connection from being taken for done. The timer ends with the last answer. The test fails with that line taken out (bad_input 2 for 1).

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -375,6 +375,7 @@
         self._stream.write(answer_bytes(status, body, headers or (), keep_alive))
         if not keep_alive:
             self._finished = True
+            self._read_timer.stop()
             self._frontend.slots.end(self)
             self._stream.finish()
         elif self._waiting:
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -109,3 +109,19 @@
     let_pass(program, LINGER)
     turns(program, lambda: len(program.frontend.slots) == 0)
     assert client.status() == 503
+
+
+def test_nothing_follows_the_last_answer_of_a_connection_once_its_half_request_is_overdue(serve, dial):
+    """The timer of the half request went on after the connection's last answer, and wrote behind it."""
+    program = serve()
+    client = dial(program).send(UP[:9])
+    turns(program, lambda: program.frontend.slots.fresh)
+    one_read(program)
+    let_pass(program, READ_TIMEOUT - timedelta(milliseconds=500))
+    client.send(b"\x00\x01 not HTTP\r\n\r\n")
+    assert reading(client, program)[0].endswith("400 Bad Request")
+    let_pass(program, timedelta(seconds=1))
+    program.loop.turn(idle=False)
+    assert program.counters.bad_input == 1
+    assert all(connection.silent() for connection in program.frontend.slots.ending)
+    assert client.ended()
