Tell a client to go ahead once the requests before its own are answered

A client that sent a request with Expect: 100-continue behind another one was never told to go ahead: that was looked at only when bytes came, while the first was under way. It is told when the request before it is answered, and until then it is not its time that runs.

Found by going through what can leave a request half read. The test fails with the change taken out.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -186,9 +186,6 @@
         except BadRequestError as fault:
             self._turn_away(fault)
             return
-        if self._reader.expects_go_ahead and self._current is None and not self._waiting:
-            self._reader.expects_go_ahead = False
-            self._stream.write(GO_AHEAD)
         if requests:
             self._frontend.slots.used(self)
         if requests or not self._reader.under_way:
@@ -196,6 +193,19 @@
         if self._reader.under_way:  # where requests are sent ahead it may be another one than before
             self._read_timer.progressed(came, came if self._requests else self._connected)
         self._next()
+        self._go_ahead()
+
+    def _go_ahead(self) -> None:
+        """Tells a client that asks first to send the body; behind other requests once they are answered."""
+        if not self._reader.expects_go_ahead or self._finished:
+            return
+        if self._current is not None or self._waiting:
+            self._read_timer.stop()  # until then it is this side that is waited for
+            return
+        self._reader.expects_go_ahead = False
+        self._stream.write(GO_AHEAD)
+        now = self._frontend.loop.now
+        self._read_timer.progressed(now, now)
 
     def _came_at(self) -> timedelta:
         """What is read now came no earlier than then."""
@@ -380,6 +390,8 @@
             self._stream.finish()
         elif self._waiting:
             self._frontend.loop.soon(self._next)
+        else:
+            self._go_ahead()
 
 
 def _as_sent(headers: dict[bytes, bytes]) -> list[tuple[str, bytes]]:
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -4,8 +4,8 @@
 
 import pytest
 from faults import FaultySockets, let_pass
-from in_process import UP, drained, reading, turns
-from world import SETTINGS
+from in_process import UP, call_back, drained, lists, reading, taken, turns
+from world import SETTINGS, job, member
 
 from carthinge.net.read_timeouts import OWED_WITHIN, READ_TIMEOUT, SLOW_REQUEST, SLOW_WRITER_PAUSE
 from carthinge.net.stream import LINGER
@@ -125,3 +125,20 @@
     assert program.counters.bad_input == 1
     assert all(connection.silent() for connection in program.frontend.slots.ending)
     assert client.ended()
+
+
+def test_a_client_that_waits_to_be_told_to_go_ahead_behind_another_request_is_told(serve, dial, worker):
+    """It was never told, waited for the word, and was turned away as one that had stopped."""
+    program = serve()
+    lists(program, member("s-0", worker.port))
+    head, body = job("a2", Expect="100-continue", body=b"large").split(b"\r\n\r\n")
+    client = dial(program).send(job("a1") + head + b"\r\n\r\n")
+    peer = taken(worker, program)
+    for name in ("a1", "a2"):
+        assert reading(peer, program)[1]["req-id"] == name
+        peer.answer(202)
+        dial(program).send(call_back("s-0", name, result=name))
+        assert reading(client, program)[2] == name.encode()
+        if name == "a1":
+            assert client.read()[0] == "HTTP/1.1 100 Continue"  # it came with the answer
+            client.send(body)
