Write what comes as the store's thread ends, and hand the store over all the same

So an upgrade under load of durable jobs could fail to start its new process; no job was lost by it.

Cause: HandOver asks the writer's thread to write what there is and to end, and where a record (a worker's call-back) came after the thread had looked for the last time, the store counted as one that cannot be let go of. Ruled out: the time to write (1.2 s; it took 12 ms) and a failing disk (no store_failing).

Now the thread goes on, writes that and is asked again, within the same 1.2 s; only a failing disk, or the time, calls the hand-over off. The new test forces that order and failed before ([False] for [True]).

--- a/carthinge/durable/handover.py
+++ b/carthinge/durable/handover.py
@@ -59,10 +59,13 @@
             jobs.close()
             jobs.forget_all()
             self._done(True)
-        elif not jobs.leaving or writer.stopped or jobs.loop.clock.now() >= self._until:
+        elif not jobs.leaving or writer.failing or jobs.loop.clock.now() >= self._until:
             writer.resume()
             self._done(False)
         else:
+            if writer.stopped:  # something came as its thread ended: it is written first
+                writer.resume()
+                writer.request_stop()
             jobs.loop.call_after(CALM_CHECKED, lambda: self._wait_for_writer(writer))
 
 
--- a/tests/test_durable_handover.py
+++ b/tests/test_durable_handover.py
@@ -9,6 +9,7 @@
 from durable_world import FILE, get, put
 from faults import let_pass
 from in_process import readable, reading, turns
+from store_shorthands import accepted
 from world import World, job
 
 from carthinge.durable.handover import CALM_WITHIN, HandOver, take_back
@@ -191,3 +192,15 @@
     ((sock, passed),) = program.frontend.release_put_off()
     assert passed.read.count(b"Req-Id") + passed.read.count(b"req-id") == 2
     sock.close()
+
+
+def test_a_record_that_comes_as_the_writer_ends_is_written_and_the_store_handed_over(program):
+    """The hand-over was called off for it, and the new process ended for want of the store."""
+    ended, heard, writer = [], [], program.durable.writer
+    HandOver(program.durable, lambda attempt: False, ended.append)
+    until = time.monotonic() + CALM_WITHIN.total_seconds()
+    while not writer.stopped:
+        assert time.monotonic() < until
+    writer.write(accepted(1), heard.append)  # as a worker's call-back does
+    turns(program, lambda: ended)
+    assert ended == [True] and heard == [None]
