--- a/carthinge/net/clock.py
+++ b/carthinge/net/clock.py
@@ -7,7 +7,6 @@
 from typing import Final, NamedTuple
 
 STEP_LEAST: Final = timedelta(milliseconds=50)  # less is drift, which is adjusted without a step
-CHECKED_EVERY: Final = timedelta(milliseconds=10)  # by turns of the loop, which may be far more frequent
 PERIODS_KEPT: Final = 64  # between steps of the wall clock; a worker's start is asked about soon after it
 
 
@@ -42,10 +41,6 @@
 
     def check_for_step(self, now: timedelta) -> None:
         """Notes a step of the wall clock; to be called often, as a step is dated to the check before."""
-        if now - self._checked >= CHECKED_EVERY:
-            self._check(now)
-
-    def _check(self, now: timedelta) -> None:
         origin = self._wall_origin()
         if abs(origin - self._periods[-1].origin) >= STEP_LEAST:
             self._periods.append(WallPeriod(self._checked, origin))
@@ -60,7 +55,7 @@
         """
         reading = timedelta(milliseconds=unix_ms)
         ends = self.now()
-        self._check(ends)
+        self.check_for_step(ends)
         for period in reversed(self._periods):
             at = reading - period.origin + self.HISTORY
             if at >= period.begins - STEP_LEAST:  # readings are rounded, and steps are dated by the checks
