--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -8,22 +8,20 @@
 from datetime import timedelta
 from http import HTTPStatus
 from math import inf
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from carthinge.fleet.retry_after import stay_away
-from carthinge.front.call_backs import CALL_BACK, NO_ANSWER, CallBacks
+from carthinge.front.call_backs import CALL_BACK, NO_ANSWER
+from carthinge.front.gate import Gate
 from carthinge.front.read_timer import ReadTimer
-from carthinge.front.translator import JOBS, Translator
+from carthinge.front.translator import JOBS
 from carthinge.net import log
 from carthinge.net.channel import Waiting
 from carthinge.net.close_reason import CloseReason
-from carthinge.net.connection_slots import ConnectionSlots
-from carthinge.net.counters import Counters
 from carthinge.net.http import GO_AHEAD, BadRequestError, Request, RequestReader, answer_bytes, call_bytes
-from carthinge.net.loop import MICROSECOND, MILLISECOND, Loop
-from carthinge.net.request_tracker import RequestTracker
+from carthinge.net.loop import MICROSECOND, MILLISECOND
 from carthinge.net.stream import Stream
 from carthinge.net.tracked_request import TrackedRequest
 from carthinge.records import mix
@@ -35,29 +33,6 @@
 WAITING_SHARE: Final = 0.75  # of all slots: workers' call-backs need some, or no job would ever end
 
 
-class Gate(Protocol):
-    """What a connection wants of the front end that it came in by."""
-
-    loop: Loop
-    tracker: RequestTracker
-    counters: Counters
-    translator: Translator
-    call_backs: CallBacks
-    durable: DurableFront | None
-    max_retry_after: timedelta
-    slots: ConnectionSlots
-    waiting: set[ClientConnection]  #: their clients wait for the answer to a job
-
-    def up(self) -> bool:
-        """New jobs are welcome."""
-
-    def keeps_connections(self) -> bool:
-        """Connections may go on after an answer."""
-
-    def patience(self, asked: timedelta, came: timedelta) -> timedelta:
-        """What is left of a time, for a request that ``came`` then."""
-
-
 class ClientConnection:
     """One connection of a client or of a worker that calls back.  Answers go out in the order of requests."""
 
@@ -79,6 +54,7 @@
         self.put_off = False  # its request is for the other process
         self._finished = False
         self._read_timer = ReadTimer(frontend.loop, self._overdue)
+        self._accepted = frontend.loop.now
         self._stream = Stream(frontend.loop, sock, self)
 
     def idle(self) -> bool:
@@ -167,6 +143,8 @@
 
     def close(self, reason: CloseReason) -> None:
         """Close at once; what its client waited for is abandoned."""
+        owed = self._current is not None or bool(self._waiting)
+        self._frontend.tracker.invariants.closing(self.number, owed, reason)
         self._stream.close()
         self.ended(reason.value)
 
@@ -239,10 +217,15 @@
         if call is not None:
             call.drop()
 
-    def _overdue(self) -> None:
+    def _overdue(self, last_sign: timedelta) -> None:
         """Guards against clients that begin a request and never end it: they are owed an error."""
+        self._check_in_time(last_sign)
         self._turn_away(BadRequestError(HTTPStatus.REQUEST_TIMEOUT, "the request took too long to arrive"))
 
+    def _check_in_time(self, last_sign: timedelta) -> None:
+        now = self._frontend.loop.clock.now()
+        self._frontend.tracker.invariants.half_request_ended(self.number, last_sign, self._accepted, now)
+
     def _turn_away(self, fault: BadRequestError) -> None:
         """Nothing more can be read here: all that waits on the connection is answered so, and it ends.
 
--- a/carthinge/front/read_timer.py
+++ b/carthinge/front/read_timer.py
@@ -10,9 +10,9 @@
 
 
 class ReadTimer:
-    """Calls ``overdue`` once a request of one connection is not whole in time."""
+    """Calls ``overdue`` with its last sign once a request of one connection is not whole in time."""
 
-    def __init__(self, loop: Loop, overdue: Callable[[], None]) -> None:
+    def __init__(self, loop: Loop, overdue: Callable[[timedelta], None]) -> None:
         self._loop = loop
         self._overdue = overdue
         self._partial: PartialRequest | None = None
@@ -43,5 +43,6 @@
         if self._loop.now < due:
             self._timer = self._loop.call_at(due, self._check)
         else:
+            last_sign = max(self._partial.began, self._partial.progressed)
             self.stop()
-            self._overdue()
+            self._overdue(last_sign)
--- a/carthinge/front/translator.py
+++ b/carthinge/front/translator.py
@@ -11,6 +11,7 @@
 from carthinge.net.http import BadRequestError, Request
 from carthinge.net.loop import MICROSECOND, MILLISECOND
 from carthinge.net.tracked_request import Job, Terms
+from carthinge.rules import Effect
 from carthinge.settings import Site
 
 JOBS: Final = b"/api"  # a further part, where there is one, is the key
@@ -26,11 +27,18 @@
     def __init__(self, site: Site) -> None:
         self._classes = {name: index for index, name in enumerate(site.classes)}
         self._tenants = {name: index for index, name in enumerate(site.tenants)}
+        self._effects = {
+            name: spec.effect for name, spec in zip(site.classes, site.decisions.classes, strict=True)
+        }
 
     def job_class(self, name: str) -> int | None:
         """Its position for the module; None where this site has no such class."""
         return self._classes.get(name)
 
+    def effect(self, name: str) -> Effect:
+        """What running a job of a class twice would do; the worst where this site has no such class."""
+        return self._effects.get(name, Effect.UNSAFE)
+
     def tenant(self, name: str) -> int | None:
         """Return a tenant's position; None where this site has no such tenant."""
         return self._tenants.get(name) if self._tenants else 0
@@ -68,6 +76,7 @@
             figures.get("slots", 1.0),
             figures.get("memory", 0.0),
             headers.get(b"req-retry") == b"1",
+            self.effect(class_name),
         )
         passed = tuple((name.decode().title(), headers[name]) for name in PASSED_ON if name in headers)
         return Job(job_id, request.target, request.body, passed), terms
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -79,6 +79,7 @@
     sent_us: int
     due_us: int
     open: bool
+    result: int | None = None  #: how it has ended, where that is known
 
 
 class Open(msgspec.Struct, frozen=True, tag=True):
--- a/carthinge/net/counters.py
+++ b/carthinge/net/counters.py
@@ -46,6 +46,7 @@
     list_lines: int = 0  #: entries that discovery has sent
     reloads_ok: int = 0  #: files taken at SIGHUP
     reloads_failed: int = 0  #: files turned down then
+    invariants_violated: int = 0  #: rules that the program has found broken by itself; none is expected
     operator_calls: int = 0
     operator_silent: int = 0  #: callers at the operators' address that were cut off without a whole call
 
--- a/carthinge/net/request_tracker.py
+++ b/carthinge/net/request_tracker.py
@@ -10,6 +10,7 @@
 from carthinge.net import log
 from carthinge.net.counters import ByClass, Counters
 from carthinge.net.deadlines import give_up_at
+from carthinge.net.invariants import Invariants
 from carthinge.net.loop import MICROSECOND, Loop, Timer
 from carthinge.net.tracked_request import Attempt, Client, Job, Keeper, Sent, Target, Terms, TrackedRequest
 from carthinge.net.worker_directory import WorkerEndpoint
@@ -29,6 +30,7 @@
         self.by_id: dict[str, TrackedRequest] = {}
         self.events: list[io.Event] = []
         self.ended = ByClass()
+        self.invariants = Invariants(counters, lambda: dispatcher.context.settings.may_copy)
         self._loop = loop
         self._dispatcher = dispatcher
         self._targets = targets
@@ -87,7 +89,14 @@
         self._count += 1
         give_up = give_up_at(self._loop.now, terms.patience)
         tracked = TrackedRequest(
-            self._count, job, terms.class_name, terms.tenant_name, client, give_up, keeper=keeper
+            self._count,
+            job,
+            terms.class_name,
+            terms.tenant_name,
+            client,
+            give_up,
+            keeper=keeper,
+            effect=terms.effect,
         )
         self.tracked_requests[tracked.number] = self.by_id[job.id] = tracked
         return tracked
@@ -262,10 +271,8 @@
     def why_not_sent(self, attempt: Attempt) -> str | None:
         """Why an attempt of which nothing has gone out must not go out now; None where it may.
 
-        Asked when it is decided on, and again when its connection is up, if that is in a later turn.
+        Asked when it is decided on, and again when its connection is up.
         """
-        if attempt.cleared == self._loop.turns:
-            return None
         tracked, now = attempt.tracked, self._loop.clock.now()
         if not attempt.open:
             return "it has ended"
@@ -279,8 +286,7 @@
             return "a repeat is not harmless any more"
         if attempt.target.left:
             return "its worker leaves"
-        attempt.cleared = self._loop.turns
-        return None
+        return None if self.invariants.may_send(attempt) else "it would break a rule"
 
     def _stopped(self, attempt: Attempt) -> bool:
         """Ends an attempt that must not go out now; False for one that may."""
--- a/carthinge/net/tracked_request.py
+++ b/carthinge/net/tracked_request.py
@@ -37,6 +37,7 @@
     slots: float = 1.0
     memory: float = 0.0
     repeat: bool = False
+    effect: io.Effect = io.Effect.SAFE  #: of running it twice
 
 
 class Client(Protocol):
@@ -109,7 +110,6 @@
     leaving: bool = False  # given up, but its worker may not know yet
     arrived: bool = False  # its last byte is written: what the worker says may be about it
     held_back: bool = False  # until its grant is on disk; nothing of it has been sent
-    cleared: int = -1  # the turn of the loop in which it was last found that it may be sent
     token: int = 0  # of its lease; 0 without one
     timer: Timer | None = None
     result: io.Result | None = None  # how it has ended; None while it is open, or where that is not known
@@ -137,6 +137,7 @@
     state: RequestState = RequestState.QUEUED
     attempts: list[Attempt] = field(default_factory=list)
     keeper: Keeper | None = None
+    effect: io.Effect = io.Effect.SAFE  #: of running it twice
 
     @property
     def owed(self) -> bool:
--- a/carthinge/scheduler/handover_peer.py
+++ b/carthinge/scheduler/handover_peer.py
@@ -9,7 +9,7 @@
 
 from carthinge.front.connection import ClientConnection
 from carthinge.front.frontend import Frontend
-from carthinge.interface import Leave, Message
+from carthinge.interface import Leave, Message, Result
 from carthinge.memory import job_memory, memory_of
 from carthinge.net.channel import Beat, Incoming, Open, OpenAttempt, State, Waiting
 from carthinge.net.config import Config
@@ -140,7 +140,13 @@
         client = self._frontend.adopt_open(sock, tracked.keep_alive)
         job = Job(tracked.id, tracked.subject, tracked.body, tuple(tracked.headers))
         taken = TrackedRequest(
-            0, job, tracked.class_name, tracked.tenant, client, tracked.give_up_us * MICROSECOND
+            0,
+            job,
+            tracked.class_name,
+            tracked.tenant,
+            client,
+            tracked.give_up_us * MICROSECOND,
+            effect=self._frontend.translator.effect(tracked.class_name),
         )
         for number, sent in enumerate(tracked.attempts):
             target = self._table.target(sent.worker, Address.parse(sent.address))
@@ -153,6 +159,7 @@
                     sent.due_us * MICROSECOND,
                     open=sent.open,
                     arrived=True,
+                    result=None if sent.result is None else Result(sent.result),
                 )
             )
         client.owe(taken)
@@ -207,6 +214,7 @@
                 sent.sent // MICROSECOND,
                 sent.due // MICROSECOND,
                 sent.open,
+                sent.result,
             )
             for sent in tracked.attempts
         ]
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -35,6 +35,7 @@
 from carthinge.policy import Dispatcher
 from carthinge.scheduler.handover_peer import HandoverPeer
 from carthinge.scheduler.upgrade import Upgrade
+from carthinge.settings import positions
 
 if TYPE_CHECKING:  # not loaded where no job is durable
     from carthinge.durable.jobs import DurableJobs
@@ -152,6 +153,7 @@
             hint,
             known.slots,
             known.memory,
+            effect=translator.effect(accepted.class_name),
         )
 
     def run(self) -> None:
@@ -200,9 +202,9 @@
             self.tracker.tell(
                 Inherit(
                     state.memory,
-                    _positions(site.classes, state.classes),
-                    _positions(site.tenants, state.tenants),
-                    _positions(site.kinds, state.kinds),
+                    positions(site.classes, state.classes),
+                    positions(site.tenants, state.tenants),
+                    positions(site.kinds, state.kinds),
                 )
             )
             self.tracker.tell(self.table.go_on(state))
@@ -231,6 +233,8 @@
         Guards against requests that wait in the backlog while a platform that meters the processor still
         has this process pay for its start: their clients' time runs, and nobody here knows since when.
         """
+        if not self.tracker.invariants.start():
+            return
         listening = self.config.listening
         self.frontend.listen(
             bind(self.config.listen, BACKLOG) if listening is None else socket.socket(fileno=listening)
@@ -338,9 +342,9 @@
         self.tracker.tell(
             Retune(
                 site.decisions,
-                _positions(site.classes, before.classes),
-                _positions(site.tenants, before.tenants),
-                _positions(site.kinds, before.kinds),
+                positions(site.classes, before.classes),
+                positions(site.tenants, before.tenants),
+                positions(site.kinds, before.kinds),
             )
         )
         if (site.zones, site.kinds) != (before.zones, before.kinds):
@@ -390,10 +394,5 @@
         self.loop.call_after(timedelta(milliseconds=50), self._check_over)
 
 
-def _positions(names: tuple[str, ...], before: tuple[str, ...]) -> list[int]:
-    """Where each of these names stood before, -1 where it did not."""
-    return [before.index(name) if name in before else -1 for name in names]
-
-
 def _ignore(number: int, frame: FrameType | None) -> None:
     """The wake-up socket has the signal already."""
--- a/carthinge/settings.py
+++ b/carthinge/settings.py
@@ -243,3 +243,8 @@
         priority=int(extra("class_priority", 0)),
         streamed=facts.flag(at + "stream"),
     )
+
+
+def positions(names: tuple[str, ...], before: tuple[str, ...]) -> list[int]:
+    """Where each of these names stood before, -1 where it did not."""
+    return [before.index(name) if name in before else -1 for name in names]
