Go on after a system call that was interrupted or wanted memory for a moment

An interrupted send, receive or connect, and a receive without memory (ENOMEM, ENOBUFS), were taken for a broken connection: the answer was lost, an attempt ended, a client counted as gone, or the channel of an upgrade ended.

Interrupted calls are made again when the selector says so, an interrupted connect goes on, a receive without memory rests for 10 ms as a send does.

--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -12,6 +12,7 @@
 from carthinge.interface import JobMemory, Memory
 from carthinge.net.loop import READ, WRITE, Loop
 from carthinge.net.members import Member
+from carthinge.net.sockets import NOT_READY
 
 FORMAT: Final = 2  # of these messages: a process that speaks another one is left alone
 LENGTH: Final = 4  # bytes of a message's length before it
@@ -190,7 +191,7 @@
     def _receive(self) -> None:
         try:
             data, sockets = self._loop.sockets.receive_with_sockets(self._sock, CHUNK, SOCKETS_AT_ONCE)
-        except BlockingIOError:
+        except NOT_READY:
             return
         except OSError:
             self._end()
@@ -230,7 +231,7 @@
                 del data[:sent]
                 if not data:
                     self._out.popleft()
-        except BlockingIOError:
+        except NOT_READY:
             pass
         except OSError:
             self._loop.soon(self._end)
--- a/carthinge/net/listener.py
+++ b/carthinge/net/listener.py
@@ -98,6 +98,8 @@
             except BlockingIOError:
                 self._left = False
                 return
+            except InterruptedError:
+                continue
             except OSError as fault:
                 gone += fault.errno in GONE_UNACCEPTED
                 if fault.errno in GONE_UNACCEPTED and gone < GONE_AT_ONCE:
--- a/carthinge/net/sockets.py
+++ b/carthinge/net/sockets.py
@@ -23,10 +23,13 @@
         errno.ENETUNREACH,
         errno.ENETDOWN,
         errno.ENOSPC,
+        errno.EINTR,
     }
 )
-#: A send that failed so may be made again: nothing of it was taken, and the connection stands.
-SEND_AGAIN: Final = frozenset({errno.ENOBUFS, errno.ENOMEM})
+#: A send or receive that failed so may be made again: nothing was taken, and the connection stands.
+TRY_AGAIN: Final = frozenset({errno.ENOBUFS, errno.ENOMEM})
+#: Nothing can be done on a socket just now; the selector tells when it can.
+NOT_READY: Final = (BlockingIOError, InterruptedError)
 
 
 class Sockets:
@@ -39,7 +42,7 @@
         try:
             sock.setblocking(False)
             sock.connect((host, port))
-        except BlockingIOError:
+        except NOT_READY:  # an interrupted connect goes on like any other
             pass
         except OSError:
             self.close(sock)
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -10,12 +10,12 @@
 from typing import Final, Protocol
 
 from carthinge.net.loop import READ, WRITE, Loop, Timer
-from carthinge.net.sockets import SEND_AGAIN
+from carthinge.net.sockets import NOT_READY, TRY_AGAIN
 
 CHUNK: Final = 65536  # bytes
 UNREAD_LIMIT: Final = 512 * 1024  # bytes, far more than a peer that sends one message at a time has to read
 LINGER: Final = timedelta(seconds=2)  # without any progress, from the last answer to the end
-SEND_AGAIN_AFTER: Final = timedelta(milliseconds=10)  # where this machine is short of buffers
+TRY_AGAIN_AFTER: Final = timedelta(milliseconds=10)  # where this machine is short of buffers
 
 
 class StreamState(Enum):
@@ -67,7 +67,8 @@
         self._connecting_owner = connecting
         self._out = bytearray()
         self._linger: Timer | None = None
-        self._send_again: Timer | None = None  # set while this machine is short of buffers
+        self._send_again: Timer | None = None  # these two are set while this machine is short of buffers
+        self._receive_again: Timer | None = None
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._interest = READ if connecting is None else WRITE
@@ -112,10 +113,10 @@
             return True
         try:
             return not self._loop.sockets.peek(self._sock)
-        except BlockingIOError:
+        except NOT_READY:
             return False
-        except OSError:
-            return True
+        except OSError as fault:
+            return fault.errno not in TRY_AGAIN
 
     def finish(self) -> None:
         """Closes once all is written and the other side has had the time to read it.
@@ -155,7 +156,7 @@
 
     def _leave_loop(self) -> None:
         self.state = StreamState.CLOSED
-        for timer in (self._linger, self._send_again):
+        for timer in (self._linger, self._send_again, self._receive_again):
             if timer is not None:  # a flood of these would hold their memory for as long
                 timer.cancel()
         self._loop.forget(self._sock)
@@ -186,9 +187,13 @@
     def _receive(self) -> None:
         try:
             data = self._loop.sockets.receive(self._sock, CHUNK)
-        except BlockingIOError:
+        except NOT_READY:
             return
         except OSError as fault:
+            if fault.errno in TRY_AGAIN:
+                self._receive_again = self._loop.call_after(TRY_AGAIN_AFTER, self._read_on)
+                self._want()
+                return
             self.reset = True
             self._end(str(fault))
             return
@@ -198,6 +203,10 @@
         elif self.state is StreamState.OPEN:
             self._owner.received(data)
 
+    def _read_on(self) -> None:
+        self._receive_again = None
+        self._want()
+
     def _flush(self) -> None:
         if self.state not in (StreamState.OPEN, StreamState.FINISHING) or self._send_again is not None:
             return
@@ -210,16 +219,16 @@
                 self._loop.sockets.end_sending(self._sock)
             elif had:
                 self._owner.flushed()
-        except BlockingIOError:
+        except NOT_READY:
             pass
         except OSError as fault:
-            if fault.errno not in SEND_AGAIN:
+            if fault.errno not in TRY_AGAIN:
                 self.reset = True
                 self.state = StreamState.BROKEN
                 why = str(fault)
                 self._loop.soon(lambda: self._end(why))
                 return
-            self._send_again = self._loop.call_after(SEND_AGAIN_AFTER, self._flush_again)
+            self._send_again = self._loop.call_after(TRY_AGAIN_AFTER, self._flush_again)
         self._want()
 
     def _flush_again(self) -> None:
@@ -229,7 +238,8 @@
     def _want(self) -> None:
         """Asks the loop for what can be done next."""
         writing = self.connecting or (self._out and self._send_again is None)
-        interest = (0 if self.connecting else READ) | (WRITE if writing else 0)
+        reading = not self.connecting and self._receive_again is None
+        interest = (READ if reading else 0) | (WRITE if writing else 0)
         if not self.closed and interest != self._interest:
             self._loop.change(self._sock, interest, self._ready)
             self._interest = interest
--- a/carthinge/scheduler/fleet_link.py
+++ b/carthinge/scheduler/fleet_link.py
@@ -28,6 +28,7 @@
 from carthinge.net import log
 from carthinge.net.http import Address
 from carthinge.net.loop import MICROSECOND, MILLISECOND, READ, Loop, Timer
+from carthinge.net.sockets import NOT_READY
 from carthinge.operator_file import FleetOptions
 from carthinge.policy import Dispatcher
 from carthinge.scheduler.fleet_facts import Insight, purses_of
@@ -168,7 +169,7 @@
                 return
             try:
                 data = self.loop.sockets.receive(self._sock, PACKET_MOST + 1)
-            except BlockingIOError:
+            except NOT_READY:
                 break
             except OSError:  # what came back of one that was sent: nobody listens there
                 continue
--- a/carthinge/scheduler/upgrade.py
+++ b/carthinge/scheduler/upgrade.py
@@ -31,6 +31,7 @@
 from carthinge.net.http import Address
 from carthinge.net.listener import ACCEPT_PAUSE
 from carthinge.net.loop import MICROSECOND, READ, Loop, Timer
+from carthinge.net.sockets import NOT_READY
 
 STATE_WITHIN: Final = timedelta(seconds=2)  # of asking to take over; else the other is taken for stuck
 BEAT: Final = timedelta(milliseconds=100)  # how often each tells the other what it has at the workers
@@ -196,7 +197,7 @@
         assert self._listener is not None
         try:
             sock = self._loop.sockets.accept(self._listener)
-        except BlockingIOError:
+        except NOT_READY:
             return
         except OSError as fault:  # it stays ready, and the loop would turn for nothing
             log.logger().warning("upgrade_paused", why=str(fault))
--- /dev/null
+++ b/tests/test_interrupted_calls.py
@@ -0,0 +1,57 @@
+"""System calls that a signal interrupts, or that want memory for a moment: nothing is broken by that."""
+
+import errno
+import socket
+
+import pytest
+from faults import FaultySockets, faulty
+from in_process import UP, call_back, lists, reading, taken, turns
+from world import job, member
+
+from carthinge.net.channel import Beat, Channel
+from carthinge.net.loop import Loop
+
+CALLS = ("connect", "accept", "receive", "peek", "send")
+PASSING = (errno.EINTR, errno.ENOMEM, errno.ENOBUFS)
+
+
+@pytest.mark.parametrize("error", PASSING, ids=errno.errorcode.get)
+@pytest.mark.parametrize("call", CALLS)
+def test_a_call_that_fails_for_a_moment_ends_no_connection_and_no_attempt(serve, dial, worker, call, error):
+    """An interrupted send was taken for a broken connection: the client's answer was lost with it."""
+    program = serve()
+    lists(program, member("s-0", worker.port))
+    resting = dial(program).send(UP)
+    assert reading(resting, program)[0].endswith("200 OK")
+    sockets = faulty(program)
+    sockets.fail(call, error)
+    client = dial(program).send(job("a1", kind="charge"))
+    peer = taken(worker, program)
+    sockets.fail(call, error)
+    reading(peer, program)
+    peer.answer(202)
+    turns(program, lambda: not program.worker_client._calls)
+    sockets.fail(call, error)
+    dial(program).send(call_back("s-0", "a1", result="r"))
+    assert reading(client, program)[2] == b"r"
+    resting.send(UP)
+    assert reading(resting, program)[0].endswith("200 OK")
+    counters = program.counters
+    assert (counters.attempts, counters.served, counters.client_gone) == (1, 1, 0)
+
+
+@pytest.mark.parametrize("call", ["send", "receive_with_sockets"])
+def test_the_channel_of_an_upgrade_survives_an_interrupted_call(call):
+    loop, got, lost = Loop(), [], []
+    here, there = socket.socketpair(socket.AF_UNIX)
+    loop.sockets = FaultySockets()
+    loop.sockets.fail(call, errno.EINTR, errno.EINTR)
+    sender = Channel(loop, here, lambda *_: None, lost.extend)
+    receiver = Channel(loop, there, lambda message, _: got.append(message), lost.extend)
+    sender.send(Beat(1, b""))
+    for _ in range(10):
+        loop.turn(idle=False)
+    assert got == [Beat(1, b"")] and not lost
+    sender.close()
+    receiver.close()
+    loop.close()
