--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -13,7 +13,7 @@
 import time
 from pathlib import Path
 
-from world import HOST, free_ports
+from world import HOST
 
 from soak.http import read_message
 from soak.ledger import MOMENT
@@ -31,11 +31,12 @@
 class Node:
     """One scheduler; for a while it may be two processes."""
 
-    def __init__(self, run, number, folder):
+    def __init__(self, run, number, folder, ports):
+        """``ports``: its own, its operators' and those of its next process."""
         self.run, self.number, self.folder = run, number, folder
         self.folder.mkdir()
         (self.folder / "tmp").mkdir()
-        self.port, self.operator = free_ports(2)
+        self.port, self.operator, self.next_operator = ports
         self.held = None
         if number in run.plan.upgraded:
             self.held = socket.create_server((HOST, self.port), backlog=1024)
@@ -187,7 +188,7 @@
     async def upgrade(self):
         """A new process beside the one that serves; the old one is told to end once the new one is ready."""
         old, self.ready = self.process, False
-        (self.operator,) = free_ports(1)
+        self.operator, self.next_operator = self.next_operator, self.operator
         self.process = self.spawn()
         await self.wait_until_ready()
         await self.terminate(old)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -42,7 +42,7 @@
 
 PROCESS = ("kill", "term", "hup", "stop")  # what is done to a process
 INSIDE = ("sockets", "hold", "wall", "disk")  # what fails inside one
-WORKER = ("hang", "reset", "mute", "decline", "garbage", "pieces", "lose", "drain")
+WORKER = ("hang", "reset", "mute", "decline", "garbage", "pieces", "lose", "drain", "rest")
 DISCOVERY = ("down", "silent", "unavailable", "slow", "broken")
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,8 @@
 import time
 from pathlib import Path
 
+from world import free_ports
+
 from soak.clients import Client, crowd
 from soak.discovery import Discovery, Drains, WorkerList
 from soak.durable import DurableClient
@@ -68,8 +70,9 @@
         for number in range(self.plan.workers):
             self.workers.append(Worker(self, number))
             await self.workers[-1].open()
+        ports = free_ports(3 * self.plan.schedulers)  # at once: one that is let go of may be found again
         for number in range(self.plan.schedulers):
-            node = Node(self, number, self.folder / f"n{number}")
+            node = Node(self, number, self.folder / f"n{number}", ports[3 * number : 3 * number + 3])
             node.discovery = Discovery(self, number)
             await node.discovery.open()
             self.nodes.append(node)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -13,6 +13,7 @@
 
 CALLS = 5  # of a worker, until its call-back is heard
 LOST_ON_ITS_WAY = 0.1  # seconds: a connection that ends so soon after a 202 may have ended before it
+RESTS = 0.1  # seconds: so soon a connection counts as idle where the plan says that it is ended
 ODD = 0.02  # of the attempts, in any case
 ODD_WAYS = ("reset", "decline", "garbage", "mute")
 
@@ -44,7 +45,7 @@
         last = None  # the attempt that was taken last on this connection, and when
         with contextlib.suppress(OSError, EOFError, asyncio.LimitOverrunError, asyncio.CancelledError):
             while True:
-                first = await reader.readexactly(1)
+                first = await self.first_byte(reader, writer)
                 began = time.monotonic()
                 line, headers, _ = await read_message(reader)
                 if (first.decode() + line).startswith("DELETE"):
@@ -63,6 +64,16 @@
         with contextlib.suppress(OSError):
             writer.close()
 
+    async def first_byte(self, reader, writer):
+        """Of the next request; it may close or reset a connection that rests, and sooner than it says."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                return await asyncio.wait_for(reader.readexactly(1), RESTS)
+            if self.run.active_kind("rest", self.number):
+                if self.run.rng.random() < 0.5:
+                    writer.transport.abort()
+                raise EOFError("it is closed here")
+
     async def work(self, reader, writer, headers, began):
         """One attempt and its number; None where its connection ends here."""
         ledger, req_id = self.run.ledger, headers["req-id"]
