Cut a request short for one that waits behind it and would be answered too late

Answers keep the order of their requests, so that the one in front has its answer by 250 ms after the earliest time of those that wait behind it: failed if it was sent (its attempts are called off), refused if not. A durable one is told where it can be asked for. Where all have as much time nothing is cut short.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from carthinge.fleet.retry_after import stay_away
+from carthinge.front.answer_order import AnswerOrder
 from carthinge.front.call_backs import CALL_BACK, NO_ANSWER
 from carthinge.front.gate import Gate
 from carthinge.front.read_timer import ReadTimer
@@ -54,6 +55,7 @@
         self.put_off = False  # its request is for the other process
         self._finished = False
         self._read_timer = ReadTimer(frontend.loop, self._overdue)
+        self._order = AnswerOrder(frontend.loop, self._cut_short)
         self._accepted = frontend.loop.now
         self._stream = Stream(frontend.loop, sock, self)
 
@@ -206,6 +208,7 @@
         self._frontend.slots.leave(self)
         self._waiting.clear()
         self._read_timer.stop()
+        self._order.stop()
         self._abandon()
 
     def _abandon(self) -> None:
@@ -247,6 +250,15 @@
                 self._handle(self._current)
             except BadRequestError as fault:
                 self._refuse(fault)
+        if self._current is not None and self._waiting:
+            self._order.watch(self._waiting)
+
+    def _cut_short(self) -> None:
+        """What waits behind the current request has to have its answer."""
+        if self._exchange is not None:
+            self._frontend.tracker.cut_short(self._exchange)
+        elif self._call is not None:
+            self._call.cut_short()
 
     def _handle(self, request: Request) -> None:
         path = request.target.split(b"?", 1)[0]
@@ -355,6 +367,7 @@
     ) -> None:
         """``keep_alive``: the connection may go on; it does where more has been read of it, as that is owed
         an answer too, unless it is not ``readable`` any more."""
+        self._order.stop()
         request, self._current, self._exchange = self._current, None, None
         self._frontend.waiting.discard(self)
         if request is not None and request.method == b"HEAD":
--- a/carthinge/front/durable_front.py
+++ b/carthinge/front/durable_front.py
@@ -256,6 +256,13 @@
         """The client has gone; the job goes on."""
         self._finish()
 
+    def cut_short(self) -> None:
+        """Its answer is due now; the job goes on."""
+        if self.in_place:
+            self._late()
+        else:
+            self.pend()
+
     def pend(self) -> None:
         """Answers that the job is not over yet, and where it can be asked for."""
         if self.number:
--- a/carthinge/front/translator.py
+++ b/carthinge/front/translator.py
@@ -95,6 +95,16 @@
     return float(found[1]) * UNITS[found[2]]
 
 
+def deadline_of(request: Request) -> timedelta | None:
+    """When the client of a job stops waiting; None where the request is no job or names no time."""
+    if request.method != b"POST" or not request.target.startswith(JOBS):
+        return None
+    try:
+        return request.came + span(text(request.headers, b"req-deadline"))
+    except (BadRequestError, OverflowError):
+        return None
+
+
 def extra(text: str) -> dict[str, float]:
     """Parse ``name=number,...``."""
     try:
--- a/carthinge/net/request_tracker.py
+++ b/carthinge/net/request_tracker.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 from functools import partial
+from typing import Final
 
 from carthinge import interface as io
 from carthinge.net import log
@@ -12,10 +13,21 @@
 from carthinge.net.deadlines import give_up_at
 from carthinge.net.invariants import Invariants
 from carthinge.net.loop import MICROSECOND, Loop, Timer
-from carthinge.net.tracked_request import Attempt, Client, Job, Keeper, Sent, Target, Terms, TrackedRequest
+from carthinge.net.tracked_request import (
+    Attempt,
+    Client,
+    Job,
+    Keeper,
+    Sent,
+    Target,
+    Terms,
+    TrackedRequest,
+)
 from carthinge.net.worker_directory import WorkerEndpoint
 from carthinge.policy import Dispatcher
 
+CUT_SHORT: Final = "one that waits behind it has to have its answer"
+
 
 class RequestTracker:
     """All requests.  Collects what happened, has the module decide on it, carries out what it says."""
@@ -43,7 +55,7 @@
             io.Fail: self._fail,
             io.Cancel: self._cancel,
             io.SetTimer: self._set_timer,
-            io.Watch: self._watch,
+            io.Watch: lambda _: self.watch(),
             io.LogLine: self._log,
             io.Probe: lambda action: self.probe(targets[action.worker]),
         }
@@ -118,9 +130,8 @@
     def give_away(self, tracked: TrackedRequest) -> None:
         """Another process has taken it over, with its client and with the attempt that is out."""
         if tracked.owed:
-            tracked.client_gone()
+            tracked.client_gone("given_away")
         self._counters.requests_given_away += 1
-        _log_end(tracked, "given_away")
         for attempt in tracked.attempts:
             attempt.open = False
             if attempt.timer is not None:
@@ -143,13 +154,28 @@
     def abandon(self, tracked: TrackedRequest) -> None:
         """The client has gone."""
         if tracked.owed:
-            tracked.client_gone()
-            _log_end(tracked, "client_left")
+            tracked.client_gone("client_left")
             self._counters.client_gone += 1
-            self.events.append(io.Abandoned(tracked.number))
-            for attempt in list(tracked.out()):
-                self.target.client_left(attempt)
-            self._forget_if_over(tracked)
+            self._call_off(tracked)
+
+    def _call_off(self, tracked: TrackedRequest) -> None:
+        """Nothing is owed any more, and not by a decision of the module."""
+        self.events.append(io.Abandoned(tracked.number))
+        for attempt in list(tracked.out()):
+            self.target.client_left(attempt)
+        self._forget_if_over(tracked)
+
+    def cut_short(self, tracked: TrackedRequest) -> None:
+        """Its final answer is due now, for the sake of another that has to follow it."""
+        if not tracked.owed:
+            return
+        if tracked.attempts:
+            self._count_failed(tracked, CUT_SHORT)
+            tracked.client.fail(timed_out=True)
+        else:
+            self._count_refused(tracked, CUT_SHORT)
+            tracked.client.shed(timedelta())
+        self._call_off(tracked)
 
     def serve_late(self, tracked: TrackedRequest, result: bytes) -> None:
         """A result has come from an attempt that had ended, and nobody has the job since."""
@@ -222,8 +248,7 @@
         self._forget_if_over(tracked)
 
     def _serve(self, tracked: TrackedRequest, result: bytes) -> None:
-        tracked.answered()
-        _log_end(tracked, "served")
+        tracked.answered("served")
         self._counters.served += 1
         self.ended.served[tracked.class_name] += 1
         tracked.client.serve(result)
@@ -338,10 +363,7 @@
     def _shed(self, action: io.Refuse) -> None:
         tracked = self.tracked_requests.get(action.request)
         if tracked is not None and tracked.owed:
-            tracked.answered()
-            _log_end(tracked, "refused", action.why.value)
-            self._counters.shed += 1
-            self.ended.refused[tracked.class_name] += 1
+            self._count_refused(tracked, action.why.value)
             tracked.client.shed(action.stay_away * MICROSECOND)
             self._forget_if_over(tracked)
 
@@ -352,9 +374,13 @@
             tracked.client.fail(timed_out=self._loop.now >= tracked.give_up)
             self._forget_if_over(tracked)
 
+    def _count_refused(self, tracked: TrackedRequest, why: str) -> None:
+        tracked.answered("refused", why)
+        self._counters.shed += 1
+        self.ended.refused[tracked.class_name] += 1
+
     def _count_failed(self, tracked: TrackedRequest, why: str) -> None:
-        tracked.answered()
-        _log_end(tracked, "failed", why)
+        tracked.answered("failed", why)
         self._counters.failed += 1
         self.ended.failed[tracked.class_name] += 1
 
@@ -364,9 +390,6 @@
             self._wake.cancel()
         self._wake = self._loop.call_at(action.due * MICROSECOND, partial(self.tell, io.Timer(action.token)))
 
-    def _watch(self, _: io.Watch) -> None:
-        self.watch()
-
     def _log(self, action: io.LogLine) -> None:
         log.logger().info("decision", text=action.text)
 
@@ -375,9 +398,3 @@
             self.tracked_requests.pop(tracked.number, None)
             if self.by_id.get(tracked.job.id) is tracked:
                 del self.by_id[tracked.job.id]
-
-
-def _log_end(tracked: TrackedRequest, state: str, why: str = "") -> None:
-    log.logger().debug(
-        "request_ended", id=tracked.job.id, state=state, attempts=len(tracked.attempts), why=why
-    )
--- a/carthinge/net/tracked_request.py
+++ b/carthinge/net/tracked_request.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from carthinge import interface as io
+from carthinge.net import log
 from carthinge.net.loop import Timer
 from carthinge.net.worker_directory import WorkerEndpoint
 
@@ -149,15 +150,20 @@
         if self.owed:
             self.state = RequestState.QUEUED if self.current() is None else RequestState.SENT
 
-    def answered(self) -> None:
-        """Note that the final answer is written."""
+    def answered(self, how: str, why: str = "") -> None:
+        """Note that the final answer is written; the log tells ``how`` it ended, and why if it failed."""
         assert self.owed, "a request has one final answer"
         self.state = RequestState.ANSWERED
+        self._log_end(how, why)
 
-    def client_gone(self) -> None:
-        """Note that nobody waits for an answer any more."""
+    def client_gone(self, how: str) -> None:
+        """Note that nobody waits for an answer any more, here at least."""
         assert self.owed, "it was answered before"
         self.state = RequestState.CLIENT_GONE
+        self._log_end(how, "")
+
+    def _log_end(self, how: str, why: str) -> None:
+        log.logger().debug("request_ended", id=self.job.id, state=how, attempts=len(self.attempts), why=why)
 
     def current(self) -> Attempt | None:
         """The first attempt that is out; where second copies are allowed it need not be the only one."""
