--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -119,8 +119,11 @@
         self.known.setdefault(node, []).append((revision, time.monotonic()))
 
     def told(self, node, worker):
-        """When it counted as told, as far as that is past."""
-        back = worker.left_at
+        """When it counted as told, as far as that is past.
+
+        A process that starts while its agent is silent learns nothing of what that had before.
+        """
+        back = max(worker.left_at, self.run.nodes[node].started)
         for window in self.run.plan.windows:
             begins, ends = self.run.at(window.begins), self.run.at(window.ends)
             unreachable = window.kind in ("down", "silent", "unavailable", "slow", "broken")
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -58,6 +58,7 @@
         self.may_copy = plan.settings["caps"]["second_copies"]
         self.grace = plan.settings["rules"]["drain_grace"] / 1e6
         self._lags = deque()
+        self._felt = time.monotonic()
 
     def found(self, text):
         self.findings.append(f"{time.monotonic():.3f} {text}")
@@ -68,14 +69,15 @@
         while True:
             began = time.monotonic()
             await asyncio.sleep(0.005)
-            now = time.monotonic()
+            self._felt = now = time.monotonic()
             self._lags.append((now, now - began - 0.005))
             while self._lags[0][0] < now - LAG_KEPT:
                 self._lags.popleft()
 
     @property
     def lag(self):
-        return 3 * max((lag for _, lag in self._lags), default=0.0)  # it reads, and so do the schedulers
+        since = time.monotonic() - self._felt  # it may be slow just now, and not have felt that yet
+        return 3 * max([lag for _, lag in self._lags] + [since])  # it reads, and so do the schedulers
 
     # ---- workers ----------------------------------------------------------------------------
 
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -43,6 +43,7 @@
         self.discovery = None
         self.process = self.old = None
         self.ready = False
+        self.started = 0.0
         self.told_to_end = None
         self.deaths = []  # times of kills that no rule softens
         self.killed_after_term = []
@@ -77,6 +78,7 @@
         return path
 
     def spawn(self):
+        self.started = time.monotonic()
         config = self.write_config()
         faults = [
             [self.run.at(w.begins), self.run.at(w.ends), w.kind, w.much]
