Close a connection that cannot be taken over, and go on with all others

A process that took over from another ended, and with it all that it held, where one connection that came along could not be registered (epoll_ctl fails with ENOSPC at the user's limit of watches): the error went up to the program's end. Found by going through the paths that hand over work. That connection is closed now and a warning says so (not_adopted). The new test failed with OSError before.

Five tests of that file held a pause of real time against a count of turns: test_an_upgrade_s_accept_that_fails_pauses_its_listener[ENOTSUP] failed once beside other work (2 calls for 1), for the reason that was traced for the test of a shortage. No time passes in them meanwhile; the pauses themselves are asked for as before.

--- a/carthinge/scheduler/upgrade.py
+++ b/carthinge/scheduler/upgrade.py
@@ -287,14 +287,8 @@
                     self._beat()
             case Begun():
                 self._handed_over = self._leaving
-            case Incoming() if along is not None:
-                scheduler.adopt_incoming(along, message)
-            case Waiting() if along is not None:
-                scheduler.adopt_waiting(along, message)
-            case Open() if along is not None:
-                scheduler.adopt_open(along, message)
-            case Outgoing(address=address, idle_since_us=since) if along is not None:
-                scheduler.adopt_outgoing(along, Address.parse(address), since * MICROSECOND)
+            case Incoming() | Waiting() | Open() | Outgoing() if along is not None:
+                self._adopt(message, along)
             case CallBack(number=number, body=body):
                 scheduler.call_back(body, partial(self._answer, number))
             case ByHandCall(number=number, worker=worker, out=out, sure=sure):
@@ -304,6 +298,22 @@
             case Beat():
                 scheduler.heard(message)
 
+    def _adopt(self, message: Message, sock: socket.socket) -> None:
+        """Guards against one connection that this machine has no room for taking all others with it."""
+        try:
+            match message:
+                case Incoming():
+                    self.scheduler.adopt_incoming(sock, message)
+                case Waiting():
+                    self.scheduler.adopt_waiting(sock, message)
+                case Open():
+                    self.scheduler.adopt_open(sock, message)
+                case Outgoing(address=address, idle_since_us=since):
+                    self.scheduler.adopt_outgoing(sock, Address.parse(address), since * MICROSECOND)
+        except OSError as fault:
+            log.logger().warning("not_adopted", what=type(message).__name__, why=str(fault))
+            self._loop.sockets.close(sock)
+
     def _hand_over(self) -> None:
         if self._channel is not None and not self._leaving:
             self._leaving = True
@@ -348,15 +358,10 @@
             self.listen()
             self.scheduler.leave(False)
             for message, sock in unsent:
-                match message:
-                    case Incoming():
-                        self.scheduler.adopt_incoming(sock, message)
-                    case Waiting():
-                        self.scheduler.adopt_waiting(sock, message)
-                    case Open():
-                        self.scheduler.adopt_open(sock, message)
-                    case _:
-                        sock.close()
+                if isinstance(message, Outgoing):
+                    sock.close()
+                else:
+                    self._adopt(message, sock)
         elif self._taking_over:
             self._taking_over = False
             log.logger().info("alone")
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -1,5 +1,6 @@
 """Faults at the seam of the socket calls, and time that goes on at a test's word."""
 
+import contextlib
 import errno
 import os
 from collections import defaultdict, deque
@@ -78,11 +79,14 @@
     program.loop.clock.HISTORY += span
 
 
-def stop_clock(program):
-    """Time goes on by :func:`let_pass` alone, however busy this machine is."""
+@contextlib.contextmanager
+def clock_stopped(program):
+    """No time passes for the program meanwhile, however busy this machine is."""
     clock = program.loop.clock
-    stopped, history = clock.now(), clock.HISTORY
-    clock.now = lambda: stopped + clock.HISTORY - history
+    stopped = clock.now()
+    clock.now = lambda: stopped
+    yield
+    del clock.now
 
 
 LOCAL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETUNREACH)
--- a/tests/test_socket_faults.py
+++ b/tests/test_socket_faults.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 import pytest
-from faults import BROKEN, LOCAL, FaultySockets, faulty, let_pass, stop_clock
+from faults import BROKEN, LOCAL, FaultySockets, clock_stopped, faulty, let_pass
 from in_process import UP, call_back, lists, reading, taken, turns
 from world import HOST, free_port, job, member
 
@@ -38,10 +38,11 @@
     sockets = faulty(program)
     sockets.fail("accept", *[error] * 3)
     client = dial(program).send(UP)
-    turns(program, lambda: sockets.made["accept"])
-    for _ in range(20):
-        program.loop.turn(idle=False)
-    assert sockets.made["accept"] == 1, "it was tried again within the pause"
+    with clock_stopped(program):
+        turns(program, lambda: sockets.made["accept"])
+        for _ in range(20):
+            program.loop.turn(idle=False)
+        assert sockets.made["accept"] == 1, "it was tried again within the pause"
     for _ in range(3):
         let_pass(program, ACCEPT_PAUSE)
         program.loop.turn(idle=False)
@@ -64,10 +65,11 @@
     sockets = faulty(program)
     sockets.fail("accept", *[errno.ECONNABORTED] * (GONE_AT_ONCE + 1))
     dial(program)
-    turns(program, lambda: sockets.made["accept"])
-    for _ in range(20):
-        program.loop.turn(idle=False)
-    assert sockets.made["accept"] == GONE_AT_ONCE and program.counters.accept_pauses == 1
+    with clock_stopped(program):
+        turns(program, lambda: sockets.made["accept"])
+        for _ in range(20):
+            program.loop.turn(idle=False)
+        assert sockets.made["accept"] == GONE_AT_ONCE and program.counters.accept_pauses == 1
 
 
 @pytest.mark.parametrize("error", LOCAL, ids=errno.errorcode.get)
@@ -77,12 +79,12 @@
     lists(program, member("s-0", worker.port))
     sockets = faulty(program)
     sockets.fail("connect", *[error] * 5)
-    stop_clock(program)
     client = dial(program).send(job("a1"))
-    turns(program, lambda: sockets.made["connect"])
-    for _ in range(20):
-        program.loop.turn(idle=False)
-    assert sockets.made["connect"] == 1, "it was tried again at once"
+    with clock_stopped(program):
+        turns(program, lambda: sockets.made["connect"])
+        for _ in range(20):
+            program.loop.turn(idle=False)
+        assert sockets.made["connect"] == 1, "it was tried again at once"
     for _ in range(5):
         let_pass(program, timedelta(milliseconds=20))
         program.loop.turn(idle=False)
@@ -169,10 +171,11 @@
     sockets = faulty(program)
     sockets.fail("send", error, error)
     client = dial(program).send(UP)
-    turns(program, lambda: sockets.made["send"])
-    for _ in range(20):
-        program.loop.turn(idle=False)
-    assert sockets.made["send"] == 1, "it was tried again at once"
+    with clock_stopped(program):
+        turns(program, lambda: sockets.made["send"])
+        for _ in range(20):
+            program.loop.turn(idle=False)
+        assert sockets.made["send"] == 1, "it was tried again at once"
     turns(program, lambda: sockets.left("send") == 0 and not program.loop._soon)
     assert reading(client, program)[0].endswith("200 OK")
 
@@ -271,16 +274,38 @@
     sockets.fail("accept", error, error)
     with socket.socket(socket.AF_UNIX) as other:
         other.connect(str(program.upgrade._path))
-        turns(program, lambda: sockets.made["accept"])
-        for _ in range(20):
-            program.loop.turn(idle=False)
-        assert sockets.made["accept"] == 1, "it was tried again within the pause"
+        with clock_stopped(program):
+            turns(program, lambda: sockets.made["accept"])
+            for _ in range(20):
+                program.loop.turn(idle=False)
+            assert sockets.made["accept"] == 1, "it was tried again within the pause"
         for _ in range(2):
             let_pass(program, ACCEPT_PAUSE)
             program.loop.turn(idle=False)
         turns(program, lambda: program.upgrade.paired)
 
 
+def test_a_connection_that_cannot_be_taken_over_ends_nothing_but_itself(serve, dial, worker, monkeypatch):
+    """epoll_ctl fails with ENOSPC at the user's limit of watches: that ended the process that takes over."""
+    program = serve()
+    register, failing = program.loop._selector.register, [True]
+
+    def full(*given):
+        if failing:
+            failing.clear()
+            raise OSError(errno.ENOSPC, "no room")
+        return register(*given)
+
+    monkeypatch.setattr(program.loop._selector, "register", full, raising=False)
+    sock = socket.create_connection(("127.0.0.1", worker.port))
+    other = worker.accept()
+    program.upgrade._received(Incoming(fresh=True), sock)
+    assert other.ended() and not failing
+    client = dial(program).send(UP)
+    turns(program, lambda: program.frontend.slots.kept)
+    assert client.status() == 200
+
+
 @pytest.mark.parametrize("error", [errno.ENOBUFS, errno.EPIPE, errno.ETOOMANYREFS], ids=errno.errorcode.get)
 def test_a_socket_that_could_not_be_handed_over_is_kept(error):
     loop, lost = Loop(), []
