--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -48,6 +48,12 @@
     assert run(tmp_path, RED, passes=True)[0] == 1
 
 
+@pytest.mark.parametrize("passes", [False, True])
+def test_a_listed_test_that_fails_at_times_may_pass_and_is_printed_all_the_same(tmp_path, passes):
+    code, printed = run(tmp_path, RED.replace("a fault", "at times: a fault"), passes=passes)
+    assert code == 0 and "known red: test_it.py::test_red: at times: a fault" in printed
+
+
 def test_a_test_that_is_not_listed_fails_the_run(tmp_path):
     assert run(tmp_path)[0] == 1
 
