Keep discovery's own connect out of the test of a repeat whose connection comes up late

Traced in its log: the connect that the test makes 700 ms long was taken by discovery's, which was called again in the same moment (discovery_failed stands between the two attempts), so that the repeat was stopped at its decision and not when its connection was up; a few milliseconds of real time, now spent on printing more log lines, decide which of the two is first.

--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -185,6 +185,8 @@
     ]
     program = serve(settings={**altered(dial_timeout=900_000), "services": services})
     lists(program, member("s-0", worker.port), member("s-1", worker.port))
+    program.watch.stop()
+    program.tracker.watch = lambda: None  # the connect that takes long must not be discovery's
     sockets = faulty(program)
     client = dial(program).send(job("a1", kind="reindex", deadline="9000m", Idempotency_Key="k"))
     peer = taken(worker, program)
