--- a/carthinge/net/invariants.py
+++ b/carthinge/net/invariants.py
@@ -67,7 +67,7 @@
     def half_request_ended(
         self, connection: int, last_sign: timedelta, accepted: timedelta, now: timedelta
     ) -> None:
-        """A client that has stopped, or said nothing, gets its error or close ``now``.
+        """A client that has stopped in the middle of a request gets its error ``now``.
 
         ``last_sign``: its connecting or the last part of its request; it was ``accepted`` no earlier.
         """
