Review case 1: every second of several retries at once of a durable job gets no answer

Done: a case in which clients of durable jobs give up early and retry twice at once after the job has ended. The stand-ins listen at a loopback address of their own process, since a run beside others had met a taken port, and a run without the disruption had counted as could not run. Why: the waiters of a request whose key is in use by an ended job are answered while the list of them is gone through, and each answer removes one from it.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Two of ten workers are cut off for 6 s; no request may have two attempts out meanwhile."""
+"""Clients of durable jobs give up early, then ask twice at once; each request must get its answer."""
 
 from __future__ import annotations
 
@@ -14,54 +14,77 @@
 from standins import (  # noqa: E402
     HOST,
     ROOT,
-    Clients,
     Discovery,
-    Link,
     Record,
-    Request,
     Scheduler,
     Worker,
+    read_message,
     run_case,
-    second_copies,
 )
 
-SCHEDULERS = 2
-SLOTS = (3, 3, 2, 2, 2, 2, 2, 2, 2, 2)  # of each worker
-RATE = 21.0  # jobs a second, over all schedulers: the slots are about three quarters full
-MEAN_WORK = {"query": 0.5, "reindex": 1.1}  # seconds
-DEADLINE = {"query": 5.0, "reindex": 10.0}
-SIGMA = 1.04  # of the lognormal work: a coefficient of variation of 1.4
-MAX_WORK = 6.0
-CUTS, CUT = (14.0, 32.0), 6.0  # seconds from the first job, and the length of a cut
-JOBS_UNTIL = 45.0
-
-
-def settings(position: int) -> dict[str, object]:
-    """Return the settings of a small deployment without second copies, whose workers tell of starts."""
-    base = json.loads((ROOT / "tests" / "site.json").read_text())
-    return {**base, "instances": SCHEDULERS, "position": position}
+WORKERS = 4
+JOBS, INTERVAL = 24, 0.8  # seconds between first tries
+WORK = 0.3  # seconds that a job runs
+GIVES_UP_AFTER = 0.1  # seconds; the job is on disk by then and goes on
+RETRY_AFTER = 2.0  # seconds after the first try: the job has long ended
+DEADLINE = 4.0
+LATE = 0.5  # seconds after its time from which on an answer counts as lost
+DURABLE = '[durable]\nfolder = "{folder}"\nclasses = ["reindex"]\n'
+
+
+class Requests:
+    """Sends requests for durable jobs and notes their answers."""
+
+    def __init__(self, scheduler: Scheduler, record: Record) -> None:
+        """``scheduler``: whom they go to."""
+        self._scheduler, self._record = scheduler, record
+        self._count = 0
+
+    async def ask(self, commit: str, prefer: str, wait: float) -> tuple[str, int, bytes]:
+        """Send a request for a commit; return its id, and the answer's status, 0 for none, and body."""
+        self._count += 1
+        req_id = f"{commit}-{self._count}"
+        body = json.dumps({"work": WORK}).encode()
+        lines = [
+            f"POST /api/{commit} HTTP/1.1",
+            "Host: app.svc",
+            f"Req-Id: {req_id}",
+            "Req-Kind: reindex",
+            "Req-Owner: acme",
+            f"Req-Deadline: {DEADLINE * 1000:.0f}m",
+            f"Idempotency-Key: {commit}",
+            *([f"Prefer: {prefer}"] if prefer else []),
+            f"Content-Length: {len(body)}",
+        ]
+        reader, writer = await asyncio.open_connection(HOST, self._scheduler.port)
+        self._record.note("request", id=req_id, commit=commit, prefer=prefer)
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        status, answer = 0, b""
+        try:
+            line, _, answer = await asyncio.wait_for(read_message(reader), wait)
+            status = int(line.split()[1])
+            self._record.note("answer", id=req_id, status=status, body=answer.decode("latin-1")[:80])
+        except (OSError, EOFError, TimeoutError) as fault:
+            self._record.note("client left", id=req_id, why=repr(fault))
+        writer.close()
+        return req_id, status, answer
 
 
 async def play(record: Record, scratch: Path, trouble: bool) -> list[str]:
     """Play the case; return what breaks the rule."""
-    rng = random.Random(7)
-    schedulers = [Scheduler(number, settings(number), record, scratch) for number in range(SCHEDULERS)]
-    workers = [
-        Worker(f"s-{number}", record, lambda req_id: schedulers[int(req_id[1])].port, slots)
-        for number, slots in enumerate(SLOTS)
-    ]
-    links = [[Link(worker) for worker in workers] for _ in schedulers]
+    settings = json.loads((ROOT / "tests" / "site.json").read_text())
+    scheduler = Scheduler(0, settings, record, scratch)
+    scheduler.operator_file = scratch / "carthinge.toml"
+    scheduler.operator_file.write_text(DURABLE.replace("{folder}", str(scratch / "store")))
+    workers = [Worker(f"s-{number}", record, lambda _: scheduler.port) for number in range(WORKERS)]
     for worker in workers:
         await worker.open()
-    for own in links:
-        for link in own:
-            link.open()
 
-    def members(own: list[Link]) -> list[dict[str, object]]:
+    def members() -> list[dict[str, object]]:
         return [
             {
-                "id": link.worker.name,
-                "host_port": f"{HOST}:{link.port}",
+                "id": worker.name,
+                "host_port": f"{HOST}:{worker.port}",
                 "locality": "hall",
                 "flavor": "m",
                 "cell": 0,
@@ -69,66 +92,49 @@
                 "size": 1.0,
                 "up_since_ms": 0,
             }
-            for link in own
+            for worker in workers
         ]
 
-    clients = [Clients(scheduler, record) for scheduler in schedulers]
+    discovery = Discovery(members)
+    await discovery.open()
+    found: list[str] = []
     try:
-        for scheduler, own in zip(schedulers, links, strict=True):
-            discovery = Discovery(lambda own=own: members(own))  # type: ignore[misc]
-            await discovery.open()
-            scheduler.start(discovery.port, discovery.full_list())
-        await asyncio.gather(*(scheduler.wait_until_up() for scheduler in schedulers))
-        load = asyncio.create_task(send_jobs(clients, rng, record))
-        began = record.now()
-        for at in CUTS if trouble else ():
-            await asyncio.sleep(began + at - record.now())
-            chosen = await busy_workers(workers)
-            record.note("cut", workers=[worker.name for worker in chosen])
-            cut = [link for own in links for link in own if link.worker in chosen]
-            for link in cut:
-                link.cut()
-            await asyncio.sleep(CUT)
-            for link in cut:
-                link.heal()
-            record.note("cut over")
-        await load
-        found = second_copies(workers)
-        found += [f"scheduler {one.number} has ended" for one in schedulers if not one.alive()]
+        scheduler.start(discovery.port, discovery.full_list())
+        await scheduler.wait_until_up()
+        requests = Requests(scheduler, record)
+        rng = random.Random(7)
+        tasks = []
+        for number in range(JOBS):
+            prefer = "respond-async, wait=2" if number % 2 else ""
+            tasks.append(asyncio.create_task(push(requests, f"c{number:03d}", prefer, 2 if trouble else 1)))
+            await asyncio.sleep(INTERVAL * rng.uniform(0.5, 1.5))
+        for task in tasks:
+            found += await task
+        if not scheduler.alive():
+            found.append("the scheduler has ended")
     finally:
-        await asyncio.gather(*(scheduler.stop() for scheduler in schedulers))
+        await scheduler.stop()
     return found
 
 
-async def busy_workers(workers: list[Worker]) -> list[Worker]:
-    """Wait for a moment at which two workers have a longer job in their queues; return these two.
-
-    A cut may begin at any moment; such moments come often at this load.
-    """
-
-    def queued_work(worker: Worker) -> float:
-        return worker.queue[0].work if worker.queue else 0.0
-
-    for _ in range(300):
-        chosen = sorted(workers, key=queued_work, reverse=True)[:2]
-        if queued_work(chosen[1]) >= 1.5:
-            break
-        await asyncio.sleep(0.02)
-    return chosen
-
-
-async def send_jobs(clients: list[Clients], rng: random.Random, record: Record) -> None:
-    """Send jobs at random times, and wait for all answers."""
-    tasks = []
-    until = record.now() + JOBS_UNTIL
-    while record.now() < until:
-        await asyncio.sleep(rng.expovariate(RATE))
-        number, kind = rng.randrange(SCHEDULERS), rng.choice(list(MEAN_WORK))
-        work = min(MAX_WORK, MEAN_WORK[kind] * rng.lognormvariate(-(SIGMA**2) / 2, SIGMA))
-        request = Request(f"n{number}-{len(tasks)}", kind, work, DEADLINE[kind])
-        hint = work * rng.lognormvariate(0, 0.5)
-        tasks.append(asyncio.create_task(clients[number].send(request, hint=hint)))
-    await asyncio.gather(*tasks)
+async def push(requests: Requests, commit: str, prefer: str, retries: int) -> list[str]:
+    """Ask for a commit, give up early, and ask again later; return what breaks the rule."""
+    await requests.ask(commit, prefer, GIVES_UP_AFTER)
+    await asyncio.sleep(RETRY_AFTER)
+    wait = DEADLINE + LATE
+    answers = await asyncio.gather(*(requests.ask(commit, prefer, wait) for _ in range(retries)))
+    found = [
+        f"{req_id}: no final answer by {LATE} s after its deadline"
+        for req_id, status, _ in answers
+        if not status
+    ]
+    served = {answer for _, status, answer in answers if status == 200}
+    found += [
+        f"{req_id}: answered {status}, though the job has ended as served"
+        for req_id, status, _ in answers
+        if served and status not in (0, 200)
+    ]
+    return found
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -24,7 +24,8 @@
 from urllib.parse import parse_qs
 
 ROOT = Path(__file__).resolve().parent.parent
-HOST = "127.0.0.1"
+#: A loopback address of this process's own: no other process takes a port that was found free on it.
+HOST = "127.88.{}.{}".format(*divmod(os.getpid() % 65000 + 256, 256))
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 CALLBACK_TRIES = 10  # of a worker, by the protocol page
 CALLBACK_TIMEOUT = 1.0  # seconds that a worker waits for an answer before it repeats a call
@@ -75,12 +76,6 @@
     return "\r\n".join(lines).encode() + body
 
 
-def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.create_server((HOST, 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 # ---- discovery ----------------------------------------------------------------------------------
 
 
@@ -188,6 +183,8 @@
         writer.close()
 
     def _take(self, headers: dict[str, str], body: bytes) -> bytes:
+        if "req-id" not in headers:
+            return encode_answer(404)
         req_id, now = headers["req-id"], self.record.now()
         if len(self.queue) >= self.queue_limit:
             self.record.note("turned away", id=req_id, worker=self.name)
@@ -349,9 +346,13 @@
     def __init__(self, number: int, settings: dict[str, object], record: Record, folder: Path) -> None:
         """``folder``: for its configuration, its log and its ``TMPDIR``."""
         self.number, self.settings, self.record = number, settings, record
-        self.port, self.operator = free_port(), free_port()
+        self._reserved = [socket.socket(), socket.socket()]  # until the process is started
+        for sock in self._reserved:
+            sock.bind((HOST, 0))
+        self.port, self.operator = (int(sock.getsockname()[1]) for sock in self._reserved)
         self.folder = folder / f"n{number}"
         (self.folder / "tmp").mkdir(parents=True)
+        self.operator_file: Path | None = None  # the operator's own file
         self.process: subprocess.Popen[bytes] | None = None
 
     def start(self, discovery: int, known: dict[str, object]) -> None:
@@ -371,7 +372,12 @@
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         inherited = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
         environment = {**inherited, "RELAY_CONFIG": str(path), "TMPDIR": str(self.folder / "tmp")}
-        environment.pop("CARTHINGE_FILE", None)
+        if self.operator_file is None:
+            environment.pop("CARTHINGE_FILE", None)
+        else:
+            environment["CARTHINGE_FILE"] = str(self.operator_file)
+        for sock in self._reserved:
+            sock.close()
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=log, stderr=log
