--- a/review/1/case.py
+++ b/review/1/case.py
@@ -132,10 +132,15 @@
     found += [
         f"{req_id}: answered {status}, though the job has ended as served"
         for req_id, status, _ in answers
-        if served and status not in (0, 200)
+        if served and status not in (0, 200, 202, 429, 503)  # a refusal is harmless
     ]
     return found
 
 
+def main() -> int:
+    """Play the case and return its exit code."""
+    return run_case(FOLDER, play, 110.0)
+
+
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play, 110.0))
+    sys.exit(main())
