--- a/tests/world.py
+++ b/tests/world.py
@@ -137,6 +137,8 @@
         inherited_socket=False,
         file=None,
         name="n0",
+        memory_mb=192,
+        log_level="debug",
     ):
         """Start the stubs and the scheduler.
 
@@ -164,11 +166,12 @@
             "seed": "8c1f",
             "discovery": f"127.0.0.1:{self.discovery.port}",
             "operator": f"{HOST}:{self.operator}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": {"revision": 7, "complete": True, "members": members if known else []},
             "settings": settings or SETTINGS,
         }
         self.config = config
+        self.log_level = log_level
         self.config_path = tmp_path / "config.json"
         self.config_path.write_text(json.dumps(config))
         self.file_path, self.store = tmp_path / "carthinge.toml", tmp_path / "store"
@@ -182,13 +185,13 @@
 
     def start(self, **environment):
         """Start another process of this scheduler."""
-        command = [sys.executable, "-m", "carthinge", "serve", "--log-level", "debug"]
+        command = [sys.executable, "-m", "carthinge", "serve", "--log-level", self.log_level]
         environment = {
             **os.environ,
             "RELAY_CONFIG": str(self.config_path),
             "TMPDIR": str(self.temporary_folder),
             "RELAY_DISCOVERY": self.config["discovery"],
-            "CARTHINGE_FILE": str(self.file_path),
+            "CARTHINGE_FILE": str(self.file_path) if self.file_path.stat().st_size else "",
             **environment,
         }
         if self.listening_socket is not None:
