Limit the fields of a head, and check the limits while a message is parsed

What callers saw: beside 300 clients whose heads had thousands of short fields, a process of 80 MB grew to 380 MB and was killed; others were refused after 5 s. Cause: a head was limited to 32 KiB of names and values, of which short ones make 10,000 dictionary entries with two objects each; a field that had not ended was collected up to 96 KiB; and what had been parsed stayed with a resting connection. Change: at most 100 fields (431); input is parsed in parts of 8 KiB with a check after each one; content is dropped once its request is complete. Requests that were complete before garbage in the same read get an answer each: only one got one.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -125,6 +125,7 @@
             if len(self._waiting) > MAX_PIPELINED_REQUESTS:
                 raise BadRequestError(HTTPStatus.BAD_REQUEST, "too many requests at once")
         except BadRequestError as error:
+            self._waiting.extend(error.completed)
             self._reject_all(error)
             return
         if requests:
@@ -199,7 +200,9 @@
         """
         self._abandon()
         answer = encode_answer(error.status, f"{error}\n".encode())
-        self._stream.write(answer * (len(self._waiting) + (self._current is not None)))
+        # The last answer is for the unreadable part, or for the last request completed right before it.
+        earlier = len(self._waiting) + (self._current is not None) - bool(error.completed)
+        self._stream.write(answer * earlier)
         self._waiting.clear()
         self._current = None
         self._refuse_bad_request(error, readable=False)
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -10,10 +10,11 @@
 
 import httptools
 
-from carthinge.net.stream import RECEIVE_BYTES
-
 MAX_BODY_BYTES: Final = 64 * 1024
 MAX_HEAD_BYTES: Final = 32 * 1024
+MAX_HEADER_FIELDS: Final = 100  # each costs far more memory than its bytes
+HEAD_FRAMING_BYTES: Final = 2048  # of a head, beside the names and values that MAX_HEAD_BYTES limits
+PARSE_BYTES: Final = 8 * 1024  # at once; the limits are checked after each part
 MAX_MESSAGE_BYTES: Final = 8 * MAX_BODY_BYTES  # of one message on the wire, including all framing
 Headers = dict[bytes, bytes]
 
@@ -24,6 +25,7 @@
     def __init__(self, status: int, why: str) -> None:
         super().__init__(why)
         self.status = status
+        self.completed: list[Request] = []  # requests that were complete before it
 
 
 @dataclass(slots=True)
@@ -60,7 +62,7 @@
         self.target = b""
         self.headers: Headers = {}
         self.body = bytearray()
-        self._head_bytes = 0
+        self._head_bytes = self._fields = 0
         self.in_message = True
 
     def on_url(self, part: bytes) -> None:
@@ -69,6 +71,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.headers[name.lower()] = value.strip(b" \t")  # the parser keeps trailing blanks
+        self._fields += 1
+        if self._fields > MAX_HEADER_FIELDS:
+            raise BadRequestError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head has too many fields")
         self._count_head(len(name) + len(value))
 
     def on_body(self, part: bytes) -> None:
@@ -76,6 +81,11 @@
         if len(self.body) > self._body_limit:
             raise BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
 
+    def _forget_content(self) -> None:
+        """Free the memory of a complete message: the connection may rest for long."""
+        self.target, self.headers = b"", {}
+        self.body.clear()
+
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES:
@@ -96,6 +106,24 @@
 
     def feed(self, data: bytes) -> list[Request]:
         """Return the requests that ``data`` completes; the reader is unusable after a BadRequestError."""
+        try:
+            if len(data) <= PARSE_BYTES:
+                self._parse(data)
+            else:
+                view = memoryview(data)
+                for start in range(0, len(data), PARSE_BYTES):
+                    self._parse(view[start : start + PARSE_BYTES])
+        except BadRequestError as error:
+            error.completed = self._take_done()
+            raise
+        return self._take_done()
+
+    def _take_done(self) -> list[Request]:
+        done, self._done = self._done, []
+        return done
+
+    def _parse(self, data: bytes | memoryview) -> None:
+        completed = len(self._done)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -105,12 +133,10 @@
             if isinstance(cause, BadRequestError):
                 raise cause from None
             raise BadRequestError(HTTPStatus.BAD_REQUEST, f"not HTTP: {fault}") from None
-        done, self._done = self._done, []
-        self._bytes_fed = 0 if done else self._bytes_fed + len(data)
-        if self._bytes_fed > (MAX_HEAD_BYTES + RECEIVE_BYTES if self._in_head else MAX_MESSAGE_BYTES):
+        self._bytes_fed = 0 if len(self._done) > completed else self._bytes_fed + len(data)
+        if self._bytes_fed > (MAX_HEAD_BYTES + HEAD_FRAMING_BYTES if self._in_head else MAX_MESSAGE_BYTES):
             # Guards against an endless line, which the parser buffers and reports only when it is complete.
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "the request is too large")
-        return done
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header (called by the parser)."""
@@ -135,6 +161,7 @@
                 parser.get_method(), self.target, self.headers, bytes(self.body), parser.should_keep_alive()
             )
         )
+        self._forget_content()
 
 
 class AnswerReader(_Message):
