Free what a connection holds as soon as it is closed

What callers saw: a process of 80 MB grew to 427 MB beside 20 clients that sent 64 KiB and left, and to 322 MB beside 300 whose heads were rejected. Cause: connection, stream, reader, parser and timers refer to each other, so that only the cyclic collector freed them, which counts objects and not bytes; a request and its attempts did the same with the body; the timer of each DELETE held its attempt for 2 s. Evidence: 1,970 closed connections among the live objects with 20 open ones; the new tests, with the collector off, failed on the program before (3 of 3). Change: a stream lets go of its owner when it is closed, readers and timers of their connection, an ended request of its client and attempts; the body goes with the final answer or the client. The calls to workers have a module of their own.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -169,9 +169,11 @@
         )
         self._frontend.slots.remove(self)
         self._waiting.clear()
-        self._read_timer.stop()
-        self._head_of_line.stop()
+        self._read_timer.close()
+        self._head_of_line.close()
         self._abandon()
+        self._current = None
+        self._reader.close()
 
     def _abandon(self) -> None:
         tracked, self._tracked = self._tracked, None
--- a/carthinge/front/head_of_line.py
+++ b/carthinge/front/head_of_line.py
@@ -40,3 +40,12 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+
+    def close(self) -> None:
+        """Cancel the timer for good, and drop the reference to its user, whose connection has ended."""
+        self.stop()
+        self._cut_short = _ignore
+
+
+def _ignore() -> None:
+    """Do nothing: the connection has ended."""
--- a/carthinge/front/read_timer.py
+++ b/carthinge/front/read_timer.py
@@ -36,6 +36,11 @@
             self._timer.cancel()
             self._timer = None
 
+    def close(self) -> None:
+        """Stop the timer for good, and drop the reference to its user, whose connection has ended."""
+        self.stop()
+        self._overdue = _ignore
+
     def _check(self) -> None:
         if self._partial is None:
             return
@@ -46,3 +51,7 @@
             last_progress = max(self._partial.began, self._partial.progressed)
             self.stop()
             self._overdue(last_progress)
+
+
+def _ignore(last_progress: timedelta) -> None:
+    """Do nothing: the connection has ended."""
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
-from typing import Final
+from typing import Any, Final
 
 import httptools
 
@@ -54,6 +54,8 @@
 class _Message:
     """Collects what httptools reports about the current message and enforces the limits."""
 
+    _parser: Any  # of httptools, which has no types
+
     def __init__(self, body_limit: int) -> None:
         self._body_limit = body_limit
         self.on_message_begin()
@@ -81,6 +83,16 @@
         if len(self.body) > self._body_limit:
             raise BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
 
+    def close(self) -> None:
+        """Free all memory of the reader, which cannot be used any more.
+
+        It and its parser refer to each other: only the garbage collector would free them, and that does not
+        count bytes.
+        """
+        self._parser = None
+        self._forget_content()
+        self.in_message = False
+
     def _forget_content(self) -> None:
         """Free the memory of a complete message: the connection may rest for long."""
         self.target, self.headers = b"", {}
--- a/carthinge/net/outgoing_connection.py
+++ b/carthinge/net/outgoing_connection.py
@@ -133,7 +133,9 @@
         """Close the connection without notifying the call."""
         self.call = None
         self.state = OutgoingConnectionState.CLOSED
+        self.may_open = _unlimited
         self._cancel_timers()
+        self._reader.close()
         if self._stream is not None:
             self._stream.close()
 
--- a/carthinge/net/request_tracker.py
+++ b/carthinge/net/request_tracker.py
@@ -395,5 +395,6 @@
     def _remove_if_ended(self, tracked: TrackedRequest) -> None:
         if not tracked.pending and tracked.first_open_attempt() is None:
             self.tracked_requests.pop(tracked.number, None)
+            tracked.release()
             if self.by_id.get(tracked.job.id) is tracked:
                 del self.by_id[tracked.job.id]
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -52,6 +52,22 @@
         """Handle that the connection is established."""
 
 
+class _NoOwner:
+    """Takes the place of the owner of a closed stream, so that neither keeps the other in memory."""
+
+    def received(self, data: bytes) -> None:
+        pass
+
+    def flushed(self) -> None:
+        pass
+
+    def ended(self, why: str) -> None:
+        pass
+
+
+_NO_OWNER: Final = _NoOwner()
+
+
 class Stream:
     """Calls its owner only from the loop, except ``flushed``, which ``write`` may call directly."""
 
@@ -63,7 +79,7 @@
         self.reset = False  # closed or reset by the peer, which may still be healthy
         self._loop = loop
         self._sock = sock
-        self._owner = owner
+        self._owner: StreamOwner = owner
         self._connecting_owner = connecting
         self._out = bytearray()
         self._linger_timer: Timer | None = None
@@ -159,6 +175,7 @@
         for timer in (self._linger_timer, self._send_retry, self._receive_retry):
             if timer is not None:  # pending timers would keep closed streams in memory
                 timer.cancel()
+        self._owner, self._connecting_owner = _NO_OWNER, None
         self._loop.unregister(self._sock)
 
     def _ready(self, mask: int) -> None:
@@ -246,5 +263,6 @@
 
     def _end(self, why: str) -> None:
         if not self.closed:
+            owner = self._owner
             self.close()
-            self._owner.ended(why)
+            owner.ended(why)
--- a/carthinge/net/tracked_request.py
+++ b/carthinge/net/tracked_request.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from enum import Enum
-from typing import Protocol
+from typing import Final, Protocol
 
 from carthinge import interface as io
 from carthinge.net import log
 from carthinge.net.loop import Timer
 from carthinge.net.worker_directory import WorkerEndpoint
 
+KEPT_BODY_BYTES: Final = 1024  # of an ended request; dropping a smaller body is not worth its cost
+
 
 @dataclass(frozen=True, slots=True)
 class Job:
@@ -60,6 +62,28 @@
         """Answer that no worker can use the request."""
 
 
+class _GoneClient:
+    """Takes the place of a client that waits for no answer, so that its connection is not kept in memory."""
+
+    def has_left(self) -> bool:
+        return True
+
+    def serve(self, result: bytes) -> None:
+        pass
+
+    def shed(self, retry_after: timedelta) -> None:
+        pass
+
+    def fail(self, timed_out: bool) -> None:
+        pass
+
+    def reject(self) -> None:
+        pass
+
+
+GONE_CLIENT: Final = _GoneClient()
+
+
 @dataclass(frozen=True, slots=True)
 class RestoredAttempt:
     """An attempt of a restored request, with the dispatcher's state of it."""
@@ -154,14 +178,27 @@
         """Mark the request as answered; the log shows ``how`` it ended, and why if it was not served."""
         assert self.pending, "a request gets one final answer"
         self.state = RequestState.ANSWERED
+        self._drop_body()
         self._log_end(how, why)
 
     def mark_client_gone(self, how: str) -> None:
         """Mark the request as one whose client no longer waits for an answer in this process."""
         assert self.pending, "the request has been answered already"
         self.state = RequestState.CLIENT_GONE
+        self.client = GONE_CLIENT
+        self._drop_body()
         self._log_end(how, "")
 
+    def release(self) -> None:
+        """Drop all references, once the request is no longer tracked: it and its attempts form a cycle."""
+        self.client = GONE_CLIENT
+        self.attempts.clear()
+
+    def _drop_body(self) -> None:
+        """Free the body: no attempt follows, but the request is tracked until its last attempt has ended."""
+        if len(self.job.body) > KEPT_BODY_BYTES:
+            self.job = replace(self.job, body=b"")
+
     def _log_end(self, how: str, why: str) -> None:
         log.logger().debug("request_ended", id=self.job.id, state=how, attempts=len(self.attempts), why=why)
 
--- a/carthinge/net/worker_client.py
+++ b/carthinge/net/worker_client.py
@@ -6,7 +6,6 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from datetime import timedelta
-from http import HTTPStatus
 from typing import Final
 
 from carthinge.interface import Result
@@ -20,6 +19,7 @@
 from carthinge.net.outgoing_connection import OutgoingConnection
 from carthinge.net.request_tracker import RequestTracker
 from carthinge.net.tracked_request import Attempt
+from carthinge.net.worker_calls import AttemptCall, Withdrawal
 from carthinge.settings import Site
 
 IDLE_MARGIN: Final = timedelta(milliseconds=300)  # between our close of an idle connection and its worker's
@@ -29,7 +29,6 @@
 MIN_DELETE_TRANSIT: Final = timedelta(milliseconds=100)  # on a fast network the worker may be slow to read
 WORKER_LEAVING: Final = "the worker is leaving"
 CLIENT_LEFT: Final = "the client has left"
-REJECTED_STATUSES: Final = (HTTPStatus.BAD_REQUEST, HTTPStatus.NOT_FOUND)  # due to the request
 REQUIRED_FIELDS: Final = ("free_slots",)  # in a load report
 LATE_ANSWER_FACTOR: Final = 8  # connect timeouts, for an answer on which nothing depends any more
 
@@ -48,7 +47,7 @@
         self.lease_duration = timedelta()  # duration of a lease, where attempts have one
         self._open: set[OutgoingConnection] = set()
         self._idle: OrderedDict[OutgoingConnection, timedelta] = OrderedDict()  # idle since, oldest first
-        self._calls: dict[Attempt, _AttemptCall] = {}
+        self._calls: dict[Attempt, AttemptCall] = {}
         self._expiry_scheduled = False
 
     def retune(self, site: Site) -> None:
@@ -73,7 +72,7 @@
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
         connection = self._acquire(attempt.target.address)
-        call = self._calls[attempt] = _AttemptCall(self, connection, attempt)
+        call = self._calls[attempt] = AttemptCall(self, connection, attempt)
         connection.start(call)
 
     def encode_attempt(self, attempt: Attempt) -> bytes | None:
@@ -117,7 +116,7 @@
         if call is not None and call.connection.connecting:
             self._cancel_unsent(attempt, call, CLIENT_LEFT)
 
-    def _cancel_unsent(self, attempt: Attempt, call: _AttemptCall, why: str) -> None:
+    def _cancel_unsent(self, attempt: Attempt, call: AttemptCall, why: str) -> None:
         del self._calls[attempt]
         self._close(call.connection, CloseReason.ATTEMPT_WITHDRAWN)
         self.ended(attempt, Result.NOT_SENT, None, why)
@@ -138,8 +137,8 @@
         connection = self._acquire(attempt.target.address)
         connect = self._site.connect_timeout
         transit_time = max(MIN_DELETE_TRANSIT, DELETE_TRANSIT_SHARE * connect)
-        withdrawal = _Withdrawal(self._loop, self, connection, attempt, on_withdrawn, delay, transit_time)
-        self._loop.call_after(LATE_ANSWER_FACTOR * connect, withdrawal.time_out)
+        withdrawal = Withdrawal(self._loop, self, connection, attempt, on_withdrawn, delay, transit_time)
+        withdrawal.timer = self._loop.call_after(LATE_ANSWER_FACTOR * connect, withdrawal.time_out)
         connection.start(withdrawal)
 
     def retry_delete(
@@ -293,108 +292,3 @@
                 return
             self._close(connection, CloseReason.IDLE_TOO_LONG)
         self._expiry_scheduled = False
-
-
-class _AttemptCall:
-    """The POST of an attempt, whose end follows from the connection until the 202, then from callbacks."""
-
-    def __init__(self, worker_client: WorkerClient, connection: OutgoingConnection, attempt: Attempt) -> None:
-        self._worker_client = worker_client
-        self.connection = connection
-        self._attempt = attempt
-
-    def request(self) -> bytes | None:
-        data = self._worker_client.encode_attempt(self._attempt)
-        if data is None:
-            self._worker_client.free_later(self.connection)
-        return data
-
-    def written(self) -> None:
-        self._worker_client.attempt_written(self._attempt)
-
-    def answered(self, answer: Answer) -> None:
-        self._worker_client.call_ended(self._attempt)
-        self._worker_client.free(self.connection)
-        if answer.status == HTTPStatus.ACCEPTED:
-            token = self._attempt.token
-            if token and answer.headers.get(b"lease-token") == b"%d" % token:
-                self._worker_client.lease_accepted(self._attempt)
-            return
-        if answer.status in REJECTED_STATUSES:
-            self._worker_client.reject(self._attempt, f"status {answer.status}")
-            return
-        declined = answer.headers.get(b"srv-declined") == b"1"
-        unstarted = declined and answer.status in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT)
-        result = Result.FULL if unstarted else Result.ERROR
-        self._worker_client.ended(self._attempt, result, answer, f"status {answer.status}")
-
-    def broken(self, written: bool, why: str) -> None:
-        """End the attempt, which cannot have run if its last byte was not written and may have run otherwise.
-
-        A local resource shortage counts as NOT_SENT, since the worker was never contacted.
-        """
-        self._worker_client.call_ended(self._attempt)
-        self._worker_client.free(self.connection)
-        unsent_result = Result.NOT_SENT if self.connection.local_shortage else Result.CONNECT_FAILED
-        self._worker_client.ended(self._attempt, Result.RESET if written else unsent_result, None, why)
-
-    def time_out(self) -> None:
-        if self.connection.call is self:
-            self.connection.close()
-            self._worker_client.call_ended(self._attempt)
-            self._worker_client.free(self.connection)
-
-
-class _Withdrawal:
-    """The DELETE of an attempt; the answer does not matter, only that the DELETE has reached the worker."""
-
-    def __init__(
-        self,
-        loop: Loop,
-        worker_client: WorkerClient,
-        connection: OutgoingConnection,
-        attempt: Attempt,
-        on_withdrawn: Callable[[], None],
-        delay: timedelta,
-        transit_time: timedelta,
-    ) -> None:
-        self._loop = loop
-        self._worker_client = worker_client
-        self._connection = connection
-        self._attempt = attempt
-        self._on_withdrawn = on_withdrawn
-        self._delay = delay
-        self._transit_time = transit_time
-        self._done = False
-
-    def request(self) -> bytes:
-        path = f"/jobs/{self._attempt.tracked.job.id}".encode()
-        return encode_request("DELETE", path, str(self._attempt.target.address))
-
-    def written(self) -> None:
-        """Give the DELETE, on its own connection, time to arrive: no attempt elsewhere may overtake it."""
-        self._loop.call_after(self._transit_time, lambda: self._confirm("written"))
-
-    def answered(self, answer: Answer) -> None:
-        self._confirm(f"answered {answer.status}")
-        self._worker_client.free(self._connection)
-
-    def broken(self, written: bool, why: str) -> None:
-        if not self._done and (self._connection.reset or not written):
-            self._done = True
-            self._worker_client.retry_delete(self._attempt, self._on_withdrawn, self._delay, why)
-        else:
-            self._confirm(why)
-        self._worker_client.free(self._connection)
-
-    def time_out(self) -> None:
-        """Close the connection of a worker that does not answer, which would be held forever otherwise."""
-        if self._connection.call is self:
-            self._connection.close()
-            self.broken(self._done, "no answer in time")
-
-    def _confirm(self, how: str) -> None:
-        if not self._done:
-            self._done = True
-            self._worker_client.log_withdrawn(self._attempt, how)
-            self._on_withdrawn()
--- a/tests/test_peer_limits.py
+++ b/tests/test_peer_limits.py
@@ -1,9 +1,16 @@
 """Bounds on what a single peer can make the program keep; see docs/incidents/81aa6e.md for all of them."""
 
+import gc
+import socket
+
 import pytest
-from in_process import UP_REQUEST, read_next
+from in_process import UP_REQUEST, accept_next, encode_callback, read_next, run_until, set_workers
+from world import job, member, settings_with_caps
 
+from carthinge.front.connection import ClientConnection
 from carthinge.net.http import MAX_HEAD_BYTES, MAX_HEADER_FIELDS, BadRequestError, RequestReader
+from carthinge.net.outgoing_connection import OutgoingConnection
+from carthinge.net.worker_directory import worker_number
 
 
 def head_with_fields(count):
@@ -38,3 +45,51 @@
     (request,) = reader.feed(b"POST /api HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + bytes(60000))
     assert len(request.body) == 60000 and b"content-length" in request.headers
     assert not reader.body and not reader.headers
+
+
+@pytest.fixture
+def without_collector():
+    """Switch off the cyclic garbage collector."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
+def count_objects(*types):
+    return sum(isinstance(found, types) for found in gc.get_objects())
+
+
+@pytest.mark.parametrize("leaves", [False, True], ids=["both end", "client leaves"])
+def test_closed_connections_are_freed_at_once(serve, dial, worker, without_collector, leaves):
+    """Guards against memory that grows with the rate of connections until the collector runs."""
+    program = serve()
+    program.watch.stop()  # it has connections of its own
+    set_workers(program, member("s-0", worker.port))
+    before = count_objects(ClientConnection, RequestReader, OutgoingConnection)
+    client = dial(program).send(job("a1", body=bytes(60000)))
+    peer = accept_next(worker, program)
+    read_next(peer, program)
+    peer.answer(202)
+    if not leaves:
+        dial(program).send(encode_callback("s-0", "a1")).sock.shutdown(socket.SHUT_WR)
+        read_next(client, program)
+    client.close()
+    run_until(program, lambda: not (len(program.frontend.slots) or program.tracker.tracked_requests))
+    peer.close()
+    program.worker_client.close_idle(program.directory.targets[worker_number("s-0")].address)
+    run_until(program, lambda: not program.worker_client._open)
+    assert count_objects(ClientConnection, RequestReader, OutgoingConnection) == before
+
+
+def test_body_is_freed_when_its_client_leaves(serve, dial, worker):
+    """Guards against bodies kept until the attempts of requests without clients end."""
+    program = serve(settings=settings_with_caps(cancel=False))
+    set_workers(program, member("s-0", worker.port))
+    client = dial(program).send(job("a1", body=bytes(60000)))
+    peer = accept_next(worker, program)
+    read_next(peer, program)
+    (tracked,) = program.tracker.tracked_requests.values()
+    client.close()
+    run_until(program, lambda: program.counters.client_gone)
+    assert program.tracker.tracked_requests and not tracked.job.body
