Bound what a turn of the loop receives and parses from all connections together

What callers saw: beside 60 clients that sent small requests at full speed, others got their answers after 2.4 to 2.8 s. Cause: each turn read up to 64 KiB from every ready socket and parsed all of it, up to 3,200 requests each, only to reject them as too many: 10 ms a connection. Change: the ready sockets of a turn share 256 KiB, at least 4 KiB each; parsing ends with the first request that is too many.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -22,7 +22,15 @@
 from carthinge.net import log
 from carthinge.net.channel import Waiting
 from carthinge.net.close_reason import CloseReason
-from carthinge.net.http import CONTINUE, BadRequestError, Request, RequestReader, encode_answer
+from carthinge.net.http import (
+    CONTINUE,
+    MAX_PIPELINED_REQUESTS,
+    BadRequestError,
+    Request,
+    RequestReader,
+    encode_answer,
+    too_many_requests,
+)
 from carthinge.net.loop import MICROSECOND, MILLISECOND
 from carthinge.net.stream import Stream
 from carthinge.net.tracked_request import TrackedRequest
@@ -31,7 +39,6 @@
 if TYPE_CHECKING:  # not loaded where no job is durable
     from carthinge.front.durable_front import DurableFront, JobCall
 
-MAX_PIPELINED_REQUESTS: Final = 8  # waiting on one connection; clients of this protocol send one at a time
 MAX_WAITING_SHARE: Final = 0.75  # of all slots; worker callbacks, without which no job ends, need the rest
 
 
@@ -123,7 +130,7 @@
             self._waiting.extend(requests)
             self._requests += len(requests)
             if len(self._waiting) > MAX_PIPELINED_REQUESTS:
-                raise BadRequestError(HTTPStatus.BAD_REQUEST, "too many requests at once")
+                raise too_many_requests()
         except BadRequestError as error:
             self._waiting.extend(error.completed)
             self._reject_all(error)
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -13,6 +13,7 @@
 MAX_BODY_BYTES: Final = 64 * 1024
 MAX_HEAD_BYTES: Final = 32 * 1024
 MAX_HEADER_FIELDS: Final = 100  # each costs far more memory than its bytes
+MAX_PIPELINED_REQUESTS: Final = 8  # behind another one; clients of this protocol send one at a time
 HEAD_FRAMING_BYTES: Final = 2048  # of a head, beside the names and values that MAX_HEAD_BYTES limits
 PARSE_BYTES: Final = 8 * 1024  # at once; the limits are checked after each part
 MAX_MESSAGE_BYTES: Final = 8 * MAX_BODY_BYTES  # of one message on the wire, including all framing
@@ -174,6 +175,13 @@
             )
         )
         self._forget_content()
+        if len(self._done) > MAX_PIPELINED_REQUESTS + 1:
+            raise too_many_requests()
+
+
+def too_many_requests() -> BadRequestError:
+    """Return the error of a connection on which too many requests wait."""
+    return BadRequestError(HTTPStatus.BAD_REQUEST, "too many requests at once")
 
 
 class AnswerReader(_Message):
--- a/carthinge/net/loop.py
+++ b/carthinge/net/loop.py
@@ -18,6 +18,9 @@
 MICROSECOND: Final = timedelta(microseconds=1)
 MILLISECOND: Final = timedelta(milliseconds=1)
 MIN_SWEEP_TIMERS: Final = 256  # removing cancelled timers from a smaller heap gains nothing
+MAX_RECEIVE_BYTES: Final = 64 * 1024  # by one call
+MIN_RECEIVE_BYTES: Final = 4 * 1024
+TURN_RECEIVE_BYTES: Final = 256 * 1024  # by all sockets together, so that a crowd does not hold up a turn
 MAX_SELECT_TIMEOUT: Final = timedelta(minutes=1)  # a deadline that is years away overflows the selector
 
 
@@ -43,6 +46,7 @@
         self.now = self.clock.now()  # time at which this turn's select returned
         self.ready_since = self.now  # earliest time at which a socket of this turn can have become ready
         self.turns = 0  # number of turns begun
+        self.receive_bytes = MAX_RECEIVE_BYTES  # that each socket may receive in this turn
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[timedelta, int, Timer]] = []
         self._sweep_size = MIN_SWEEP_TIMERS
@@ -89,6 +93,8 @@
         # An event that ended a wait is new; one found at once may date back to the previous select.
         self.ready_since = self.now if self.now - started >= MILLISECOND else previous
         self.turns += 1
+        share = TURN_RECEIVE_BYTES // (len(ready) or 1)
+        self.receive_bytes = min(MAX_RECEIVE_BYTES, max(MIN_RECEIVE_BYTES, share))
         for _ in range(len(self._next_turn_calls)):
             self._next_turn_calls.popleft()()
         for key, mask in ready:
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -12,7 +12,6 @@
 from carthinge.net.loop import READ, WRITE, Loop, Timer
 from carthinge.net.sockets import NOT_READY, RETRYABLE_ERRORS
 
-RECEIVE_BYTES: Final = 65536  # at most, by one call
 MAX_UNSENT_BYTES: Final = 512 * 1024  # far more than a peer has to read that sends one message at a time
 LINGER_TIMEOUT: Final = timedelta(seconds=2)  # without progress, after the last response
 RETRY_DELAY: Final = timedelta(milliseconds=10)  # while this machine is short of buffers
@@ -203,7 +202,7 @@
 
     def _receive(self) -> None:
         try:
-            data = self._loop.sockets.receive(self._sock, RECEIVE_BYTES)
+            data = self._loop.sockets.receive(self._sock, self._loop.receive_bytes)
         except NOT_READY:
             return
         except OSError as fault:
--- a/tests/test_peer_limits.py
+++ b/tests/test_peer_limits.py
@@ -8,7 +8,14 @@
 from world import job, member, settings_with_caps
 
 from carthinge.front.connection import ClientConnection
-from carthinge.net.http import MAX_HEAD_BYTES, MAX_HEADER_FIELDS, BadRequestError, RequestReader
+from carthinge.net.http import (
+    MAX_HEAD_BYTES,
+    MAX_HEADER_FIELDS,
+    MAX_PIPELINED_REQUESTS,
+    BadRequestError,
+    RequestReader,
+)
+from carthinge.net.loop import MIN_RECEIVE_BYTES
 from carthinge.net.outgoing_connection import OutgoingConnection
 from carthinge.net.worker_directory import worker_number
 
@@ -93,3 +100,24 @@
     client.close()
     run_until(program, lambda: program.counters.client_gone)
     assert program.tracker.tracked_requests and not tracked.job.body
+
+
+def test_requests_beyond_the_limit_are_not_parsed():
+    """Guards against a turn that parses thousands of requests only to reject them."""
+    reader = RequestReader()
+    with pytest.raises(BadRequestError) as raised:
+        reader.feed(UP_REQUEST * 1000)
+    assert len(raised.value.completed) == MAX_PIPELINED_REQUESTS + 2
+
+
+def test_turn_receives_a_bounded_amount_from_all_sockets(serve, dial):
+    program = serve()
+    clients = [dial(program) for _ in range(100)]
+    run_until(program, lambda: len(program.frontend.slots) == 100)
+    for client in clients:
+        client.send(b"POST /api HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + bytes(50000))
+    received = []
+    receive = program.loop.sockets.receive
+    program.loop.sockets.receive = lambda *arguments: received.append(receive(*arguments)) or received[-1]
+    program.loop.turn(idle=False)
+    assert 0 < sum(map(len, received)) <= 100 * MIN_RECEIVE_BYTES
--- a/tests/world.py
+++ b/tests/world.py
@@ -185,7 +185,9 @@
 
     def start(self, **environment):
         """Start another process of this scheduler."""
-        command = [sys.executable, "-m", "carthinge", "serve", "--log-level", self.log_level]
+        command = [sys.executable, "-m", "carthinge"]
+        if self.log_level != "info":
+            command += ["serve", "--log-level", self.log_level]
         environment = {
             **os.environ,
             "RELAY_CONFIG": str(self.config_path),
