End connections whose clients never read their answers

What callers saw: clients that ask and never read held their slots and up to 512 KiB of answers each for ever; with all slots taken so, accepting stays paused. Cause: a timeout ran only after the last answer of a connection, and requests went on to be answered while the answers before them were unread. Evidence: two tests that failed on the program before (no close within 10 s; a reset by 512 KiB), and reading: such a connection is neither idle nor silent for the slots. Change: a client's connection that has output and takes none of it for 2 s is ended; the next request waits while 64 KiB are unread. A client that reads 1 KB a second gets all of its answers.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -39,6 +39,7 @@
 if TYPE_CHECKING:  # not loaded where no job is durable
     from carthinge.front.durable_front import DurableFront, JobCall
 
+MAX_UNREAD_BYTES: Final = 64 * 1024  # of answers that a client has not read, before its next request
 MAX_WAITING_SHARE: Final = 0.75  # of all slots; worker callbacks, without which no job ends, need the rest
 
 
@@ -65,7 +66,8 @@
         self._read_timer = ReadTimer(frontend.loop, self._read_timed_out)
         self._head_of_line = HeadOfLineTimer(frontend.loop, self._cut_short)
         self._accepted_at = frontend.loop.now
-        self._stream = Stream(frontend.loop, sock, self)
+        self._paused_by_unread = False
+        self._stream = Stream(frontend.loop, sock, self, end_if_unread=True)
 
     def waiting_job(self) -> Waiting | None:
         """Return the durable job that the client waits for, if another process has that job."""
@@ -162,7 +164,10 @@
         return self._unread_since if loop.turns <= self._accepted_turn + 1 else loop.ready_since
 
     def flushed(self) -> None:
-        """Required by the stream; nothing to do."""
+        """Go on with the next request, if it waited for the client to read."""
+        if self._paused_by_unread:
+            self._paused_by_unread = False
+            self._frontend.loop.call_soon(self._handle_next)
 
     def ended(self, why: str) -> None:
         """The connection has ended: its requests no longer need an answer."""
@@ -220,6 +225,9 @@
 
     def _handle_next(self) -> None:
         while self._current is None and self._waiting and not self._finished:
+            if self._stream.unsent > MAX_UNREAD_BYTES:
+                self._paused_by_unread = True
+                return
             self._current = self._waiting.popleft()
             try:
                 self._handle(self._current)
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -14,6 +14,7 @@
 
 MAX_UNSENT_BYTES: Final = 512 * 1024  # far more than a peer has to read that sends one message at a time
 LINGER_TIMEOUT: Final = timedelta(seconds=2)  # without progress, after the last response
+READ_STALL_TIMEOUT: Final = timedelta(seconds=2)  # without progress, while a peer has something to read
 RETRY_DELAY: Final = timedelta(milliseconds=10)  # while this machine is short of buffers
 
 
@@ -71,9 +72,17 @@
     """Calls its owner only from the loop, except ``flushed``, which ``write`` may call directly."""
 
     def __init__(
-        self, loop: Loop, sock: socket.socket, owner: StreamOwner, connecting: ConnectingOwner | None = None
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        owner: StreamOwner,
+        connecting: ConnectingOwner | None = None,
+        end_if_unread: bool = False,
     ) -> None:
-        """``connecting`` is the owner again if the socket is still connecting; raises OSError."""
+        """``connecting`` is the owner again if the socket is still connecting; raises OSError.
+
+        ``end_if_unread``: end the connection if the peer reads nothing of what it is sent in time.
+        """
         self.state = StreamState.OPEN if connecting is None else StreamState.CONNECTING
         self.reset = False  # closed or reset by the peer, which may still be healthy
         self._loop = loop
@@ -81,6 +90,9 @@
         self._owner: StreamOwner = owner
         self._connecting_owner = connecting
         self._out = bytearray()
+        self._sent = 0  # bytes
+        self._end_if_unread = end_if_unread
+        self._stall_timer: Timer | None = None
         self._linger_timer: Timer | None = None
         self._send_retry: Timer | None = None  # this and the next are set while buffers are short
         self._receive_retry: Timer | None = None
@@ -171,7 +183,7 @@
 
     def _detach(self) -> None:
         self.state = StreamState.CLOSED
-        for timer in (self._linger_timer, self._send_retry, self._receive_retry):
+        for timer in (self._linger_timer, self._send_retry, self._receive_retry, self._stall_timer):
             if timer is not None:  # pending timers would keep closed streams in memory
                 timer.cancel()
         self._owner, self._connecting_owner = _NO_OWNER, None
@@ -229,7 +241,9 @@
         try:
             had_unsent = len(self._out)
             while self._out:
-                del self._out[: self._loop.sockets.send(self._sock, self._out)]
+                sent = self._loop.sockets.send(self._sock, self._out)
+                self._sent += sent
+                del self._out[:sent]
             if self.state is StreamState.FINISHING:
                 self.state = StreamState.HALF_CLOSED
                 self._loop.sockets.shut_down_sending(self._sock)
@@ -251,8 +265,23 @@
         self._send_retry = None
         self._flush()
 
+    def _watch_reader(self) -> None:
+        """End the connection unless the peer goes on reading."""
+        sent = self._sent
+
+        def check() -> None:
+            self._stall_timer = None
+            if self._sent == sent and self._out:
+                self._end("the peer does not read what is sent")
+            else:
+                self._update_interest()
+
+        self._stall_timer = self._loop.call_after(READ_STALL_TIMEOUT, check)
+
     def _update_interest(self) -> None:
         """Register the events that the stream currently waits for."""
+        if self._out and self._end_if_unread and self._stall_timer is None and not self.closed:
+            self._watch_reader()
         writing = self.connecting or (self._out and self._send_retry is None)
         reading = not self.connecting and self._receive_retry is None
         interest = (READ if reading else 0) | (WRITE if writing else 0)
--- a/tests/test_peer_limits.py
+++ b/tests/test_peer_limits.py
@@ -2,12 +2,14 @@
 
 import gc
 import socket
+from datetime import timedelta
 
 import pytest
-from in_process import UP_REQUEST, accept_next, encode_callback, read_next, run_until, set_workers
+from faults import advance_clock
+from in_process import UP_REQUEST, accept_next, encode_callback, read_next, readable, run_until, set_workers
 from world import job, member, settings_with_caps
 
-from carthinge.front.connection import ClientConnection
+from carthinge.front.connection import MAX_UNREAD_BYTES, ClientConnection
 from carthinge.net.http import (
     MAX_HEAD_BYTES,
     MAX_HEADER_FIELDS,
@@ -19,6 +21,8 @@
 from carthinge.net.outgoing_connection import OutgoingConnection
 from carthinge.net.worker_directory import worker_number
 
+BAD_CLIENT_LIMIT = timedelta(seconds=3)  # from the acceptance rules: an error or a close
+
 
 def head_with_fields(count):
     return b"GET /up HTTP/1.1\r\n" + b"".join(b"%x:\r\n" % number for number in range(count))
@@ -121,3 +125,66 @@
     program.loop.sockets.receive = lambda *arguments: received.append(receive(*arguments)) or received[-1]
     program.loop.turn(idle=False)
     assert 0 < sum(map(len, received)) <= 100 * MIN_RECEIVE_BYTES
+
+
+def let_peers_read(program, size):
+    """Let all peers read ``size`` bytes more, and then nothing."""
+    left = size
+
+    def send(sock, data):
+        nonlocal left
+        if not left:
+            raise BlockingIOError
+        sent = sock.send(data[:left])
+        left -= sent
+        return sent
+
+    program.loop.sockets.send = send
+
+
+def ask_for_counters(client, program, count):
+    for number in range(count):
+        client.send(b"GET /counters HTTP/1.1\r\nHost: x\r\n\r\n")
+        if number % 4 == 3:
+            program.loop.turn(idle=False)
+
+
+def test_client_that_never_reads_is_closed(serve, dial):
+    """Guards against a client that holds a slot and its unread answers for ever."""
+    program = serve()
+    client = dial(program)
+    run_until(program, lambda: len(program.frontend.slots))
+    (connection,) = program.frontend.slots.all()
+    let_peers_read(program, 0)
+    client.send(UP_REQUEST)
+    run_until(program, lambda: connection._stream.unsent)
+    advance_clock(program, BAD_CLIENT_LIMIT)
+    run_until(program, lambda: not len(program.frontend.slots))
+
+
+def test_requests_wait_for_a_client_that_does_not_read(serve, dial):
+    """Guards against hundreds of kilobytes of answers for each of many clients that never read."""
+    program = serve()
+    client = dial(program)
+    run_until(program, lambda: len(program.frontend.slots))
+    (connection,) = program.frontend.slots.all()
+    let_peers_read(program, 0)
+    unsent = 0
+    while not connection._finished:
+        unsent = connection._stream.unsent
+        ask_for_counters(client, program, 4)
+    assert unsent <= MAX_UNREAD_BYTES + 2048
+
+
+def test_client_that_reads_slowly_gets_all_answers(serve, dial):
+    program = serve()
+    client = dial(program)
+    let_peers_read(program, 0)
+    ask_for_counters(client, program, 8)
+    data = b""
+    while data.count(b"HTTP/1.1 200") < 8 or not data.endswith(b"}"):
+        advance_clock(program, timedelta(seconds=1))
+        let_peers_read(program, 1024)
+        run_until(program, lambda: readable(client.sock))
+        data += client.sock.recv(1024)
+        assert data
