Survive messages that are nested too deeply, and addresses that cannot exist

What callers saw: one callback of 2 KB with 2,000 brackets in an unknown field ended the process with a RecursionError; so did a load report, a list, a message between processes; a worker's address with a null character ended it with a TypeError. A token beyond 63 bits went to the store's thread, which cannot hold it. Cause: only the decoder's own errors were caught, and only OSError of a connect. Change: every message of a peer is decoded in one place that knows both errors; tokens are checked, impossible addresses are failed connects, ports over 65535 no addresses. Any other exception while a connection's input is handled is logged (input_failed) and ends that connection.

--- a/carthinge/fleet/codec.py
+++ b/carthinge/fleet/codec.py
@@ -44,7 +44,7 @@
         raise BadPacketError("unknown version, or not a packet")
     try:
         return _DECODER.decode(body[2:])
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise BadPacketError(str(error)) from None
 
 
--- a/carthinge/front/callbacks.py
+++ b/carthinge/front/callbacks.py
@@ -4,12 +4,13 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final, Literal, Protocol, cast
+from typing import TYPE_CHECKING, Annotated, Final, Literal, Protocol, cast
 
 import msgspec
 
 from carthinge.interface import Result
 from carthinge.net.counters import Counters
+from carthinge.net.decoding import UndecodableError, decode
 from carthinge.net.http import BadRequestError
 from carthinge.net.request_tracker import RequestTracker
 from carthinge.net.tracked_request import Attempt
@@ -29,6 +30,9 @@
 }
 
 
+Token = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]  # as the store can hold
+
+
 class JobEvent(msgspec.Struct, frozen=True, rename={"sender": "from"}):
     """A job event, as a worker reports it."""
 
@@ -36,7 +40,7 @@
     sender: str
     state: Literal["started", "running", "heartbeat", "done", "failed", "returned", "lost"]
     share: float = 0.0
-    token: int = 0  # of the lease, from workers that support leases
+    token: Token = 0  # of the lease, from workers that support leases
     result: str = ""
     load: dict[str, float | None] | None = None  # an unknown value is null; the others still count
 
@@ -103,8 +107,8 @@
 
     def _read_event(self, body: bytes) -> JobEvent:
         try:
-            return _EVENTS.decode(body)
-        except msgspec.MsgspecError as error:
+            return decode(_EVENTS, body)
+        except UndecodableError as error:
             raise BadRequestError(HTTPStatus.BAD_REQUEST, f"not a job event: {error}") from None
 
     def _handle_event(self, event: JobEvent, done: Callable[[int], None]) -> None:
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from carthinge.interface import JobMemory, Memory
+from carthinge.net.decoding import UndecodableError, decode
 from carthinge.net.loop import READ, WRITE, Loop
 from carthinge.net.members import Member
 from carthinge.net.sockets import NOT_READY
@@ -225,9 +226,9 @@
             body = bytes(self._in[LENGTH_BYTES : LENGTH_BYTES + size])
             del self._in[: LENGTH_BYTES + size]
             try:
-                message = _DECODER.decode(body)
+                message = decode(_DECODER, body)
                 passed = self._sockets.popleft() if isinstance(message, _WITH_SOCKET) else None
-            except (msgspec.MsgspecError, IndexError):
+            except (UndecodableError, IndexError):
                 self._end()
                 return
             self._received(message, passed)
--- a/carthinge/net/config.py
+++ b/carthinge/net/config.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from carthinge.net.decoding import UndecodableError, decode
 from carthinge.net.http import Address
 from carthinge.net.members import MemberList
 from carthinge.operator_file import FileError, Options, check_classes, read
@@ -92,10 +93,10 @@
     if not path:
         raise ConfigError("RELAY_CONFIG is not set: it names the configuration file")
     try:
-        file = _FILE_DECODER.decode(Path(path).read_bytes())
+        file = decode(_FILE_DECODER, Path(path).read_bytes())
     except OSError as fault:
         raise ConfigError(f"{path}: {fault.strerror}") from None
-    except msgspec.MsgspecError as fault:
+    except UndecodableError as fault:
         raise ConfigError(f"{path}: {fault}") from None
     try:
         for member in file.known.members:
--- a/carthinge/net/discovery.py
+++ b/carthinge/net/discovery.py
@@ -14,6 +14,7 @@
 from carthinge.interface import Listing, WorkerList
 from carthinge.net import log
 from carthinge.net.counters import Counters
+from carthinge.net.decoding import decode
 from carthinge.net.http import Address, Answer, encode_request
 from carthinge.net.loop import MILLISECOND, Loop, Timer
 from carthinge.net.members import MemberList
@@ -180,7 +181,7 @@
             self._failed(f"status {answer.status}")
             return
         try:
-            listed = _LIST_DECODER.decode(answer.body)
+            listed = decode(_LIST_DECODER, answer.body)
             if revision is not None and listed.revision < revision:
                 # An older list would undo later changes, such as a worker's drain.  If discovery has
                 # restarted, its revisions have too, and its whole list is valid.
@@ -188,7 +189,7 @@
                 self._call(whole=True)
                 return
             update = self._directory.apply_list(listed, Listing.WHOLE if listed.complete else Listing.CHANGES)
-        except (msgspec.MsgspecError, ValueError, OverflowError) as fault:
+        except (ValueError, OverflowError) as fault:
             self._failed(f"unreadable: {fault}")
             return
         log.logger().debug(
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -226,6 +226,7 @@
             self._done.append(Answer(status, self.headers, bytes(self.body), keep_alive))
 
 
+MAX_PORT: Final = 65535
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -265,7 +266,7 @@
     def parse(cls, text: str) -> Address:
         """Parse ``host:port``; raises ValueError."""
         host, colon, port = text.rpartition(":")
-        if not colon or not host or not port.isdigit():
+        if not colon or not host or not port.isdigit() or int(port) > MAX_PORT:
             raise ValueError(f"not an address of the form host:port: {text!r}")
         return cls(host.strip("[]"), int(port))
 
--- a/carthinge/net/sockets.py
+++ b/carthinge/net/sockets.py
@@ -46,6 +46,9 @@
         except OSError:
             self.close(sock)
             raise
+        except (OverflowError, TypeError, ValueError) as error:  # no such address can exist
+            self.close(sock)
+            raise OSError(errno.EINVAL, str(error)) from None
         return sock
 
     def connect_error(self, sock: socket.socket) -> int:
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import Final, Protocol
 
+from carthinge.net import log
 from carthinge.net.loop import READ, WRITE, Loop, Timer
 from carthinge.net.sockets import NOT_READY, RETRYABLE_ERRORS
 
@@ -229,7 +230,15 @@
             self.reset = True
             self._end("closed by the peer")
         elif self.state is StreamState.OPEN:
+            self._pass_on(data)
+
+    def _pass_on(self, data: bytes) -> None:
+        """Pass received data to the owner; a fault of this program ends only the connection."""
+        try:
             self._owner.received(data)
+        except Exception:
+            log.logger().exception("input_failed")
+            self._end("its input could not be handled")
 
     def _resume_receive(self) -> None:
         self._receive_retry = None
