Limit what all connections together hold, and shed those that hold most

What callers saw: beside 300 clients that sent seven requests of 64 KiB at once a process of 80 MB grew to 234 MB and was killed. Cause: every limit was one of a connection; their sum over 202 connections is 207 MB. Change: connections report what they hold beyond 4 KiB. Beyond 0.4 of the memory that is free at the start those that hold most for requests not yet handled are answered 503 and ended (nothing of them was forwarded; a job that is out is answered as it is), then those with unread answers. New jobs get 503 with Retry-After while bodies of open jobs hold three quarters of that, or 4 KiB for each tracked request do. During an upgrade each process has a quarter. /metrics has `memory`, the log `connection_shed`, and `accept_paused` tells what the slots hold. The test of /metrics names the new figures and compares the others as before.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -39,8 +39,7 @@
 if TYPE_CHECKING:  # not loaded where no job is durable
     from carthinge.front.durable_front import DurableFront, JobCall
 
-MAX_UNREAD_BYTES: Final = 64 * 1024  # of answers that a client has not read, before its next request
-MAX_WAITING_SHARE: Final = 0.75  # of all slots; worker callbacks, without which no job ends, need the rest
+MAX_UNREAD_BYTES: Final = 16 * 1024  # of answers that a client has not read, before its next request
 
 
 class ClientConnection(ConnectionState):
@@ -145,6 +144,7 @@
             self._read_timer.progressed(arrived, arrived if self._requests else self._connected_at)
         self._handle_next()
         self._send_continue()
+        self._update_held()
 
     def _send_continue(self) -> None:
         """Answer ``Expect: 100-continue``, once all earlier requests are answered."""
@@ -186,6 +186,7 @@
         self._abandon()
         self._current = None
         self._reader.close()
+        self._frontend.memory.update(self, 0)
 
     def _abandon(self) -> None:
         tracked, self._tracked = self._tracked, None
@@ -207,6 +208,23 @@
             self.number, last_progress, self._accepted_at, now
         )
 
+    # ---- memory ---------------------------------------------------------------------------
+
+    def _update_held(self) -> None:
+        """Tell the memory budget what this connection holds."""
+        if not self._stream.closed:
+            handled = self.handled_bytes()
+            held = handled + self.unhandled_bytes() + self.unread_bytes()
+            self._frontend.memory.update(self, held, handled)
+
+    def free_memory(self) -> None:
+        """Answer the current request, refuse those behind it, and end the connection."""
+        if not self.unhandled_bytes():
+            self.close(CloseReason.MEMORY_NEEDED)
+            return
+        self._cut_short()
+        self._reject_all(BadRequestError(HTTPStatus.SERVICE_UNAVAILABLE, "too much memory is in use"))
+
     def _reject_all(self, error: BadRequestError) -> None:
         """Answer all waiting requests with an error and end the connection, which cannot be read further.
 
@@ -227,7 +245,7 @@
         while self._current is None and self._waiting and not self._finished:
             if self._stream.unsent > MAX_UNREAD_BYTES:
                 self._paused_by_unread = True
-                return
+                break
             self._current = self._waiting.popleft()
             try:
                 self._handle(self._current)
@@ -292,12 +310,11 @@
         if job.id in self._frontend.tracker.by_id:  # callbacks identify their job by this id
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Id: in use by another request")
         frontend = self._frontend
-        if len(frontend.waiting) >= frontend.slots.max_connections * MAX_WAITING_SHARE:
+        if frontend.refuses_jobs():
             frontend.counters.taken += 1
             frontend.counters.shed += 1
-            frontend.counters.shed_for_room += 1
             frontend.tracker.outcome_counts.refused[terms.class_name] += 1
-            jitter = mix(frontend.counters.shed_for_room)  # when slots become free cannot be predicted
+            jitter = mix(frontend.counters.shed)  # when slots become free cannot be predicted
             retry_after = (
                 compute_retry_after(inf, 0, frontend.max_retry_after // MICROSECOND, jitter) * MICROSECOND
             )
@@ -370,8 +387,10 @@
             self._finished = True
             self._read_timer.stop()
             self._frontend.slots.mark_ending(self)
+            self._reader.close()
             self._stream.finish()
         elif self._waiting:
             self._frontend.loop.call_soon(self._handle_next)
         else:
             self._send_continue()
+        self._update_held()
--- a/carthinge/front/connection_state.py
+++ b/carthinge/front/connection_state.py
@@ -18,6 +18,20 @@
     _finished: bool
     _stream: Stream
 
+    def handled_bytes(self) -> int:
+        """What is held in memory for the current request, roughly."""
+        return self._current.held_bytes if self._current is not None else 0
+
+    def unhandled_bytes(self) -> int:
+        """What is held for requests that are not being handled yet; nothing once the connection is ending."""
+        if self._finished:
+            return 0
+        return self._reader.held_bytes + sum(request.held_bytes for request in self._waiting)
+
+    def unread_bytes(self) -> int:
+        """What is held for answers that the client has not read."""
+        return self._stream.unsent
+
     def idle(self) -> bool:
         """Whether no request is being read, handled or answered."""
         return not (
--- a/carthinge/front/frontend.py
+++ b/carthinge/front/frontend.py
@@ -18,6 +18,7 @@
 from carthinge.net.deadlines import DrainSchedule, remaining_timeout
 from carthinge.net.listener import Listener
 from carthinge.net.loop import MICROSECOND, Loop
+from carthinge.net.memory_budget import MemoryBudget
 from carthinge.net.request_tracker import RequestTracker
 from carthinge.net.worker_client import WorkerClient
 from carthinge.settings import Site
@@ -26,6 +27,7 @@
     from carthinge.front.durable_front import DurableFront
 
 PAUSE_LOG_INTERVAL: Final = timedelta(seconds=10)  # between log lines of repeated pauses
+MAX_WAITING_SHARE: Final = 0.75  # of all slots; worker callbacks, without which no job ends, need the rest
 FRESH_CHECK_INTERVAL: Final = timedelta(milliseconds=200)  # between checks for connections without a request
 
 
@@ -40,6 +42,7 @@
         worker_client: WorkerClient,
         counters: Counters,
         max_connections: int,
+        memory: MemoryBudget,
         ready: Callable[[], bool],
         other_process: OtherProcess,
     ) -> None:
@@ -54,6 +57,7 @@
         self.callbacks = Callbacks(tracker, worker_client, counters, other_process)
         self.durable: DurableFront | None = None
         self.slots = ConnectionSlots(max_connections)
+        self.memory = memory
         self.waiting: set[InboundConnection] = set()  # connections whose clients wait for the answer to a job
         self._listener: Listener | None = None
         self._checking_fresh = False
@@ -73,6 +77,17 @@
         """Whether new jobs are accepted."""
         return self._ready() and self.draining is None
 
+    def refuses_jobs(self) -> bool:
+        """Whether a new job has to be refused for want of a connection or of memory; counts the refusal."""
+        no_room = len(self.waiting) >= self.slots.max_connections * MAX_WAITING_SHARE
+        no_memory = (
+            not self.memory.admits_jobs()
+            or len(self.tracker.tracked_requests) >= self.memory.max_tracked_requests
+        )
+        self.counters.shed_for_room += no_room
+        self.counters.shed_for_memory += no_memory and not no_room
+        return no_room or no_memory
+
     def keeps_connections(self) -> bool:
         """Whether connections are kept open after an answer."""
         return self.draining is None or self.loop.now < self.draining.keep_alive_until
@@ -215,7 +230,16 @@
         self.counters.accept_pauses += 1
         if self.loop.now >= self._pause_logged_at + PAUSE_LOG_INTERVAL:
             self._pause_logged_at = self.loop.now
-            log.logger().warning("accept_paused", why=why, connections=len(self.slots))
+            log.logger().warning(
+                "accept_paused",
+                why=why,
+                connections=len(self.slots),
+                fresh=len(self.slots.fresh),
+                ending=len(self.slots.ending),
+                half_read=sum(connection.has_partial_request() for connection in self.slots.all()),
+                waiting=len(self.waiting),
+                held=self.memory.held,
+            )
 
     def _check_fresh(self) -> None:
         """Close connections on which no request has begun in time."""
--- a/carthinge/front/frontend_protocol.py
+++ b/carthinge/front/frontend_protocol.py
@@ -10,6 +10,7 @@
 from carthinge.net.connection_slots import ConnectionSlots, InboundConnection
 from carthinge.net.counters import Counters
 from carthinge.net.loop import Loop
+from carthinge.net.memory_budget import MemoryBudget
 from carthinge.net.request_tracker import RequestTracker
 
 if TYPE_CHECKING:
@@ -27,8 +28,12 @@
     durable: DurableFront | None
     max_retry_after: timedelta
     slots: ConnectionSlots
+    memory: MemoryBudget
     waiting: set[InboundConnection]  #: connections whose clients wait for the answer to a job
 
+    def refuses_jobs(self) -> bool:
+        """Whether a new job has to be refused for want of a connection or of memory; counts the refusal."""
+
     def up(self) -> bool:
         """Whether new jobs are accepted."""
 
--- a/carthinge/net/close_reason.py
+++ b/carthinge/net/close_reason.py
@@ -9,6 +9,7 @@
     """The values are the texts in the log."""
 
     SLOT_NEEDED = "a new connection needs its slot"
+    MEMORY_NEEDED = "all connections together hold too much memory"
     NO_REQUEST = "no request began in time"
     IDLE_IN_DRAIN = "idle while the program drains"
     PROGRAM_EXITING = "the program is exiting"
--- a/carthinge/net/counters.py
+++ b/carthinge/net/counters.py
@@ -40,6 +40,8 @@
     connections_in_silent: int = 0  #: closed because no complete request arrived in time
     connections_out: int = 0  #: opened to workers, each with a handshake
     shed_for_room: int = 0  #: shed because their connections would have blocked callbacks
+    shed_for_memory: int = 0  #: shed because requests held too much memory, or too many were tracked
+    connections_in_shed: int = 0  #: ended because all connections together held too much memory
     accept_pauses: int = 0  #: pauses because no connection could be accepted
     watch_answers: int = 0
     watch_failures: int = 0
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -13,6 +13,7 @@
 MAX_BODY_BYTES: Final = 64 * 1024
 MAX_HEAD_BYTES: Final = 32 * 1024
 MAX_HEADER_FIELDS: Final = 100  # each costs far more memory than its bytes
+HEADER_FIELD_BYTES: Final = 200  # in memory, beside its name and value
 MAX_PIPELINED_REQUESTS: Final = 8  # behind another one; clients of this protocol send one at a time
 HEAD_FRAMING_BYTES: Final = 2048  # of a head, beside the names and values that MAX_HEAD_BYTES limits
 PARSE_BYTES: Final = 8 * 1024  # at once; the limits are checked after each part
@@ -41,6 +42,11 @@
     #: Earliest time at which its last byte can have arrived; set by the connection that read it.
     received_at: timedelta = timedelta()
 
+    @property
+    def held_bytes(self) -> int:
+        """What it holds in memory, roughly."""
+        return len(self.body) + len(self.headers) * HEADER_FIELD_BYTES
+
 
 @dataclass(slots=True)
 class Answer:
@@ -92,7 +98,7 @@
         """
         self._parser = None
         self._forget_content()
-        self.in_message = False
+        self._head_bytes = self._fields = 0
 
     def _forget_content(self) -> None:
         """Free the memory of a complete message: the connection may rest for long."""
@@ -117,6 +123,13 @@
         super().__init__(MAX_BODY_BYTES)
         self.in_message = False
 
+    @property
+    def held_bytes(self) -> int:
+        """What an incomplete request holds in memory, roughly."""
+        if self._parser is None or not self.in_message:
+            return 0
+        return self._bytes_fed + self._fields * HEADER_FIELD_BYTES
+
     def feed(self, data: bytes) -> list[Request]:
         """Return the requests that ``data`` completes; the reader is unusable after a BadRequestError."""
         try:
--- a/carthinge/scheduler/handover_peer.py
+++ b/carthinge/scheduler/handover_peer.py
@@ -83,6 +83,7 @@
             self.fleet.close(leave=False) if leaving else self.fleet.open()
         if leaving:
             self._worker_client.max_connections = self._max_outgoing // 2
+            self._frontend.memory.share_with_other_process(True)
         else:
             self.peer_ended()
             if self._frontend.draining is None:
@@ -122,6 +123,7 @@
 
     def peer_ended(self) -> None:
         """Use all slots and descriptors again, as the other process has ended."""
+        self._frontend.memory.share_with_other_process(False)
         self._frontend.slots.max_connections, self._worker_client.max_connections = (
             self._max_slots,
             self._max_outgoing,
@@ -191,6 +193,7 @@
         """Reduce the limits by the client slots that the predecessor still holds, as both share them."""
         self._frontend.slots.max_connections = max(MIN_CLIENT_SLOTS, self._max_slots - slots)
         self._worker_client.max_connections = self._max_outgoing // 2
+        self._frontend.memory.share_with_other_process(True)
 
     def hand_over_ready(self) -> None:
         """Hand over everything that is ready for it.
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -26,6 +26,7 @@
 from carthinge.net.http import Address
 from carthinge.net.listener import bind
 from carthinge.net.loop import MICROSECOND, Loop
+from carthinge.net.memory_budget import MemoryBudget, free_bytes
 from carthinge.net.probes import Probes
 from carthinge.net.request_tracker import RequestTracker
 from carthinge.net.tracked_request import Terms
@@ -75,6 +76,7 @@
             self.worker_client,
             self.counters,
             available - outgoing,
+            MemoryBudget(self.loop, self.counters, free_bytes(config.limits.memory_mb)),
             lambda: bool(self.directory.ready),
             self.upgrade,
         )
@@ -274,6 +276,7 @@
             | self.dispatcher.context.retry_budget.metrics(),
             "reloads_ok": counters.reloads_ok,
             "reloads_failed": counters.reloads_failed,
+            "memory": self.frontend.memory.metrics(),
             **({"durable": self.durable.metrics()} if self.durable is not None else {}),
             **({"fleet": self.fleet.metrics()} if self.fleet is not None else {}),
         }
--- /dev/null
+++ b/tests/test_memory_budget.py
@@ -0,0 +1,102 @@
+"""What all clients together can make the program hold."""
+
+import pytest
+from in_process import UP_REQUEST, accept_next, read_next, readable, run_until, set_workers
+from test_peer_limits import let_peers_read
+from world import job, member, settings_with_caps
+
+KIB = 1024
+HALF_SENT = b"POST /api HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + bytes(50_000)
+
+
+@pytest.fixture
+def program(serve, worker):
+    """A program with room for three requests of 50 KB."""
+    program = serve(settings=settings_with_caps(try_limit=1))
+    set_workers(program, member("s-0", worker.port))
+    program.frontend.memory.limit = 160 * KIB
+    return program
+
+
+def turns(program, count=30):
+    for _ in range(count):
+        program.loop.turn(idle=False)
+        program.tracker.decide()
+
+
+def test_half_sent_requests_are_refused_beyond_the_limit(program, dial):
+    clients = [dial(program).send(HALF_SENT) for _ in range(10)]
+    turns(program)
+    refused = [client for client in clients if readable(client.sock)]
+    assert program.frontend.memory.held <= program.frontend.memory.limit
+    assert len(refused) == program.counters.connections_in_shed == 7
+    assert all(client.status() == 503 and client.ended() for client in refused)
+    served = next(client for client in clients if client not in refused).send(bytes(10_000))
+    assert read_next(served, program)[0].split()[1] == "400"  # complete, and handled: it has no id
+
+
+def test_small_requests_are_served_beside_a_crowd(program, dial, worker):
+    for _ in range(10):
+        dial(program).send(HALF_SENT)
+    turns(program)
+    client = dial(program).send(job("a1"))
+    assert read_next(accept_next(worker, program), program)[1]["req-id"] == "a1"
+    assert not readable(client.sock)
+
+
+def test_request_ahead_of_a_refused_one_gets_its_own_answer(program, dial, worker):
+    """Guards against a promise that a job never ran, when it may have."""
+    client = dial(program).send(job("a1", kind="charge"))
+    peer = accept_next(worker, program)
+    read_next(peer, program)
+    client.send(job("a2") + HALF_SENT)
+    turns(program)
+    program.frontend.memory.limit = 1
+    dial(program).send(HALF_SENT)
+    assert [int(read_next(client, program)[0].split()[1]) for _ in range(3)] == [504, 503, 503]
+    assert program.counters.invariants_violated == 0
+
+
+def test_jobs_are_refused_while_bodies_fill_the_memory(program, dial, worker):
+    for number in range(3):
+        dial(program).send(job(f"a{number}", body=bytes(50_000)))
+    turns(program)
+    client = dial(program).send(job("b1"))
+    first, headers, _ = read_next(client, program)
+    assert first.split()[1] == "503" and "retry-after" in headers
+    assert program.counters.shed_for_memory == 1 and program.counters.connections_in_shed == 0
+
+
+def test_number_of_tracked_requests_is_limited(program, dial):
+    """Guards against requests of clients that have left, at workers that never end them."""
+    program.frontend.memory.limit = 4 * KIB * 2
+    for number in range(2):
+        dial(program).send(job(f"a{number}"))
+    turns(program)
+    assert read_next(dial(program).send(job("b1")), program)[0].split()[1] == "503"
+
+
+def test_unread_answers_are_dropped_last(program, dial):
+    """Guards against answers that a slow reader would lose while requests can still be refused."""
+    slow, half_sent = dial(program), dial(program)
+    let_peers_read(program, 0)
+    slow.send(b"GET /counters HTTP/1.1\r\nHost: x\r\n\r\n" * 8)
+    turns(program)
+    half_sent.send(HALF_SENT)
+    turns(program)
+    program.frontend.memory.limit = 40 * KIB
+    dial(program).send(HALF_SENT)
+    let_peers_read(program, KIB * KIB)
+    turns(program)
+    assert half_sent.status() == 503 and slow.status() == 200
+
+
+def test_memory_is_released_with_the_connections(program, dial):
+    clients = [dial(program).send(HALF_SENT) for _ in range(3)]
+    turns(program)
+    assert program.frontend.memory.held > 3 * 50_000
+    for client in clients:
+        client.close()
+    run_until(program, lambda: not len(program.frontend.slots))
+    assert program.frontend.memory.held == 0
+    assert read_next(dial(program).send(UP_REQUEST), program)[0].endswith("200 OK")
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -88,7 +88,12 @@
 
 
 def test_metrics_count_jobs_and_attempts(world):
-    assert world.metrics() == {
+    metrics = world.metrics()
+    memory = metrics.pop("memory")
+    assert memory.keys() == {"resident", "held", "held_peak", "held_limit"}
+    assert memory["held"] == memory["held_peak"] == 0
+    assert 0 < memory["resident"] and 0 < memory["held_limit"] < 192 * 1024 * 1024
+    assert metrics == {
         "served": counts_by_class(),
         "refused": counts_by_class(),
         "failed": counts_by_class(),
