Run no job twice whose id comes again, at this process or the other one of an upgrade

Cause: an id was forgotten with its last attempt, or at the deadline before anything proved that the worker had given up; and each process knew its own ids only. Change: ids of requests that may have run are remembered for a minute, 8,192 at most, except safe ones whose client has its result; such a request gets 400 as for an id that is open. During an upgrade a process asks the other one before it takes a job, and of two at once the predecessor's is taken; the ids go along with state and heartbeats. The messages have new fields with defaults and one new message, which only a process gets that says it knows it: upgrades from the version before go on. Admission of jobs has a module of its own.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -4,19 +4,17 @@
 
 import socket
 from collections import deque
-from dataclasses import replace
 from datetime import timedelta
 from http import HTTPStatus
-from math import inf
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
-from carthinge.fleet.retry_after import compute_retry_after
 from carthinge.front.callbacks import CALLBACK_PATH, NO_ANSWER
 from carthinge.front.connection_state import ConnectionState
 from carthinge.front.frontend_protocol import FrontendProtocol
 from carthinge.front.head_of_line import HeadOfLineTimer
+from carthinge.front.job_admission import admit
 from carthinge.front.read_timer import ReadTimer
 from carthinge.front.translator import JOBS_PATH
 from carthinge.net import log
@@ -31,10 +29,9 @@
     encode_answer,
     too_many_requests,
 )
-from carthinge.net.loop import MICROSECOND, MILLISECOND, MIN_RECEIVE_BYTES
+from carthinge.net.loop import MICROSECOND, MIN_RECEIVE_BYTES
 from carthinge.net.stream import Stream
 from carthinge.net.tracked_request import TrackedRequest
-from carthinge.records import mix
 
 if TYPE_CHECKING:  # not loaded where no job is durable
     from carthinge.front.durable_front import DurableFront, JobCall
@@ -89,6 +86,10 @@
         if self._current is request:
             self._job_call = job_call
 
+    def awaits_answer_to(self, request: Request) -> bool:
+        """Whether the client still waits for the answer to a request."""
+        return self._current is request and not self._stream.closed
+
     def handle_deferred(self) -> None:
         """Handle a deferred request."""
         if self.deferred and self._current is not None:
@@ -242,7 +243,7 @@
         self._stream.write(answer * earlier)
         self._waiting.clear()
         self._current = None
-        self._refuse_bad_request(error, readable=False)
+        self.refuse_bad_request(error, readable=False)
 
     # ---- requests -------------------------------------------------------------------------
 
@@ -255,7 +256,7 @@
             try:
                 self._handle(self._current)
             except BadRequestError as error:
-                self._refuse_bad_request(error)
+                self.refuse_bad_request(error)
         if self._current is not None and self._waiting:
             self._head_of_line.watch(self._waiting)
 
@@ -287,7 +288,7 @@
             if self._current is request:  # otherwise it is answered already
                 self._job_call = job_call
         elif request.method == b"POST" and (path == JOBS_PATH or path.startswith(JOBS_PATH + b"/")):
-            self._accept_job(request)
+            admit(self, request, self._frontend)
         elif request.method == b"GET" and path == b"/up":
             self._answer(HTTPStatus.OK if self._frontend.up() else HTTPStatus.SERVICE_UNAVAILABLE)
         elif request.method == b"GET" and path == b"/counters":
@@ -303,36 +304,15 @@
         self, request: Request, status: int, body: bytes = b"", headers: list[tuple[str, str]] | None = None
     ) -> None:
         """Answer a request asynchronously."""
-        if self._current is request and not self._stream.closed:  # otherwise the client has left
+        if self.awaits_answer_to(request):  # otherwise the client has left
             self._job_call = None
             if status == NO_ANSWER:
                 self.close(CloseReason.CALLBACK_FOR_SUCCESSOR)
             else:
                 self._answer(status, body, headers)
 
-    def _accept_job(self, request: Request) -> None:
-        job, terms = self._frontend.translator.read(request)
-        if job.id in self._frontend.tracker.by_id:  # callbacks identify their job by this id
-            raise BadRequestError(HTTPStatus.BAD_REQUEST, "Req-Id: in use by another request")
-        frontend = self._frontend
-        if frontend.refuses_jobs():
-            frontend.counters.taken += 1
-            frontend.counters.shed += 1
-            frontend.tracker.outcome_counts.refused[terms.class_name] += 1
-            jitter = mix(frontend.counters.shed)  # when slots become free cannot be predicted
-            retry_after = (
-                compute_retry_after(inf, 0, frontend.max_retry_after // MICROSECOND, jitter) * MICROSECOND
-            )
-            self._shed(retry_after, keep_alive=False)
-            return
-        terms = replace(terms, timeout=frontend.remaining_time(terms.timeout, request.received_at))
-        left_ms, number = terms.timeout // MILLISECOND, self.number
-        log.logger().debug(
-            "request_taken", id=job.id, connection=number, job_class=terms.class_name, left_ms=left_ms
-        )
-        self.wait_for_result(frontend.tracker.take(job, terms, self))
-
-    def _refuse_bad_request(self, error: BadRequestError, readable: bool = True) -> None:
+    def refuse_bad_request(self, error: BadRequestError, readable: bool = True) -> None:
+        """Answer the current request with an error."""
         self._frontend.counters.bad_input += 1
         log.logger().debug("bad_input", connection=self.number, status=int(error.status), why=str(error))
         self._answer(error.status, f"{error}\n".encode(), readable=readable)
@@ -346,9 +326,10 @@
 
     def shed(self, retry_after: timedelta) -> None:
         """Answer that the job is refused, with the time to wait before a retry."""
-        self._shed(min(retry_after, self._frontend.max_retry_after))
+        self.refuse(min(retry_after, self._frontend.max_retry_after))
 
-    def _shed(self, retry_after: timedelta, keep_alive: bool = True) -> None:
+    def refuse(self, retry_after: timedelta, keep_alive: bool = True) -> None:
+        """Answer that the job is refused; the connection ends unless ``keep_alive``."""
         headers = [("Retry-After", f"{retry_after.total_seconds():.3f}")] if retry_after else []
         self._answer(HTTPStatus.SERVICE_UNAVAILABLE, headers=headers, keep_alive=keep_alive)
 
--- a/carthinge/front/frontend.py
+++ b/carthinge/front/frontend.py
@@ -5,10 +5,12 @@
 import socket
 from collections.abc import Callable, Iterator
 from datetime import timedelta
-from typing import TYPE_CHECKING, Final, cast
+from typing import TYPE_CHECKING, Final, Protocol, cast
 
 from carthinge.front.callbacks import Callbacks, OtherProcess
 from carthinge.front.connection import ClientConnection
+from carthinge.front.job_ids import JobIds
+from carthinge.front.job_ids import OtherProcess as JobIdsElsewhere
 from carthinge.front.translator import Translator
 from carthinge.net import log
 from carthinge.net.channel import Incoming, Waiting
@@ -31,6 +33,10 @@
 FRESH_CHECK_INTERVAL: Final = timedelta(milliseconds=200)  # between checks for connections without a request
 
 
+class Upgrading(OtherProcess, JobIdsElsewhere, Protocol):
+    """The other process of this scheduler during an upgrade, as all parts of the front end see it."""
+
+
 class Frontend:
     """The listening socket and the connections accepted on it."""
 
@@ -44,7 +50,7 @@
         max_connections: int,
         memory: MemoryBudget,
         ready: Callable[[], bool],
-        other_process: OtherProcess,
+        other_process: Upgrading,
     ) -> None:
         self.loop = loop
         self.tracker = tracker
@@ -55,6 +61,7 @@
         self._ready = ready
         self.draining: DrainSchedule | None = None
         self.callbacks = Callbacks(tracker, worker_client, counters, other_process)
+        self.job_ids = JobIds(tracker, other_process)
         self.durable: DurableFront | None = None
         self.slots = ConnectionSlots(max_connections)
         self.memory = memory
--- a/carthinge/front/frontend_protocol.py
+++ b/carthinge/front/frontend_protocol.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from carthinge.front.callbacks import Callbacks
+from carthinge.front.job_ids import JobIds
 from carthinge.front.translator import Translator
 from carthinge.net.connection_slots import ConnectionSlots, InboundConnection
 from carthinge.net.counters import Counters
@@ -29,6 +30,7 @@
     max_retry_after: timedelta
     slots: ConnectionSlots
     memory: MemoryBudget
+    job_ids: JobIds
     waiting: set[InboundConnection]  #: connections whose clients wait for the answer to a job
 
     def refuses_jobs(self) -> bool:
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -26,6 +26,7 @@
     """Requests the handover from the predecessor."""
 
     format: int
+    answers_queries: bool = False  # older versions do not know the fields with defaults
 
 
 class Target(msgspec.Struct, frozen=True):
@@ -49,6 +50,8 @@
     classes: tuple[str, ...]  #: names by their positions in ``memory``; so are the next two
     tenants: tuple[str, ...]
     kinds: tuple[str, ...]
+    recent_ids: list[str] = []  #: of requests that may have run
+    answers_queries: bool = False
 
 
 class Begun(msgspec.Struct, frozen=True, tag=True):
@@ -122,6 +125,13 @@
     sure: bool
 
 
+class JobQuery(msgspec.Struct, frozen=True, tag=True):
+    """Asks whether an id is in use; sent only to a process that answers queries."""
+
+    number: int
+    id: str
+
+
 class Done(msgspec.Struct, frozen=True, tag=True):
     """A forwarded message was handled; ``known`` if there was such a job or worker."""
 
@@ -134,6 +144,7 @@
 
     slots: int
     loads: bytes
+    ended_ids: list[str] = []  #: of requests that may have run, since the last one
 
 
 Message = (
@@ -146,6 +157,7 @@
     | Outgoing
     | ForwardedCallback
     | ForwardedExclusion
+    | JobQuery
     | Done
     | Heartbeat
 )
--- a/carthinge/net/invariants.py
+++ b/carthinge/net/invariants.py
@@ -54,7 +54,7 @@
         ):
             self._violated(Rule.ONE_ATTEMPT, id=tracked.job.id, worker=attempt.target.id)
             return False
-        if tracked.effect is io.Effect.UNSAFE and any(_may_have_run(other) for other in others):
+        if tracked.effect is io.Effect.UNSAFE and any(may_have_run(other) for other in others):
             self._violated(Rule.NO_UNSAFE_RETRY, id=tracked.job.id, worker=attempt.target.id)
             return False
         return True
@@ -89,7 +89,10 @@
         log.logger().error("invariant_violated", rule=rule.value, **fields)
 
 
-def _may_have_run(attempt: Attempt) -> bool:
-    """False where the result is unknown, as from a predecessor: the dispatcher's decision is trusted then."""
+def may_have_run(attempt: Attempt) -> bool:
+    """Whether an ended attempt may have run.
+
+    False where the result is unknown, as from a predecessor: the dispatcher's decision is trusted then.
+    """
     result = attempt.result
     return not attempt.open and attempt.written and result is not None and result not in io.NEVER_RAN
--- a/carthinge/net/request_tracker.py
+++ b/carthinge/net/request_tracker.py
@@ -11,8 +11,9 @@
 from carthinge.net import log
 from carthinge.net.counters import Counters, OutcomeCounts
 from carthinge.net.deadlines import answer_deadline
-from carthinge.net.invariants import Invariants
+from carthinge.net.invariants import Invariants, may_have_run
 from carthinge.net.loop import MICROSECOND, Loop, Timer
+from carthinge.net.recent_ids import RecentIds
 from carthinge.net.tracked_request import (
     Attempt,
     Client,
@@ -40,6 +41,7 @@
         self.probe: Callable[[WorkerEndpoint], None]
         self.tracked_requests: dict[int, TrackedRequest] = {}
         self.by_id: dict[str, TrackedRequest] = {}
+        self.recent_ids = RecentIds(loop)
         self.events: list[io.Event] = []
         self.outcome_counts = OutcomeCounts()
         self.invariants = Invariants(counters, lambda: dispatcher.context.settings.may_hedge)
@@ -56,7 +58,7 @@
             io.Cancel: self._cancel,
             io.SetTimer: self._set_timer,
             io.Watch: lambda _: self.watch(),
-            io.LogLine: self._log,
+            io.LogLine: lambda action: log.logger().info("decision", text=action.text),
             io.Probe: lambda action: self.probe(targets[action.worker]),
         }
 
@@ -116,14 +118,13 @@
         return tracked
 
     def _arrival(self, tracked: TrackedRequest, terms: Terms) -> io.Arrival:
-        hint = None if terms.hint is None else terms.hint // MICROSECOND
         return io.Arrival(
             tracked.number,
             terms.job_class,
             tracked.give_up // MICROSECOND,
             terms.tenant,
             terms.key,
-            hint,
+            None if terms.hint is None else terms.hint // MICROSECOND,
             terms.slots,
             terms.memory,
             terms.repeat,
@@ -389,11 +390,10 @@
             action.due * MICROSECOND, partial(self.emit, io.Timer(action.token))
         )
 
-    def _log(self, action: io.LogLine) -> None:
-        log.logger().info("decision", text=action.text)
-
     def _remove_if_ended(self, tracked: TrackedRequest) -> None:
         if not tracked.pending and tracked.first_open_attempt() is None:
+            if not tracked.may_run_again() and any(map(may_have_run, tracked.attempts)):
+                self.recent_ids.add(tracked.job.id)
             self.tracked_requests.pop(tracked.number, None)
             tracked.release()
             if self.by_id.get(tracked.job.id) is tracked:
--- a/carthinge/net/tracked_request.py
+++ b/carthinge/net/tracked_request.py
@@ -169,6 +169,16 @@
         """Whether its client still has to get a final answer."""
         return self.state in (RequestState.QUEUED, RequestState.SENT)
 
+    def may_run_again(self) -> bool:
+        """Whether another request with its id does no harm once it has ended, if it has run.
+
+        The store recognizes the id of a durable job.  A safe job may be repeated by a client that has its
+        result; the attempt of one that has left may still be running.
+        """
+        served = any(attempt.result is io.Result.OK for attempt in self.attempts)
+        repeatable = self.effect is io.Effect.SAFE and self.state is RequestState.ANSWERED and served
+        return self.journal is not None or repeatable
+
     def update_state(self) -> None:
         """Update the state; to be called when an attempt has been added or has ended."""
         if self.pending:
--- a/carthinge/scheduler/handover_peer.py
+++ b/carthinge/scheduler/handover_peer.py
@@ -74,6 +74,14 @@
             site.classes,
             site.tenants,
             site.kinds,
+            self._tracker.recent_ids.begin_report(),
+            answers_queries=True,
+        )
+
+    def has_job(self, job_id: str) -> bool:
+        """Whether an id is in use here."""
+        return self._frontend.job_ids.in_use_for_other_process(job_id) or (
+            self._durable is not None and self._durable.has_request(job_id)
         )
 
     def set_leaving(self, leaving: bool) -> None:
@@ -181,11 +189,19 @@
 
     def heartbeat(self) -> Heartbeat:
         """Return the current load of this process."""
-        return Heartbeat(len(self._frontend.slots), self._dispatcher.encode_loads())
+        return Heartbeat(
+            len(self._frontend.slots),
+            self._dispatcher.encode_loads(),
+            self._tracker.recent_ids.take_unreported(),
+        )
 
     def handle_heartbeat(self, heartbeat: Heartbeat | None) -> None:
         """Note the load of the other process, None once it has ended."""
         self._tracker.emit(Message(PEER, heartbeat.loads if heartbeat is not None else b""))
+        if heartbeat is None:
+            self._tracker.recent_ids.end_report()
+        else:
+            self._tracker.recent_ids.extend(heartbeat.ended_ids)
         if heartbeat is not None and not self._upgrade.leaving:
             self.share_descriptors(heartbeat.slots)
 
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -212,6 +212,7 @@
                 )
             )
             self.tracker.emit(self.directory.restore(state))
+            self.tracker.recent_ids.extend(state.recent_ids)
             self.handover_peer.share_descriptors(0)
         if self.durable is not None:
             self.durable.open()
--- a/carthinge/scheduler/upgrade.py
+++ b/carthinge/scheduler/upgrade.py
@@ -22,6 +22,7 @@
     Heartbeat,
     Hello,
     Incoming,
+    JobQuery,
     Message,
     Open,
     Outgoing,
@@ -60,6 +61,9 @@
     def release_store(self, done: Callable[[bool], None]) -> None:
         """Release the store, which only one process can have; call ``done`` with whether it is free."""
 
+    def has_job(self, job_id: str) -> bool:
+        """Whether an id is in use here."""
+
     def peer_ended(self) -> None:
         """Note that the predecessor has ended."""
 
@@ -110,6 +114,7 @@
         self._listener: socket.socket | None = None
         self._inode = 0
         self._channel: Channel | None = None
+        self._answers_queries = False  # the peer is of a version that does
         self._taking_over = False  # this is the successor, and the predecessor still runs
         self._leaving = False  # this is the predecessor
         self._handed_over = False  # and the successor serves
@@ -122,6 +127,11 @@
         """Whether another process of this scheduler is connected."""
         return self._channel is not None
 
+    @property
+    def answers_queries(self) -> bool:
+        """Whether another process is connected that can be asked about ids."""
+        return self._channel is not None and self._answers_queries
+
     @property
     def has_unsent(self) -> bool:
         """Whether messages to the peer are still unsent."""
@@ -156,7 +166,7 @@
         self._taking_over = True
         self._open_channel(sock)
         self._state_timer = self._loop.call_after(STATE_TIMEOUT, self._state_timed_out)
-        self._send(Hello(FORMAT))
+        self._send(Hello(FORMAT, answers_queries=True))
 
     def listen(self) -> None:
         """Listen for a successor, replacing the predecessor's socket atomically."""
@@ -253,6 +263,10 @@
         """Forward an operator's call; call ``done`` with whether the worker is known at the peer."""
         self._request(lambda number: ForwardedExclusion(number, worker, excluded, confirmed), done)
 
+    def query_job(self, job_id: str, done: Callable[[bool], None]) -> None:
+        """Call ``done`` with whether an id is in use at the peer."""
+        self._request(lambda number: JobQuery(number, job_id), done)
+
     def _request(self, message: Callable[[int], Message], done: Callable[[bool], None]) -> None:
         self._last_number += 1
         number = self._last_number
@@ -277,6 +291,7 @@
         handler = self.handler
         match message:
             case Hello(format=peer_format):
+                self._answers_queries = message.answers_queries
                 if peer_format == FORMAT:
                     self._loop.call_soon(self._hand_over)  # after decisions on all pending events
                 elif self._channel is not None:
@@ -286,6 +301,7 @@
                 if self._state_timer is not None:
                     self._state_timer.cancel()
                     self._state_timer = None
+                    self._answers_queries = message.answers_queries
                     handler.start_serving(message)
                     if handler.needs_confirmation:
                         self._send(Begun())
@@ -298,6 +314,8 @@
                 handler.handle_callback(body, partial(self._answer, number))
             case ForwardedExclusion(number=number, worker=worker, out=excluded, sure=confirmed):
                 self._send(Done(number, handler.set_excluded_here(worker, excluded, confirmed)))
+            case JobQuery(number=number, id=job_id):
+                self._answer(number, handler.has_job(job_id))
             case Done(number=number, known=known):
                 self._resolve(number, known)
             case Heartbeat():
@@ -346,6 +364,7 @@
     def _on_peer_lost(self, unsent: list[tuple[Message, socket.socket]]) -> None:
         """Handle the end of the peer; ``unsent`` connections stay here."""
         self._channel = None
+        self._answers_queries = False
         for number in list(self._pending):
             self._resolve(number, False)
         if self._state_timer is not None:  # it never sent its state
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -11,6 +11,8 @@
 from in_process import UP_REQUEST, accept_next, encode_callback, read_next, readable, run_until, set_workers
 from world import Listener, job, member, settings_with_caps
 
+from carthinge.net.recent_ids import MAX_RECENT_IDS, MEMORY_TIME
+
 
 def test_client_left_before_read_not_sent(serve, dial, worker):
     """Guards against a close noticed only after the send: it waits behind the request in the same socket."""
@@ -210,3 +212,61 @@
     run_until(program, lambda: not len(program.frontend.slots) and program.counters.connections_in)
     assert program.counters.attempts == 0 and not program.tracker.tracked_requests
     assert program.counters.client_gone == program.counters.taken
+
+
+def leave_with_open_attempt(program, dial, worker, **more):
+    """Send job a1, and leave once it is at a worker; return the worker's end of the attempt."""
+    set_workers(program, member("s-0", worker.port))
+    client = dial(program).send(job("a1", **more))
+    peer = accept_next(worker, program)
+    read_next(peer, program)
+    peer.answer(202)
+    run_until(program, lambda: not program.worker_client._calls)
+    client.close()
+    run_until(program, lambda: program.counters.client_gone)
+    return peer
+
+
+@pytest.mark.parametrize("kind", ["query", "reindex", "charge"])
+def test_id_that_returns_after_its_client_left_is_not_run_again(serve, dial, worker, kind):
+    """Guards against a second run where the first has ended, and was forgotten with its client."""
+    program = serve(settings=settings_with_caps(cancel=False))
+    _peer = leave_with_open_attempt(program, dial, worker, kind=kind)
+    dial(program).send(encode_callback("s-0", "a1"))
+    run_until(program, lambda: not program.tracker.tracked_requests)
+    again = dial(program).send(job("a1", kind=kind))
+    assert read_next(again, program)[0].split()[1] == "400" and program.counters.attempts == 1
+
+
+def test_id_that_returns_while_its_worker_hangs_is_not_run_beside(serve, dial, worker):
+    """Guards against a second run after the deadline, when nothing proves that the first was given up."""
+    program = serve()
+    _peer = leave_with_open_attempt(program, dial, worker, deadline="300m")
+    advance_clock(program, timedelta(seconds=1))
+    run_until(program, lambda: not program.tracker.tracked_requests)
+    again = dial(program).send(job("a1"))
+    assert read_next(again, program)[0].split()[1] == "400" and program.counters.attempts == 1
+
+
+def test_id_that_was_never_sent_may_return(serve, dial, worker):
+    program = serve()
+    client = dial(program).send(job("a1"))
+    run_until(program, lambda: program.counters.taken)
+    client.close()
+    run_until(program, lambda: program.counters.client_gone)
+    set_workers(program, member("s-0", worker.port))
+    again = dial(program).send(job("a1"))
+    peer = accept_next(worker, program)
+    assert read_next(peer, program)[1]["req-id"] == "a1"
+    again.close()
+
+
+def test_remembered_ids_are_bounded_and_expire(serve):
+    """Guards against memory that grows with ever new ids."""
+    program = serve()
+    recent = program.tracker.recent_ids
+    recent.extend(f"a{number}" for number in range(MAX_RECENT_IDS + 100))
+    assert "a0" not in recent and f"a{MAX_RECENT_IDS + 99}" in recent and len(recent._until) == MAX_RECENT_IDS
+    program.loop.now += MEMORY_TIME
+    recent.add("b")
+    assert "a200" not in recent and "b" in recent and len(recent._until) == 1
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -302,3 +302,43 @@
     world.wait_for_log("taken_back")
     assert serving_workers(world, "b", 6) == {0, 1}
     assert world.upgrade() and serving_workers(world, "c", 6) == {0, 1}
+
+
+@pytest.mark.parametrize("ended", [False, True], ids=["open", "ended"])
+def test_id_that_returns_at_the_other_process_is_not_run_twice(world, ended):
+    """Guards against a job that the old process has, or had, and the new one does not know."""
+    client, at, name = hold_jobs(world, 1)[0]
+    client.close()
+    while world.counters()["client_gone"] == 0:
+        time.sleep(0.01)
+    old, _ = world.upgrade()
+    if ended:
+        assert world.send_callback(name, "done", at) == 204
+        old.terminate()
+        assert old.wait(WAIT) == 0
+    again = world.submit(name, kind="reindex", deadline="9000m")
+    assert again.status() == 400
+    assert world.counters()["attempts"] == 0
+
+
+def test_ids_that_come_to_both_processes_run_once(world):
+    """Guards against both processes taking a job that neither has yet."""
+    kept = hold_jobs(world, 4)
+    world.upgrade()
+    names = [f"both{number}" for number in range(4)]
+    for (client, _, _), name in zip(kept, names, strict=True):  # behind a job that the old process has
+        client.send(job(name))
+    fresh = [world.submit(name) for name in names]
+    for _, at, name in kept:
+        assert world.send_callback(name, "done", at) == 204
+    attempts = []
+    for _ in names:
+        at, peer, request = world.next_request()
+        peer.answer(202)
+        attempts.append(request[1]["req-id"])
+        world.send_callback(request[1]["req-id"], "done", at)
+    statuses = [client.status() for client in fresh]
+    for client, _, _ in kept:
+        assert client.status() == 200
+        statuses.append(client.status())
+    assert sorted(attempts) == names and sorted(statuses) == [200] * 4 + [400] * 4
