Bound a worker's answer, and keep no body that nobody reads

What callers saw: nothing yet in the field; a worker that answers without end (one field, interim answers, a chunk extension) fills the memory until the attempt's time is over, which a client may set to a year. Change: answers are parsed in parts with the limits of requests; the body of an answer to an attempt or a DELETE is counted and dropped; content goes with its answer.

--- a/carthinge/net/discovery.py
+++ b/carthinge/net/discovery.py
@@ -240,6 +240,8 @@
 class _WatchCall:
     """One call of a watch; gets no events after its caller was closed."""
 
+    reads_body = True
+
     def __init__(self, watch: DiscoveryWatch, target: bytes, host: str, revision: int | None) -> None:
         self._watch = watch
         self._revision = revision
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
@@ -15,9 +15,10 @@
 MAX_HEADER_FIELDS: Final = 100  # each costs far more memory than its bytes
 HEADER_FIELD_BYTES: Final = 200  # in memory, beside its name and value
 MAX_PIPELINED_REQUESTS: Final = 8  # behind another one; clients of this protocol send one at a time
+MAX_ANSWERS_AT_ONCE: Final = 8  # one is expected; the others are dropped with their connection
 HEAD_FRAMING_BYTES: Final = 2048  # of a head, beside the names and values that MAX_HEAD_BYTES limits
 PARSE_BYTES: Final = 8 * 1024  # at once; the limits are checked after each part
-MAX_MESSAGE_BYTES: Final = 8 * MAX_BODY_BYTES  # of one message on the wire, including all framing
+MAX_FRAMING_FACTOR: Final = 8  # of a message on the wire, including all framing, to its body limit
 Headers = dict[bytes, bytes]
 
 
@@ -64,14 +65,17 @@
     _parser: Any  # of httptools, which has no types
 
     def __init__(self, body_limit: int) -> None:
+        self.keeps_body = True
         self._body_limit = body_limit
+        self._bytes_fed = 0  # since the last complete message
+        self._in_head = True
         self.on_message_begin()
 
     def on_message_begin(self) -> None:
         self.target = b""
         self.headers: Headers = {}
         self.body = bytearray()
-        self._head_bytes = self._fields = 0
+        self._head_bytes = self._body_bytes = self._fields = 0
         self.in_message = True
 
     def on_url(self, part: bytes) -> None:
@@ -86,8 +90,10 @@
         self._count_head(len(name) + len(value))
 
     def on_body(self, part: bytes) -> None:
-        self.body += part
-        if len(self.body) > self._body_limit:
+        if self.keeps_body:
+            self.body += part
+        self._body_bytes += len(part)
+        if self._body_bytes > self._body_limit:
             raise BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
 
     def close(self) -> None:
@@ -105,20 +111,35 @@
         self.target, self.headers = b"", {}
         self.body.clear()
 
+    def _too_large(self) -> bool:
+        """Guard against an endless line, which the parser buffers and reports only when it is complete."""
+        limit = (
+            MAX_HEAD_BYTES + HEAD_FRAMING_BYTES if self._in_head else MAX_FRAMING_FACTOR * self._body_limit
+        )
+        return self._bytes_fed > limit
+
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES:
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "the head is too large")
 
 
+def _parts(data: bytes) -> Iterator[bytes | memoryview]:
+    """Yield the data in parts of at most PARSE_BYTES."""
+    if len(data) <= PARSE_BYTES:
+        yield data
+        return
+    view = memoryview(data)
+    for start in range(0, len(data), PARSE_BYTES):
+        yield view[start : start + PARSE_BYTES]
+
+
 class RequestReader(_Message):
     """Parses requests from bytes that may be split anywhere."""
 
     def __init__(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
         self._done: list[Request] = []
-        self._bytes_fed = 0  # since the last complete message
-        self._in_head = True
         self.expects_continue = False
         super().__init__(MAX_BODY_BYTES)
         self.in_message = False
@@ -133,12 +154,8 @@
     def feed(self, data: bytes) -> list[Request]:
         """Return the requests that ``data`` completes; the reader is unusable after a BadRequestError."""
         try:
-            if len(data) <= PARSE_BYTES:
-                self._parse(data)
-            else:
-                view = memoryview(data)
-                for start in range(0, len(data), PARSE_BYTES):
-                    self._parse(view[start : start + PARSE_BYTES])
+            for part in _parts(data):
+                self._parse(part)
         except BadRequestError as error:
             error.completed = self._take_done()
             raise
@@ -160,8 +177,7 @@
                 raise cause from None
             raise BadRequestError(HTTPStatus.BAD_REQUEST, f"not HTTP: {fault}") from None
         self._bytes_fed = 0 if len(self._done) > completed else self._bytes_fed + len(data)
-        if self._bytes_fed > (MAX_HEAD_BYTES + HEAD_FRAMING_BYTES if self._in_head else MAX_MESSAGE_BYTES):
-            # Guards against an endless line, which the parser buffers and reports only when it is complete.
+        if self._too_large():
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "the request is too large")
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -209,7 +225,12 @@
 
     def feed(self, data: bytes) -> list[Answer]:
         """Return the responses that ``data`` completes; raises the errors of httptools."""
-        self._parser.feed_data(data)
+        for part in _parts(data):
+            completed = len(self._done)
+            self._parser.feed_data(part)
+            self._bytes_fed = 0 if len(self._done) > completed else self._bytes_fed + len(part)
+            if self._too_large() or len(self._done) > MAX_ANSWERS_AT_ONCE:
+                raise httptools.HttpParserError("more than one answer of a bearable size")
         done, self._done = self._done, []
         return done
 
@@ -224,19 +245,23 @@
         """Start a response (called by the parser)."""
         super().on_message_begin()
         self._ends_with_connection = False
+        self._in_head = True
 
     def on_headers_complete(self) -> None:
         """Determine whether the body ends with the connection (called by the parser)."""
+        self._in_head = False
         framed = b"content-length" in self.headers or b"transfer-encoding" in self.headers
         self._ends_with_connection = not framed and self._parser.get_status_code() >= HTTPStatus.OK
 
     def on_message_complete(self) -> None:
         """Store the complete response (called by the parser)."""
         self.in_message = False
+        self._in_head = True
         status = self._parser.get_status_code()
         if status >= HTTPStatus.OK:
             keep_alive = self._parser.should_keep_alive()
             self._done.append(Answer(status, self.headers, bytes(self.body), keep_alive))
+        self._forget_content()
 
 
 MAX_PORT: Final = 65535
--- a/carthinge/net/outgoing_connection.py
+++ b/carthinge/net/outgoing_connection.py
@@ -25,6 +25,8 @@
     ``broken`` may be called at any time; nothing is called after it or after ``answered``.
     """
 
+    reads_body: bool  #: whether the body of the answer matters; otherwise it is not kept
+
     def request(self) -> bytes | None:
         """Return the request to write now that the connection is up, or None if it is no longer wanted."""
 
@@ -117,6 +119,7 @@
         """Start a call; its request is asked for once the connection is up."""
         assert self.call is None
         self.call = call
+        self._reader.keeps_body = call.reads_body
         if self.state is OutgoingConnectionState.UP:
             self._write_request()
 
--- a/carthinge/net/probes.py
+++ b/carthinge/net/probes.py
@@ -47,6 +47,8 @@
 class _Probe:
     """One probe in progress."""
 
+    reads_body = True
+
     def __init__(self, probes: Probes, target: WorkerEndpoint) -> None:
         self.connection: OutgoingConnection | None = None
         self._probes = probes
--- a/carthinge/net/worker_calls.py
+++ b/carthinge/net/worker_calls.py
@@ -55,6 +55,8 @@
 class AttemptCall:
     """The POST of an attempt, whose end follows from the connection until the 202, then from callbacks."""
 
+    reads_body = False
+
     def __init__(self, worker_client: CallOwner, connection: OutgoingConnection, attempt: Attempt) -> None:
         self._worker_client = worker_client
         self.connection = connection
@@ -109,6 +111,8 @@
 class Withdrawal:
     """The DELETE of an attempt; the answer does not matter, only that the DELETE has reached the worker."""
 
+    reads_body = False
+
     def __init__(
         self,
         loop: Loop,
--- a/tests/test_peer_limits.py
+++ b/tests/test_peer_limits.py
@@ -1,5 +1,6 @@
 """Bounds on what a single peer can make the program keep; see docs/incidents/81aa6e.md for all of them."""
 
+import contextlib
 import gc
 import socket
 from datetime import timedelta
@@ -188,3 +189,47 @@
         run_until(program, lambda: readable(client.sock))
         data += client.sock.recv(1024)
         assert data
+
+
+ENDLESS_ANSWERS = {
+    "field": (b"HTTP/1.1 202 Accepted\r\nX: ", b"x" * 8192),
+    "fields": (b"HTTP/1.1 202 Accepted\r\n", b"".join(b"%x:\r\n" % number for number in range(1000))),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 300),
+    "chunk extension": (b"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"x" * 8192),
+    "body": (b"HTTP/1.1 500 Error\r\n\r\n", b"x" * 8192),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS_ANSWERS)
+def test_endless_answer_of_a_worker_ends_its_connection(serve, dial, worker, kind):
+    """Guards against memory that a worker fills until the attempt's time is over."""
+    begin, part = ENDLESS_ANSWERS[kind]
+    program = serve(settings=settings_with_caps(try_limit=1))
+    set_workers(program, member("s-0", worker.port))
+    client = dial(program).send(job("a1"))
+    peer = accept_next(worker, program)
+    read_next(peer, program)
+    peer.send(begin)
+    for _ in range(100):  # 800 KB at most
+        if program.counters.attempt_reset:
+            break
+        peer.sock.setblocking(False)
+        with contextlib.suppress(OSError):
+            peer.sock.send(part)
+        program.loop.turn(idle=False)
+    assert program.counters.attempt_reset == 1
+    assert read_next(client, program)[0].split()[1] in ("502", "503")
+
+
+def test_body_of_a_worker_s_answer_is_not_kept(serve, dial, worker):
+    program = serve()
+    program.watch.stop()
+    set_workers(program, member("s-0", worker.port))
+    client = dial(program).send(job("a1"))
+    peer = accept_next(worker, program)
+    read_next(peer, program)
+    peer.send(b"HTTP/1.1 500 Error\r\nContent-Length: 60000\r\n\r\n" + bytes(50_000))
+    (connection,) = program.worker_client._open
+    run_until(program, lambda: connection._reader._body_bytes == 50_000)
+    assert not connection._reader.body
+    client.close()
