Bound the workers that discovery can make a scheduler know

What callers saw: nothing yet in the field; each id that discovery ever listed was kept for ever, and a list of 16 MB was read whole, in three copies. Cause: no bound on the number of workers, nor a list's size that fits the process. Change: more than 4,096 workers are a failed call; of the workers that are gone, 1,024 are remembered, and the decisions forget those without attempts beyond that; a list may have 4 MiB, 1 KiB for each worker.

--- a/carthinge/net/discovery.py
+++ b/carthinge/net/discovery.py
@@ -21,9 +21,11 @@
 from carthinge.net.outgoing_connection import OutgoingConnection
 from carthinge.net.worker_directory import WorkerDirectory
 from carthinge.settings import Site
+from carthinge.worker_list import MAX_LISTED_WORKERS
 
 PATH: Final = "/discovery/hosts"
-MAX_LIST_BYTES: Final = 16 * 1024 * 1024
+MAX_MEMBER_BYTES: Final = 1024  # of an entry on the wire, indented, in the mean over a list
+MAX_LIST_BYTES: Final = MAX_LISTED_WORKERS * MAX_MEMBER_BYTES
 STALL_TIMEOUT: Final = timedelta(milliseconds=300)  # between two parts of a response
 
 # Polling of a central discovery.  A change must be known 6 s after discovery has it and is reachable, even
--- a/carthinge/net/worker_directory.py
+++ b/carthinge/net/worker_directory.py
@@ -15,6 +15,7 @@
 from carthinge.net.loop import MICROSECOND
 from carthinge.net.members import Member, MemberList
 from carthinge.settings import Site
+from carthinge.worker_list import MAX_GONE_WORKERS, MAX_LISTED_WORKERS
 
 STATE_BY_PHASE: Final = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 
@@ -70,13 +71,14 @@
         return WorkerList(Listing.WHOLE, self._entries())
 
     def apply_list(self, listed: MemberList, listing: Listing) -> WorkerList:
-        """Store a list from discovery and convert it for the decision module.
+        """Store a list from discovery and convert it for the decision module; ValueError if it is invalid.
 
         It is parsed as a whole first: if a part of an invalid list were stored, the rest would never be
         requested again.
         """
         addresses = [Address.parse(member.host_port) for member in listed.members]
         entries = tuple(self._entry(member) for member in listed.members)
+        self._check_size(listed, listing)
         if listing is not Listing.CHANGES:
             self.ready.clear()
             self.listed.clear()
@@ -86,8 +88,26 @@
             for target in self.targets.values():
                 target.draining_or_gone = target.id not in self.ready
         self.revision = listed.revision
+        self._forget_gone()
         return WorkerList(listing, entries)
 
+    def _check_size(self, listed: MemberList, listing: Listing) -> None:
+        names = {member.id for member in listed.members if member.phase != "Gone"}
+        if listing is Listing.CHANGES and len(self.listed) + len(names) > MAX_LISTED_WORKERS:
+            names |= self.listed
+        if len(names) > MAX_LISTED_WORKERS:
+            raise ValueError(f"more than {MAX_LISTED_WORKERS} workers")
+
+    def _forget_gone(self) -> None:
+        """Bound the number of workers that are gone; those that were known first are forgotten."""
+        excess = len(self.targets) - len(self.listed) - MAX_GONE_WORKERS
+        if excess > 0:
+            gone = [target for target in self.targets.values() if target.id not in self.listed]
+            for target in gone[:excess]:
+                del self.targets[target.number]
+                self._members.pop(target.id, None)
+                self._starts.pop(target.id, None)
+
     def handover_targets(self) -> list[Target]:
         """Return the contents for the successor process."""
         return [
--- a/carthinge/worker_list.py
+++ b/carthinge/worker_list.py
@@ -5,6 +5,10 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import Final
+
+MAX_LISTED_WORKERS: Final = 4096  # a longer list is a fault of discovery
+MAX_GONE_WORKERS: Final = 1024  # that are remembered; the first known ones are forgotten first
 
 
 class Listing(IntEnum):
--- a/carthinge/worker_registry.py
+++ b/carthinge/worker_registry.py
@@ -11,6 +11,7 @@
 
 from carthinge import interface as io
 from carthinge.records import Kind, Worker, mix
+from carthinge.worker_list import MAX_GONE_WORKERS, MAX_LISTED_WORKERS
 
 LOAD_ENTRY_FORMAT: Final = Struct("<HBB")
 MAX_CACHED_KEYS: Final = 2048  # bounds the cache; a miss hashes the key with every worker
@@ -111,8 +112,23 @@
             known.kind_stats = self.kinds.setdefault(entry.kind, known.kind_stats)
             changed |= known.apply_entry(entry, entry.worker in self.excluded)
         if changed:
+            self._forget_gone()
             self.list_changed()
 
+    def _forget_gone(self) -> None:
+        """Forget workers that are gone and have no attempts, so that their number is bounded."""
+        excess = len(self.workers) - MAX_LISTED_WORKERS - MAX_GONE_WORKERS
+        if excess > 0:
+            gone = [
+                worker
+                for worker in self.workers.values()
+                if not (worker.listed or worker.outstanding_slots or worker.id in self.excluded)
+            ]
+            for worker in gone[:excess]:
+                del self.workers[worker.id]
+                if self.workers_by_tag.get(worker.tag) is worker:
+                    del self.workers_by_tag[worker.tag]
+
     def remap_kinds(self, kinds: Sequence[int] | None) -> None:
         """Move the statistics of each machine kind to its new position after a change of settings.
 
