Bound what other schedulers' messages make a scheduler remember

What callers saw: nothing yet in the field; a sender under ever new names or addresses made lists grow that are swept once in a while or never. Change: the orders are swept when they outgrow the live members, an address leaves the index with its member, only neighbours' requests are remembered, summaries are swept at twice the members; at most 2,048 members.

--- a/carthinge/fleet/fleet_node.py
+++ b/carthinge/fleet/fleet_node.py
@@ -14,6 +14,7 @@
 from carthinge.fleet.budget_transfer import UNITS_PER_RETRY, BudgetTransfer
 from carthinge.fleet.gossip import LIVE, Member, OutgoingPacket
 from carthinge.fleet.membership import Membership
+from carthinge.fleet.membership_limits import MAX_MEMBERS
 from carthinge.fleet.packets import (
     MAX_CELLS,
     MAX_LEVEL,
@@ -120,6 +121,8 @@
             return out
         if packet.summary is not None:
             self.summaries.accept(now, packet.name, packet.summary)
+            if self.summaries.count > 2 * MAX_MEMBERS:  # most are of members that were dropped since
+                self.summaries.retain(self.membership.members.keys())
         if (
             packet.kind in (PacketKind.BUDGET_REQUEST, PacketKind.GRANT)
             and packet.budget_id == self.retry_transfer.budget
--- a/carthinge/fleet/membership.py
+++ b/carthinge/fleet/membership.py
@@ -196,6 +196,8 @@
             del self._by_address[member.address]
 
     def _set_address(self, member: Member, address: str) -> None:
+        if self._by_address.get(member.address) is member:
+            del self._by_address[member.address]
         member.address = address
         self._by_address[address] = member
 
@@ -382,6 +384,10 @@
     def _add_to_orders(self, member: Member) -> None:
         """Insert a member at a random place of the passes in progress."""
         for order in (self._ping_order, self._gossip_order):
+            if len(order) > len(self._live):  # names of members that are gone, or that came back
+                order[:] = [
+                    name for name in dict.fromkeys(order) if name in self._live and name != member.name
+                ]
             order.insert(self._rng.randrange(len(order) + 1), member.name)
         self.gossip.announce(member)
 
--- a/carthinge/fleet/membership_limits.py
+++ b/carthinge/fleet/membership_limits.py
@@ -6,7 +6,7 @@
 
 from carthinge.fleet.packets import UINT48_LIMIT
 
-MAX_MEMBERS: Final = 4096  # at the limit the member that is gone longest is dropped
+MAX_MEMBERS: Final = 2048  # at the limit the member that is gone longest is dropped
 PING_REQ_MEMBERS: Final = 3  # members that are asked to ping another one
 REPEAT_PING_AFTER: Final = 0.15  # of a period, from the first ping of a check
 PING_REQ_AFTER: Final = 0.3  # of a period, from the first ping of a check
--- a/carthinge/fleet/quota_lending.py
+++ b/carthinge/fleet/quota_lending.py
@@ -151,17 +151,14 @@
         if (
             budget not in self.budgets
             or now < self._loans_known_at
+            or borrower not in self.borrowers()
             or (answered is not None and number <= answered[0])
         ):
             return 0
         self._answered[borrower] = (number, now)
         lendable = LENDABLE_UNITS - self._lent_units(budget)
         units = min(units, max_loan(len(self._ring)) // 2, lendable)
-        if (
-            units <= 0
-            or fill_levels.get(budget, ASSUMED_FILL_LEVEL) <= IDLE_FILL_LEVEL
-            or borrower not in self.borrowers()
-        ):
+        if units <= 0 or fill_levels.get(budget, ASSUMED_FILL_LEVEL) <= IDLE_FILL_LEVEL:
             return 0
         self.lent.append(_Loan(budget, units, now + self.loan_duration * DRIFT))
         self.granted += units
--- a/carthinge/fleet/summary.py
+++ b/carthinge/fleet/summary.py
@@ -78,6 +78,11 @@
         self._run_ids: dict[str, list[int]] = {}  # the current one last
         self._sequences: dict[str, int] = {}
 
+    @property
+    def count(self) -> int:
+        """The number of members whose summaries are remembered."""
+        return len(self._run_ids)
+
     def accept(self, now: timedelta, name: str, summary: Summary) -> bool:
         """Replace a member's summary; return False if the new one is older or invalid."""
         if (
