--- a/carthinge/fleet/membership.py
+++ b/carthinge/fleet/membership.py
@@ -202,7 +202,6 @@
         self._by_address[address] = member
 
     def _live_at(self, address: str) -> Member | None:
-        """The live member at an address."""
         member = self._by_address.get(address)
         return member if member and member.address == address and member.state in LIVE else None
 
@@ -384,10 +383,8 @@
     def _add_to_orders(self, member: Member) -> None:
         """Insert a member at a random place of the passes in progress."""
         for order in (self._ping_order, self._gossip_order):
-            if len(order) > len(self._live):  # names of members that are gone, or that came back
-                order[:] = [
-                    name for name in dict.fromkeys(order) if name in self._live and name != member.name
-                ]
+            if len(order) > 2 * len(self._live):  # most are names of members that are gone
+                order[:] = dict.fromkeys(name for name in order if name in self._live)
             order.insert(self._rng.randrange(len(order) + 1), member.name)
         self.gossip.announce(member)
 
