Bound what the channel of an upgrade keeps

What callers saw: nothing yet in the field; while the other process was stuck, heartbeats ten times a second, callbacks and clients' sockets were queued for it without end, and a message could announce 64 MiB or bring sockets without end. Cause: the channel had one bound, four fifths of a process's memory. Change: a peer that takes nothing for 2 s is lost, and what was on its way stays here; a heartbeat waits for the one before; beyond 1 MiB unsent nothing that can wait is given; a message has 8 MiB, 32 sockets may wait for theirs.

--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -5,13 +5,14 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Final
 
 import msgspec
 
 from carthinge.interface import JobMemory, Memory
 from carthinge.net.decoding import UndecodableError, decode
-from carthinge.net.loop import READ, WRITE, Loop
+from carthinge.net.loop import READ, WRITE, Loop, Timer
 from carthinge.net.members import Member
 from carthinge.net.sockets import NOT_READY
 
@@ -19,7 +20,10 @@
 LENGTH_BYTES: Final = 4  # length prefix of a message
 RECEIVE_BYTES: Final = 65536
 MAX_SOCKETS_PER_RECEIVE: Final = 32
-MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
+MAX_MESSAGE_BYTES: Final = 8 * 1024 * 1024  # the state of a scheduler with 4,096 workers fits
+MAX_UNCLAIMED_SOCKETS: Final = 32  # received before the end of their messages
+CONGESTED_BYTES: Final = 1024 * 1024  # unsent; beyond it the peer is given nothing that can wait
+STALL_TIMEOUT: Final = timedelta(seconds=2)  # without progress, while the peer has something to read
 
 
 class Hello(msgspec.Struct, frozen=True, tag=True):
@@ -184,6 +188,8 @@
         self._in = bytearray()
         self._sockets: deque[socket.socket] = deque()
         self._out: deque[tuple[bytearray, Message, socket.socket | None]] = deque()
+        self._unsent_bytes = self._sent = 0
+        self._stall_timer: Timer | None = None
         self._interest = READ
         sock.setblocking(False)
         loop.register(sock, READ, self._ready)
@@ -193,9 +199,15 @@
         """Whether there is unsent output."""
         return bool(self._out)
 
+    @property
+    def congested(self) -> bool:
+        """Whether the peer has much to read, so that nothing more should be sent that can wait."""
+        return self._unsent_bytes > CONGESTED_BYTES
+
     def send(self, message: Message, passed: socket.socket | None = None) -> None:
         """Send a message, optionally with an open socket."""
         body = msgspec.msgpack.encode(message)
+        self._unsent_bytes += LENGTH_BYTES + len(body)
         self._out.append((bytearray(len(body).to_bytes(LENGTH_BYTES, "big") + body), message, passed))
         self._flush()
 
@@ -204,6 +216,8 @@
         if not self.closed:
             self.closed = True
             self._loop.unregister(self._sock)
+            if self._stall_timer is not None:
+                self._stall_timer.cancel()
             for sock in (self._sock, *self._sockets):
                 self._loop.sockets.close(sock)
 
@@ -225,7 +239,7 @@
             return
         self._sockets.extend(sockets)
         self._in += data
-        if not data:
+        if not data or len(self._sockets) > MAX_UNCLAIMED_SOCKETS:
             self._end()
             return
         while not self.closed and len(self._in) >= LENGTH_BYTES:
@@ -256,6 +270,8 @@
                 else:
                     sent = self._loop.sockets.send(self._sock, data)
                 del data[:sent]
+                self._unsent_bytes -= sent
+                self._sent += sent
                 if not data:
                     self._out.popleft()
         except NOT_READY:
@@ -267,6 +283,21 @@
         if interest != self._interest and not self.closed:
             self._interest = interest
             self._loop.modify(self._sock, interest, self._ready)
+        if self._out and self._stall_timer is None and not self.closed:
+            self._watch_peer()
+
+    def _watch_peer(self) -> None:
+        """End the channel unless the peer goes on reading."""
+        sent = self._sent
+
+        def check() -> None:
+            self._stall_timer = None
+            if self._out and self._sent == sent:
+                self._end()
+            elif self._out:
+                self._watch_peer()
+
+        self._stall_timer = self._loop.call_after(STALL_TIMEOUT, check)
 
     def _end(self) -> None:
         if not self.closed:
--- a/carthinge/scheduler/handover_peer.py
+++ b/carthinge/scheduler/handover_peer.py
@@ -216,6 +216,8 @@
 
         Called when all events are decided on, so that the state of the dispatcher is complete.
         """
+        if self._upgrade.congested:
+            return
         for sock, incoming in self._frontend.release_idle():
             self._upgrade.hand_over_incoming(sock, incoming)
         if self._durable is not None:
--- a/carthinge/scheduler/upgrade.py
+++ b/carthinge/scheduler/upgrade.py
@@ -36,10 +36,8 @@
 
 # For the state after Hello; without it the predecessor is considered stuck.
 STATE_TIMEOUT: Final = timedelta(seconds=2)
-# Between reports of each process's load at the workers.
-HEARTBEAT_INTERVAL: Final = timedelta(milliseconds=100)
-# For a forwarded call; operators need an answer within 1 s.
-FORWARD_TIMEOUT: Final = timedelta(milliseconds=500)
+HEARTBEAT_INTERVAL: Final = timedelta(milliseconds=100)  # between reports of each process's load
+FORWARD_TIMEOUT: Final = timedelta(milliseconds=500)  # operators need an answer within 1 s
 
 
 class HandoverHandler(Protocol):
@@ -137,6 +135,11 @@
         """Whether messages to the peer are still unsent."""
         return self._channel is not None and self._channel.unsent
 
+    @property
+    def congested(self) -> bool:
+        """Whether the peer has much to read already."""
+        return self._channel is not None and self._channel.congested
+
     @property
     def leaving(self) -> bool:
         """Whether this is the predecessor."""
@@ -271,6 +274,9 @@
         self._last_number += 1
         number = self._last_number
         self._pending[number] = done
+        if self.congested:
+            self._loop.call_soon(lambda: self._resolve(number, False))
+            return
         self._loop.call_after(FORWARD_TIMEOUT, lambda: self._resolve(number, False))
         self._send(message(number))
 
@@ -358,7 +364,8 @@
 
     def _send_heartbeat(self) -> None:
         if self._channel is not None:
-            self._send(self.handler.heartbeat())
+            if not self._channel.unsent:  # the next one tells the same
+                self._send(self.handler.heartbeat())
             self._loop.call_after(HEARTBEAT_INTERVAL, self._send_heartbeat)
 
     def _on_peer_lost(self, unsent: list[tuple[Message, socket.socket]]) -> None:
