Count what a connection holds only where it is much

Need: the price of a job must not rise; each read and each answer counted what its connection holds, and small input went through the generator that cuts large input. Change: a connection without partial, waiting or unread bytes and with a request of at most 4 KiB is not counted; the size of a request, head included, is known from its parsing; small input is parsed directly.

--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -30,6 +30,7 @@
     too_many_requests,
 )
 from carthinge.net.loop import MICROSECOND, MIN_RECEIVE_BYTES
+from carthinge.net.memory_budget import UNCOUNTED_BYTES
 from carthinge.net.stream import Stream
 from carthinge.net.tracked_request import TrackedRequest
 
@@ -63,6 +64,7 @@
         self._head_of_line = HeadOfLineTimer(frontend.loop, self._cut_short)
         self._accepted_at = frontend.loop.now
         self._paused_by_unread = False
+        self._counted = False  # the memory budget may know of bytes held here
         self._stream = Stream(frontend.loop, sock, self, end_if_unread=True)
 
     def waiting_job(self) -> Waiting | None:
@@ -217,8 +219,15 @@
     # ---- memory ---------------------------------------------------------------------------
 
     def _update_held(self) -> None:
-        """Tell the memory budget what this connection holds."""
-        if not self._stream.closed:
+        """Tell the memory budget what this connection holds; not for each of the usual small requests."""
+        holds_much = (
+            self._reader.in_message
+            or self._waiting
+            or self._stream.unsent
+            or self.handled_bytes() > UNCOUNTED_BYTES
+        )
+        if (holds_much or self._counted) and not self._stream.closed:
+            self._counted = bool(holds_much)
             handled = self.handled_bytes()
             held = handled + self.unhandled_bytes() + self.unread_bytes()
             self._frontend.memory.update(self, held, handled)
--- a/carthinge/net/http.py
+++ b/carthinge/net/http.py
@@ -42,11 +42,7 @@
     keep_alive: bool
     #: Earliest time at which its last byte can have arrived; set by the connection that read it.
     received_at: timedelta = timedelta()
-
-    @property
-    def held_bytes(self) -> int:
-        """What it holds in memory, roughly."""
-        return len(self.body) + len(self.headers) * HEADER_FIELD_BYTES
+    held_bytes: int = 0  #: what it holds in memory, roughly
 
 
 @dataclass(slots=True)
@@ -124,11 +120,8 @@
             raise BadRequestError(HTTPStatus.BAD_REQUEST, "the head is too large")
 
 
-def _parts(data: bytes) -> Iterator[bytes | memoryview]:
+def _parts(data: bytes) -> Iterator[memoryview]:
     """Yield the data in parts of at most PARSE_BYTES."""
-    if len(data) <= PARSE_BYTES:
-        yield data
-        return
     view = memoryview(data)
     for start in range(0, len(data), PARSE_BYTES):
         yield view[start : start + PARSE_BYTES]
@@ -154,8 +147,11 @@
     def feed(self, data: bytes) -> list[Request]:
         """Return the requests that ``data`` completes; the reader is unusable after a BadRequestError."""
         try:
-            for part in _parts(data):
-                self._parse(part)
+            if len(data) <= PARSE_BYTES:
+                self._parse(data)
+            else:
+                for part in _parts(data):
+                    self._parse(part)
         except BadRequestError as error:
             error.completed = self._take_done()
             raise
@@ -200,7 +196,12 @@
         self._in_head = True
         self._done.append(
             Request(
-                parser.get_method(), self.target, self.headers, bytes(self.body), parser.should_keep_alive()
+                parser.get_method(),
+                self.target,
+                self.headers,
+                bytes(self.body),
+                parser.should_keep_alive(),
+                held_bytes=self._head_bytes + self._fields * HEADER_FIELD_BYTES + len(self.body),
             )
         )
         self._forget_content()
@@ -225,15 +226,21 @@
 
     def feed(self, data: bytes) -> list[Answer]:
         """Return the responses that ``data`` completes; raises the errors of httptools."""
-        for part in _parts(data):
-            completed = len(self._done)
-            self._parser.feed_data(part)
-            self._bytes_fed = 0 if len(self._done) > completed else self._bytes_fed + len(part)
-            if self._too_large() or len(self._done) > MAX_ANSWERS_AT_ONCE:
-                raise httptools.HttpParserError("more than one answer of a bearable size")
+        if len(data) <= PARSE_BYTES:
+            self._parse(data)
+        else:
+            for part in _parts(data):
+                self._parse(part)
         done, self._done = self._done, []
         return done
 
+    def _parse(self, data: bytes | memoryview) -> None:
+        completed = len(self._done)
+        self._parser.feed_data(data)
+        self._bytes_fed = 0 if len(self._done) > completed else self._bytes_fed + len(data)
+        if self._too_large() or len(self._done) > MAX_ANSWERS_AT_ONCE:
+            raise httptools.HttpParserError("more than one answer of a bearable size")
+
     def end(self) -> Answer | None:
         """Return the response that the end of the connection completes, None if it is incomplete."""
         if not (self.in_message and self._ends_with_connection):
