Hold open durable jobs to the memory of the process

Cause: the limit came from the file alone. Evidence: the new test needs the bound, which did not exist. Change: bodies and 2 KiB for each open job have to fit 0.35 of the memory that is free at the start; beyond that a durable job is shed as for max_open_bytes.

--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -53,8 +53,12 @@
         terms_of: Callable[[Accepted, timedelta], Terms | None],
         entry_of: Callable[[int], io.WorkerEntry],
         target_of: Callable[[str, Address], WorkerEndpoint],
+        memory_bytes: int,
     ) -> None:
-        """``terms_of``: a stored job's terms by the current settings, None if its class or tenant is gone."""
+        """``memory_bytes``: limit on what open jobs may hold in memory.
+
+        ``terms_of``: a stored job's terms by the current settings, None if its class or tenant is gone.
+        """
         durable = options.durable
         self.loop = loop
         self.classes = frozenset(durable.classes)
@@ -64,6 +68,7 @@
             durable.max_open_bytes,
             durable.max_store_bytes,
             durable.max_backlog,
+            memory_bytes,
         )
         self.index = JobIndex(self.limits)
         self.attempt_leases = AttemptLeases(
--- a/carthinge/durable/limits.py
+++ b/carthinge/durable/limits.py
@@ -5,9 +5,11 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 from typing import Final
 
 RESERVED_SHARE: Final = 0.1  # of the store, for the results of jobs that were accepted already
+OPEN_JOB_BYTES: Final = 2048  # of an open job in memory, without its body
 RECORD_OVERHEAD_BYTES: Final = 600  # on disk, per job beside its body, with its likely attempts
 
 
@@ -31,6 +33,7 @@
     max_open_bytes: int
     max_store_bytes: int
     max_backlog: int
+    max_memory_bytes: float = inf  # of bodies and records together, whatever the operator's file allows
     open: int = 0
     bytes: int = 0
     tenants: Counter[str] = field(default_factory=Counter)
@@ -54,7 +57,8 @@
             return ShedReason.OPEN
         if self.tenants[tenant] >= self.max_open_per_tenant:
             return ShedReason.TENANT
-        if self.bytes + size > self.max_open_bytes:
+        memory_bytes = self.bytes + size + (self.open + 1) * OPEN_JOB_BYTES
+        if self.bytes + size > self.max_open_bytes or memory_bytes > self.max_memory_bytes:
             return ShedReason.BYTES
         return None
 
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -49,6 +49,7 @@
 WORKER_CONNECTIONS_SHARE: Final = 0.4  # of the rest; a worker's connection is in use only until the 202
 QUIET_DURATION: Final = timedelta(milliseconds=300)  # without work, before the program ends
 LISTEN_DELAY: Final = timedelta(milliseconds=1)  # throttling of CPU time takes effect during any wait
+DURABLE_SHARE: Final = 0.35  # of the memory that is free at the start, for open durable jobs
 BOOT_ID_PATH: Final = Path("/proc/sys/kernel/random/boot_id")
 
 
@@ -132,6 +133,7 @@
             self._terms_of,
             lambda number: self.dispatcher.fleet.workers[number].entry,
             self.directory.get_or_add,
+            int(free_bytes(self.config.limits.memory_mb) * DURABLE_SHARE),
         )
         self.frontend.callbacks.durable = self.durable
         self.worker_client.lease_duration = options.leases.duration
--- a/tests/test_durable_limits.py
+++ b/tests/test_durable_limits.py
@@ -29,6 +29,16 @@
     assert limits.shed_reason(**accepted) is None and limits.bytes == 20
 
 
+def test_open_jobs_fit_the_memory_whatever_the_file_allows():
+    """Guards against bodies and records beyond the process's limit, which the file's default exceeds."""
+    limits = Limits(1000, 1000, 1 << 30, 1 << 30, 1000, max_memory_bytes=20_000)
+    accepted = {"tenant": "a", "size": 5_000, "backlog": 0, "store_bytes": 0, "failing": False}
+    while limits.shed_reason(**accepted) is None:
+        limits.add("a", 5_000)
+    assert limits.shed_reason(**accepted) is ShedReason.BYTES and limits.open == 2
+    assert limits.shed_reason(**{**accepted, "size": 1_000}) is None
+
+
 def test_recovered_jobs_are_readmitted_at_the_rate_or_deadline():
     queue = RecoveryQueue(per_s=100)
     for job in range(50):
