Give the slots of large unfinished requests to connections that wait

Cause: a connection with a request in progress is never closed for a new one, even if most of its requests are unfinished or not begun. Change: whenever accepting pauses for want of a slot, the 16 connections that hold most beyond 4 KiB for requests not yet handled are answered 503 and ended.

--- a/carthinge/front/frontend.py
+++ b/carthinge/front/frontend.py
@@ -30,6 +30,7 @@
 
 PAUSE_LOG_INTERVAL: Final = timedelta(seconds=10)  # between log lines of repeated pauses
 MAX_WAITING_SHARE: Final = 0.75  # of all slots; worker callbacks, without which no job ends, need the rest
+SHED_PER_PAUSE: Final = 16  # connections, while no new one can be accepted
 FRESH_CHECK_INTERVAL: Final = timedelta(milliseconds=200)  # between checks for connections without a request
 
 
@@ -210,6 +211,7 @@
             return None
         connection = self.slots.choose_eviction(self.loop.now, self._first_bytes_timeout)
         if connection is None:
+            self.memory.shed_largest(SHED_PER_PAUSE)  # their slots are free after the pause
             return "every connection has a request in progress or unread"
         self.counters.connections_in_closed_early += 1
         connection.close(CloseReason.SLOT_NEEDED)
--- a/carthinge/net/memory_budget.py
+++ b/carthinge/net/memory_budget.py
@@ -107,6 +107,15 @@
             self._shed()
         self.peak = max(self.peak, self.held)
 
+    def shed_largest(self, count: int) -> None:
+        """Shed the connections that hold most for requests not yet handled, for the sake of waiting ones."""
+        self._shedding = True
+        largest = sorted(self._holders, key=lambda holder: holder.unhandled_bytes(), reverse=True)[:count]
+        for holder in largest:
+            if holder.unhandled_bytes() > UNCOUNTED_BYTES:
+                self._end(holder, holder.unhandled_bytes())
+        self._shedding = False
+
     def metrics(self) -> dict[str, int]:
         """Return the current metrics, in bytes."""
         return {
@@ -127,9 +136,12 @@
         for holder in sorted(self._holders, key=size, reverse=True):
             if self.held <= self.limit or not size(holder):
                 return
-            self._log(holder, size(holder))
-            self._counters.connections_in_shed += 1
-            holder.free_memory()
+            self._end(holder, size(holder))
+
+    def _end(self, holder: Holder, freed: int) -> None:
+        self._log(holder, freed)
+        self._counters.connections_in_shed += 1
+        holder.free_memory()
 
     def _log(self, holder: Holder, freed: int) -> None:
         now = self._loop.now
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -5,6 +5,8 @@
 from test_peer_limits import let_peers_read
 from world import job, member, settings_with_caps
 
+from carthinge.net.read_timeouts import MAX_PART_INTERVAL
+
 KIB = 1024
 HALF_SENT = b"POST /api HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + bytes(50_000)
 
@@ -100,3 +102,20 @@
     run_until(program, lambda: not len(program.frontend.slots))
     assert program.frontend.memory.held == 0
     assert read_next(dial(program).send(UP_REQUEST), program)[0].endswith("200 OK")
+
+
+def test_large_requests_leave_their_slots_to_waiting_connections(serve, dial):
+    """Guards against connections in the backlog that wait until the clients before them have timed out."""
+    program = serve(sockets=80)
+    slots = program.frontend.slots
+    clients = [dial(program).send(UP_REQUEST) for _ in range(slots.max_connections)]
+    for client in clients:
+        assert read_next(client, program)[0].endswith("200 OK")
+        client.send(HALF_SENT)
+    turns(program)
+    assert not any(connection.idle() for connection in slots.all())
+    began = program.loop.now
+    assert read_next(dial(program).send(UP_REQUEST), program)[0].endswith("200 OK")
+    assert program.loop.now - began < MAX_PART_INTERVAL  # the earliest time-out of such a request
+    refused = [client for client in clients if readable(client.sock)]
+    assert refused and all(client.status() == 503 for client in refused)
