--- a/carthinge/net/memory_budget.py
+++ b/carthinge/net/memory_budget.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -22,7 +23,6 @@
 TRACKED_REQUEST_BYTES: Final = 4 * 1024  # a tracked request with its attempts and timers, without its body
 UPGRADE_SHARE: Final = 0.25  # of the limit, while two processes share the memory
 RESIDENT_PATH: Final = Path("/proc/self/statm")
-PAGE_BYTES: Final = 4096
 ASSUMED_RESIDENT_BYTES: Final = 40 * MEBIBYTE  # where it cannot be read
 SHED_LOG_INTERVAL: Final = timedelta(seconds=10)
 
@@ -30,7 +30,7 @@
 def resident_bytes() -> int:
     """Return the resident memory of this process."""
     try:
-        return int(RESIDENT_PATH.read_bytes().split()[1]) * PAGE_BYTES
+        return int(RESIDENT_PATH.read_bytes().split()[1]) * resource.getpagesize()
     except (OSError, ValueError, IndexError):
         return ASSUMED_RESIDENT_BYTES
 
