--- a/review/6/case.py
+++ b/review/6/case.py
@@ -98,5 +98,10 @@
     return (BROKEN if twice or ledger.copies else HELD), text
 
 
-if __name__ == "__main__":
+def main():
+    """Play the case and exit with its verdict."""
     Case(6).main(play)
+
+
+if __name__ == "__main__":
+    main()
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -144,7 +144,7 @@
     """One scheduler, started by the command of the deploy file."""
 
     def __init__(self, case, settings, discovery_port, members, **options):
-        """``options``: ``name``, ``fd`` (a listening socket), ``port``, ``file`` (the operator's file)."""
+        """``options``: ``name``, ``fd`` (it listens), ``port``, ``file``, ``memory_mb``, ``sockets``."""
         self.case = case
         self.name = options.get("name", "n1")
         self.listening = options.get("fd")
@@ -156,6 +156,11 @@
         self.tmp.mkdir(parents=True)
         self.config_path = self.folder / "config.json"
         self.file = options.get("file", "")
+        self.limits = {
+            "cores": 1.0,
+            "memory_mb": options.get("memory_mb", 192),
+            "sockets": options.get("sockets", 1024),
+        }
         self.discovery_port = discovery_port
         self.members = members
         self.settings = settings
@@ -170,7 +175,7 @@
             "listen": f"{HOST}:{self.port}",
             "discovery": f"{HOST}:{discovery_port or self.discovery_port}",
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": self.limits,
             "known": {"revision": 1, "complete": True, "members": self.members},
             "settings": self.settings,
         }
