Send no job back to a worker that may repeat its callback on it

Cause: a callback names a job and a worker, not an attempt, and is repeated until it is answered. The module let a job that had been turned away go back to the same worker; a repeat of the first `returned` then ended the second attempt as one that never ran, and the job was sent on while that worker ran it.

The log did not tell which attempt a callback had ended; `attempt_ended` has the number and the state now.

Fix: an outcome says that a callback without a lease token ended the attempt; that worker gets no further attempt of the job, and where none is left the job is refused at once. A 503 on the attempt's own connection is not repeated, so such jobs may go back. The same cause on related paths: upgrades hand the mark over, the store keeps it in place of the end of a lease (older versions do not read it there), and the id of a request with such a callback is in use for a minute, for durable requests too. net/invariants.py refuses a wrong send.

--- a/carthinge/durable/attempt_leases.py
+++ b/carthinge/durable/attempt_leases.py
@@ -9,7 +9,14 @@
 import msgspec
 
 from carthinge import interface as io
-from carthinge.durable.records import AttemptFailed, AttemptState, Granted, Renewed, StoredAttempt
+from carthinge.durable.records import (
+    ENDED_BY_CALLBACK,
+    AttemptFailed,
+    AttemptState,
+    Granted,
+    Renewed,
+    StoredAttempt,
+)
 from carthinge.durable.writer import Writer
 from carthinge.leases import Leases
 from carthinge.net import log
@@ -80,7 +87,7 @@
         self.leases.end(attempt.token)
         if result is not io.Result.OK and attempt.token and writer is not None:
             state = AttemptState.NEVER_RAN if result in io.NEVER_RAN else AttemptState.MAY_HAVE_RUN
-            writer.write(AttemptFailed(attempt.token, state), wake=False)
+            writer.write(AttemptFailed(attempt.token, state, attempt.ended_by_callback), wake=False)
 
     def convert(self, stored: StoredAttempt) -> RestoredAttempt:
         """Convert a stored attempt for the tracker and the decision module.
@@ -103,6 +110,7 @@
                 open=stored.state is AttemptState.ACTIVE,
                 alone=False,
                 may_have_run=stored.state is not AttemptState.NEVER_RAN,
+                ended_by_callback=stored.until == ENDED_BY_CALLBACK,
             ),
         )
 
--- a/carthinge/durable/records.py
+++ b/carthinge/durable/records.py
@@ -4,9 +4,12 @@
 
 from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import Final
 
 import msgspec
 
+ENDED_BY_CALLBACK: Final = -1  # in place of the end of a lease; older versions read it only where one is open
+
 
 class JobState(IntEnum):
     """The state of a job; all but ``OPEN`` are final."""
@@ -83,6 +86,12 @@
 
     token: int
     state: AttemptState
+    by_callback: bool = False  #: its worker may report the end again, without its token
+
+    @property
+    def stored_until(self) -> int | None:
+        """What is stored in place of the end of its lease; None if that stays."""
+        return ENDED_BY_CALLBACK if self.by_callback else None
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +129,9 @@
     entry: bytes
     sent: int
     due: int
-    until: int  #: end of its lease, 0 if its worker was not known to take part
+    #: End of its lease; 0 if its worker was not known to take part, ENDED_BY_CALLBACK if that may report its
+    #: end again, without its token.
+    until: int
     begun: int
     state: AttemptState
 
--- a/carthinge/durable/store.py
+++ b/carthinge/durable/store.py
@@ -204,7 +204,7 @@
                 (shift,),
             )
             self._execute(
-                "UPDATE attempts SET sent = ?2, due = due + ?1, until = 0, begun = 0",
+                "UPDATE attempts SET sent = ?2, due = due + ?1, until = min(until, 0), begun = 0",
                 (shift, SENT_LONG_AGO_US),
             )
         self._set_meta(boot=time.boot, now=time.now, wall=time.wall)
@@ -240,10 +240,11 @@
                 [(r.token, r.until, r.begun) for r in last.values()],
             )
             self._execute_rows(
-                "WITH v(token, state) AS (VALUES ",
-                "(?,?)",
-                ") UPDATE attempts SET state = v.state FROM v WHERE attempts.token = v.token",
-                [(r.token, int(r.state)) for r in batch if isinstance(r, AttemptFailed)],
+                "WITH v(token, state, until) AS (VALUES ",
+                "(?,?,?)",
+                ") UPDATE attempts SET state = v.state, until = coalesce(v.until, attempts.until) "
+                "FROM v WHERE attempts.token = v.token",
+                [(r.token, int(r.state), r.stored_until) for r in batch if isinstance(r, AttemptFailed)],
             )
             self._execute_rows(
                 "WITH v(number, state, result, token, ended, forget_at, timed_out, crc) AS (VALUES ",
--- a/carthinge/front/callbacks.py
+++ b/carthinge/front/callbacks.py
@@ -154,7 +154,12 @@
             return
         self._worker_client.limit_answer_wait(attempt)
         self._tracker.end(
-            attempt, result, self._worker_client.load_report(_known_load(event.load)), event.result.encode()
+            attempt,
+            result,
+            self._worker_client.load_report(_known_load(event.load)),
+            event.result.encode(),
+            why=f"reported as {event.state}",
+            by_callback=not event.token,
         )
 
 
--- a/carthinge/front/connection.py
+++ b/carthinge/front/connection.py
@@ -292,7 +292,7 @@
                 path,
                 frontend.translator,
                 lambda timeout: frontend.remaining_time(timeout, request.received_at),
-                frontend.tracker.by_id.__contains__,
+                frontend.job_ids.in_use,
             )
             if self._current is request:  # otherwise it is answered already
                 self._job_call = job_call
--- a/carthinge/handover_memory.py
+++ b/carthinge/handover_memory.py
@@ -59,6 +59,7 @@
     open: bool
     alone: bool
     may_have_run: bool
+    ended_by_callback: bool = True  #: an older version does not tell
 
 
 @dataclass(slots=True)
--- a/carthinge/interface.py
+++ b/carthinge/interface.py
@@ -150,6 +150,9 @@
     latency: int
     finished: bool  #: the client has its final answer
     report: tuple[float, ...] = ()
+    #: Its worker reported it by a callback without a lease token.  The worker may repeat that callback, which
+    #: could not be told from one about another attempt of the request there.
+    by_callback: bool = False
 
 
 @dataclass(slots=True)
--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -89,6 +89,7 @@
     due_us: int
     open: bool
     result: int | None = None  #: how it ended, if known
+    ended_by_callback: bool = False  #: its worker may report its end again
 
 
 class Open(msgspec.Struct, frozen=True, tag=True):
--- a/carthinge/net/invariants.py
+++ b/carthinge/net/invariants.py
@@ -24,6 +24,7 @@
 
     ONE_ATTEMPT = "no attempt is sent while another one is open"
     NO_UNSAFE_RETRY = "an unsafe job that may have run is not sent again"
+    NO_AMBIGUOUS_CALLBACK = "a job is not sent again to a worker that may repeat a callback on it"
     ANSWER_BEFORE_CLOSE = "a complete request is answered before its connection is closed"
     PARTIAL_REQUEST = "an incomplete request is ended by an error or a close in time"
     ONE_START = "a scheduler starts serving once"
@@ -54,9 +55,12 @@
         ):
             self._violated(Rule.ONE_ATTEMPT, id=tracked.job.id, worker=attempt.target.id)
             return False
-        if tracked.effect is io.Effect.UNSAFE and any(may_have_run(other) for other in others):
+        if tracked.effect is io.Effect.UNSAFE and any(other.may_have_run for other in others):
             self._violated(Rule.NO_UNSAFE_RETRY, id=tracked.job.id, worker=attempt.target.id)
             return False
+        if any(other.ended_by_callback and other.target.id == attempt.target.id for other in others):
+            self._violated(Rule.NO_AMBIGUOUS_CALLBACK, id=tracked.job.id, worker=attempt.target.id)
+            return False
         return True
 
     def check_close(self, connection: int, unanswered: bool, reason: CloseReason) -> None:
@@ -87,12 +91,3 @@
     def _violated(self, rule: Rule, **fields: object) -> None:
         self._counters.invariants_violated += 1
         log.logger().error("invariant_violated", rule=rule.value, **fields)
-
-
-def may_have_run(attempt: Attempt) -> bool:
-    """Whether an ended attempt may have run.
-
-    False where the result is unknown, as from a predecessor: the dispatcher's decision is trusted then.
-    """
-    result = attempt.result
-    return not attempt.open and attempt.written and result is not None and result not in io.NEVER_RAN
--- a/carthinge/net/request_tracker.py
+++ b/carthinge/net/request_tracker.py
@@ -11,7 +11,7 @@
 from carthinge.net import log
 from carthinge.net.counters import Counters, OutcomeCounts
 from carthinge.net.deadlines import answer_deadline
-from carthinge.net.invariants import Invariants, may_have_run
+from carthinge.net.invariants import Invariants
 from carthinge.net.loop import MICROSECOND, Loop, Timer
 from carthinge.net.recent_ids import RecentIds
 from carthinge.net.tracked_request import (
@@ -72,7 +72,7 @@
         """Start to track a complete request, which gets exactly one final answer."""
         tracked = self._track(job, terms, client, journal)
         self._counters.taken += 1
-        self.events.append(self._arrival(tracked, terms))
+        self.events.append(tracked.arrival(terms))
         return tracked
 
     def restore(
@@ -81,9 +81,7 @@
         """Track a job that was accepted before a crash, with its earlier attempts."""
         tracked = self._track(job, terms, client, journal)
         self._counters.requests_recovered += 1
-        self.events.append(
-            io.Restore(self._arrival(tracked, terms), [restored.memory for restored in attempts])
-        )
+        self.events.append(io.Restore(tracked.arrival(terms), [restored.memory for restored in attempts]))
         for number, restored in enumerate(attempts):
             attempt = Attempt(
                 tracked,
@@ -94,6 +92,7 @@
                 open=restored.memory.open,
                 written=True,
                 token=restored.token,
+                ended_by_callback=restored.memory.ended_by_callback,
             )
             tracked.attempts.append(attempt)
             if attempt.open:
@@ -117,19 +116,6 @@
         self.tracked_requests[tracked.number] = self.by_id[job.id] = tracked
         return tracked
 
-    def _arrival(self, tracked: TrackedRequest, terms: Terms) -> io.Arrival:
-        return io.Arrival(
-            tracked.number,
-            terms.job_class,
-            tracked.give_up // MICROSECOND,
-            terms.tenant,
-            terms.key,
-            None if terms.hint is None else terms.hint // MICROSECOND,
-            terms.slots,
-            terms.memory,
-            terms.repeat,
-        )
-
     def hand_over(self, tracked: TrackedRequest) -> None:
         """Stop tracking a request that another process took over, with its client and its open attempt."""
         if tracked.pending:
@@ -216,12 +202,17 @@
         load_report: tuple[float, ...] = (),
         answer: bytes = b"",
         why: str = "",
+        by_callback: bool = False,
     ) -> None:
-        """End an attempt; only the first call has an effect."""
+        """End an attempt; only the first call has an effect.
+
+        ``by_callback``: its worker may report the end again, as in ``Outcome``.
+        """
         if not attempt.open:
             return
         attempt.open = False
         attempt.result = result
+        attempt.ended_by_callback = by_callback
         if attempt.timer is not None:
             attempt.timer.cancel()
         tracked = attempt.tracked
@@ -232,7 +223,12 @@
         setattr(self._counters, name, getattr(self._counters, name) + 1)
         if result is not io.Result.OK:
             log.logger().debug(
-                "attempt_ended", id=tracked.job.id, worker=attempt.target.id, result=result.name, why=why
+                "attempt_ended",
+                id=tracked.job.id,
+                worker=attempt.target.id,
+                attempt=attempt.number,
+                result=result.name,
+                why=why,
             )
         elif tracked.pending:
             self._serve(tracked, answer)
@@ -246,6 +242,7 @@
                 latency // MICROSECOND,
                 not tracked.pending,
                 load_report,
+                by_callback,
             )
         )
         self._remove_if_ended(tracked)
@@ -392,7 +389,7 @@
 
     def _remove_if_ended(self, tracked: TrackedRequest) -> None:
         if not tracked.pending and tracked.first_open_attempt() is None:
-            if not tracked.may_run_again() and any(map(may_have_run, tracked.attempts)):
+            if not tracked.id_is_reusable():
                 self.recent_ids.add(tracked.job.id)
             self.tracked_requests.pop(tracked.number, None)
             tracked.release()
--- a/carthinge/net/tracked_request.py
+++ b/carthinge/net/tracked_request.py
@@ -10,7 +10,7 @@
 
 from carthinge import interface as io
 from carthinge.net import log
-from carthinge.net.loop import Timer
+from carthinge.net.loop import MICROSECOND, Timer
 from carthinge.net.worker_directory import WorkerEndpoint
 
 KEPT_BODY_BYTES: Final = 1024  # of an ended request; dropping a smaller body is not worth its cost
@@ -138,6 +138,15 @@
     token: int = 0  # of its lease; 0 if it has none
     timer: Timer | None = None
     result: io.Result | None = None  # None while it is open, and where its result is unknown
+    ended_by_callback: bool = False  # its worker may report its end again
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether it has ended and may have run.
+
+        False where the result is unknown, as from a predecessor: the dispatcher's decision is trusted then.
+        """
+        return not self.open and self.written and self.result is not None and self.result not in io.NEVER_RAN
 
 
 class RequestState(Enum):
@@ -169,15 +178,35 @@
         """Whether its client still has to get a final answer."""
         return self.state in (RequestState.QUEUED, RequestState.SENT)
 
-    def may_run_again(self) -> bool:
-        """Whether another request with its id does no harm once it has ended, if it has run.
-
-        The store recognizes the id of a durable job.  A safe job may be repeated by a client that has its
-        result; the attempt of one that has left may still be running.
+    def arrival(self, terms: Terms) -> io.Arrival:
+        """Return the event that tells the dispatcher of it."""
+        return io.Arrival(
+            self.number,
+            terms.job_class,
+            self.give_up // MICROSECOND,
+            terms.tenant,
+            terms.key,
+            None if terms.hint is None else terms.hint // MICROSECOND,
+            terms.slots,
+            terms.memory,
+            terms.repeat,
+        )
+
+    def id_is_reusable(self) -> bool:
+        """Whether another request with its id does no harm once it has ended.
+
+        The store recognizes the id of a durable job that has run.  A worker that did not serve an attempt may
+        report that again, and would end the attempt of the other request.  A safe job may be repeated by a
+        client that has its result; the attempt of one that has left may still be running.
         """
-        served = any(attempt.result is io.Result.OK for attempt in self.attempts)
-        repeatable = self.effect is io.Effect.SAFE and self.state is RequestState.ANSWERED and served
-        return self.journal is not None or repeatable
+        ran = any(attempt.may_have_run for attempt in self.attempts)
+        if ran and self.journal is not None:
+            return True
+        unserved = [attempt for attempt in self.attempts if attempt.result is not io.Result.OK]
+        if any(attempt.ended_by_callback for attempt in unserved):
+            return False
+        served = len(unserved) < len(self.attempts)
+        return not ran or (self.effect is io.Effect.SAFE and self.state is RequestState.ANSWERED and served)
 
     def update_state(self) -> None:
         """Update the state; to be called when an attempt has been added or has ended."""
--- a/carthinge/policy/attempts.py
+++ b/carthinge/policy/attempts.py
@@ -76,7 +76,7 @@
     def handle_outcome(self, attempt: Attempt, event: io.Outcome) -> None:
         """Close an attempt and update the worker's cap (AIMD) and its learned slowdown."""
         job, worker, result, now = attempt.job, attempt.worker, event.result, self.context.now
-        attempt.close(result)
+        attempt.close(result, event.by_callback)
         self.context.attempt_ended(attempt, result is io.Result.OK)
         if event.report:
             self.reports.handle_report(worker, event.report)
--- a/carthinge/policy/dispatcher.py
+++ b/carthinge/policy/dispatcher.py
@@ -222,8 +222,10 @@
         job.selected_worker = self.selector.best(job, pool := self.selector.eligible(job))
         if job.selected_worker or not pool or job.immediate_only:
             return True
-        job.constrained = len(pool) < len(context.fleet.pool(job.spec.kind)) or (
-            job.work > context.mean_work and any(self.slow_start.is_cold(worker) for worker in pool)
+        job.constrained = (
+            len(pool) < len(context.fleet.pool(job.spec.kind))
+            or job.awaits_repeated_callbacks()
+            or (job.work > context.mean_work and any(self.slow_start.is_cold(worker) for worker in pool))
         )
         job.checked_list_version = context.fleet.version
         job.next_check_at = context.now + max(4000, min(job.spec.objective // 8, 200_000))
--- a/carthinge/policy/worker_selection.py
+++ b/carthinge/policy/worker_selection.py
@@ -53,8 +53,11 @@
         if job.attempts_exhausted(self.context.settings.try_limit):
             return []
         pool = self.context.fleet.pool(job.spec.kind)
-        if job.never_ran() or (job.spec.scope is io.Scope.ALL and any(self.may_retry(w, job) for w in pool)):
-            return pool  # without a copy: a scan would cost time in proportion to the fleet
+        if not job.attempts:
+            return pool
+        if job.never_ran() or job.spec.scope is io.Scope.ALL:
+            # Without a copy: a scan of all workers would cost time in proportion to the fleet.
+            return pool if any(self.may_retry(worker, job) for worker in pool) else []
         return [worker for worker in pool if self.may_retry(worker, job)]
 
     def best(self, job: Job, pool: list[Worker]) -> Worker | None:
@@ -139,12 +142,17 @@
         )
 
     def may_retry(self, worker: Worker, job: Job) -> bool:
-        """Whether a job may run here, although earlier attempts may have run (rule 2)."""
+        """Whether a job may run here after its earlier attempts, which may have run (rule 2).
+
+        A worker that has reported the end of an attempt by a callback gets no further one: it repeats a
+        callback that got no answer, and the repeat would end the later attempt while it runs.
+        """
         spec, entry = job.spec, worker.entry
         for attempt in job.attempts:
+            if attempt.worker.id == worker.id and (attempt.may_have_run or attempt.ended_by_callback):
+                return False
             if attempt.may_have_run and (
-                attempt.worker.id == worker.id
-                or spec.effect is io.Effect.UNSAFE
+                spec.effect is io.Effect.UNSAFE
                 or (
                     spec.effect is io.Effect.KEYED
                     and (
--- a/carthinge/records.py
+++ b/carthinge/records.py
@@ -135,10 +135,12 @@
     queued: bool = False  # queued at the worker: it did not begin within the usual time
     alone: bool = True  # a slot was free when it was sent: its time includes no queueing
     may_have_run: bool = True  # until an outcome proves that it never ran
+    ended_by_callback: bool = False  # its worker may report its end again
 
-    def close(self, result: io.Result) -> None:
-        """Record that it has ended."""
+    def close(self, result: io.Result, by_callback: bool) -> None:
+        """Record that it has ended; ``by_callback`` as in ``Outcome``."""
         self.open = False
+        self.ended_by_callback = by_callback
         self.job.open -= 1
         self.release_load()
         self.may_have_run &= result not in io.NEVER_RAN
@@ -232,6 +234,10 @@
         """Return whether no attempt can have run."""
         return not any(attempt.may_have_run for attempt in self.attempts)
 
+    def awaits_repeated_callbacks(self) -> bool:
+        """Return whether a worker may repeat its report on the end of an attempt; it gets no further one."""
+        return any(attempt.ended_by_callback for attempt in self.attempts)
+
 
 class TenantQueue:
     """A tenant's queue in the deficit round robin: its heap of waiting jobs and its deficit."""
--- a/carthinge/scheduler/handover_peer.py
+++ b/carthinge/scheduler/handover_peer.py
@@ -176,6 +176,7 @@
                     open=attempt.open,
                     written=True,
                     result=None if attempt.result is None else Result(attempt.result),
+                    ended_by_callback=attempt.ended_by_callback,
                 )
             )
         client.wait_for_result(request)
@@ -247,6 +248,7 @@
                 attempt.due // MICROSECOND,
                 attempt.open,
                 attempt.result,
+                attempt.ended_by_callback,
             )
             for attempt in tracked.attempts
         ]
--- a/tests/test_serve_attempts.py
+++ b/tests/test_serve_attempts.py
@@ -36,9 +36,8 @@
     client = world.submit("a1")
     first, _ = serve_next(world, "a1", state=state)
     assert world.counters()[counter] == 1
-    if state != "returned":  # the dispatcher may retry at the same worker if nothing has run
-        second, _ = serve_next(world, "a1", result="second")
-        assert second != first and client.read()[2] == b"second"
+    second, _ = serve_next(world, "a1", result="second")
+    assert second != first and client.read()[2] == b"second"
 
 
 @pytest.mark.parametrize(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -13,7 +13,7 @@
 from store_shorthands import accepted, at, ended, granted, opened
 
 from carthinge.durable.errors import StoreError
-from carthinge.durable.records import AttemptState
+from carthinge.durable.records import ENDED_BY_CALLBACK, AttemptFailed, AttemptState, Renewed
 from carthinge.durable.wal import examine
 from carthinge.durable.writer import Writer
 from carthinge.net.loop import READ, Loop
@@ -113,6 +113,21 @@
     store.close()
 
 
+@pytest.mark.parametrize("by_callback", [False, True])
+def test_store_knows_which_attempts_a_callback_ended(tmp_path, by_callback):
+    """Guards against a start that forgets which workers may repeat a callback, also after a reboot."""
+    store = opened(tmp_path)
+    batch = [accepted(1), granted(5, 1), Renewed(5, 77, 5)]
+    store.apply([*batch, AttemptFailed(5, AttemptState.NEVER_RAN, by_callback)], at(1))
+    for boot, until in (("b", 77), ("second", 0)):
+        store.close()
+        store = opened(tmp_path, at(1, boot))
+        (attempt,) = store.open_jobs(0, 10).jobs[0].attempts
+        assert attempt.state is AttemptState.NEVER_RAN
+        assert attempt.until == (ENDED_BY_CALLBACK if by_callback else until)
+    store.close()
+
+
 # ---- a failing disk -----------------------------------------------------------------------------
 
 
