--- a/carthinge/net/log.py
+++ b/carthinge/net/log.py
@@ -4,9 +4,18 @@
 
 import logging
 import sys
-from typing import Final
-
-import structlog
+from types import ModuleType
+from typing import Final, cast
+
+# Where rich is installed, structlog imports it for tracebacks on a terminal.  No line is rendered by it here,
+# and it would take 5 MB of each process: while structlog is imported, an import of rich fails.
+_RICH: Final = sys.modules.get("rich")
+if _RICH is None:
+    sys.modules["rich"] = cast(ModuleType, None)
+import structlog  # noqa: E402
+
+if _RICH is None:
+    del sys.modules["rich"]
 
 LEVELS: Final = {
     "debug": logging.DEBUG,
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -96,7 +96,10 @@
 
 
 def test_start_imports_only_what_is_used():
-    """A plain start imports neither the command line nor the model, nor durable jobs if none are set."""
+    """A plain start imports neither the command line nor the model, nor durable jobs if none are set.
+
+    Nor rich, which structlog would load for nothing: two processes of an upgrade have one limit on memory.
+    """
     loaded = subprocess.run(
         [sys.executable, "-c", "import carthinge.serving, sys; print(*sys.modules)"],
         cwd=ROOT,
@@ -107,4 +110,4 @@
     assert "carthinge.scheduler.program" in loaded
     durable = {module for module in loaded if module.startswith("carthinge.durable.")}
     assert durable == {"carthinge.durable.errors"}  # needed to report that there is no store
-    assert not {"carthinge.model", "carthinge.front.durable_front", "sqlite3", "typer"} & set(loaded)
+    assert not {"carthinge.model", "carthinge.front.durable_front", "rich", "sqlite3", "typer"} & set(loaded)
