Leave room for a second process: an upgrade beside a crowd passed the memory limit

A platform that counts them together kills the scheduler, with all open requests.

Cause: what clients may make the program hold was a share of what one process had free at its start. The code and data of a successor (17 MB private) were in no sum, and it takes them before the old process knows of it: the limit was passed while the new one still loaded its code. What was freed stayed in the heap besides, and what the old process held beyond its lower limit was shed only with the next request. Open durable jobs had the same sum: 75.7 to 76.8 MB of 64 in an upgrade without any crowd.

Fix: net/process_memory.py counts a successor where the listening socket is inherited; the budgets of connections and of durable jobs are shares of what is left (scheduler/resources.py, taken out of program.py), measured once optional parts are loaded. Two processes hold half of that limit each, so that their sum stays; what is beyond is shed at once. Blocks of 32 KiB and more return to the system when they are freed.

--- a/carthinge/net/memory_budget.py
+++ b/carthinge/net/memory_budget.py
@@ -5,41 +5,23 @@
 
 from __future__ import annotations
 
-import resource
 from collections.abc import Callable
 from datetime import timedelta
-from pathlib import Path
 from typing import Final, NamedTuple, Protocol
 
 from carthinge.net import log
 from carthinge.net.counters import Counters
 from carthinge.net.loop import Loop
+from carthinge.net.process_memory import measure
 
-MEBIBYTE: Final = 1024 * 1024
 HELD_SHARE: Final = 0.4  # of what is free at the start; copies and fragmentation need the rest
-MIN_HELD_BYTES: Final = 2 * MEBIBYTE
 ADMISSION_SHARE: Final = 0.75  # of the limit; beyond it new jobs are refused, whose bodies cannot be shed
 UNCOUNTED_BYTES: Final = 4 * 1024  # of each connection, so that small requests cost nothing here
 TRACKED_REQUEST_BYTES: Final = 4 * 1024  # a tracked request with its attempts and timers, without its body
-UPGRADE_SHARE: Final = 0.25  # of the limit, while two processes share the memory
-RESIDENT_PATH: Final = Path("/proc/self/statm")
-ASSUMED_RESIDENT_BYTES: Final = 40 * MEBIBYTE  # where it cannot be read
+UPGRADE_SHARE: Final = 0.5  # of the limit, while two processes share the memory
 SHED_LOG_INTERVAL: Final = timedelta(seconds=10)
 
 
-def resident_bytes() -> int:
-    """Return the resident memory of this process."""
-    try:
-        return int(RESIDENT_PATH.read_bytes().split()[1]) * resource.getpagesize()
-    except (OSError, ValueError, IndexError):
-        return ASSUMED_RESIDENT_BYTES
-
-
-def free_bytes(memory_mb: int) -> int:
-    """Return the memory that is left of the limit of the process."""
-    return max(0, memory_mb * MEBIBYTE - resident_bytes())
-
-
 class Holder(Protocol):
     """A connection that holds memory for its client."""
 
@@ -69,7 +51,7 @@
         """``available``: free memory of the process, in bytes."""
         self.held = self.peak = 0  # bytes
         self.handled = 0  # bytes of these that belong to requests being handled, which are not shed
-        self.limit = self._full_limit = max(MIN_HELD_BYTES, int(available * HELD_SHARE))
+        self.limit = self._full_limit = int(available * HELD_SHARE)
         self._loop = loop
         self._counters = counters
         self._holders: dict[Holder, _Share] = {}
@@ -86,8 +68,12 @@
         return self.handled < self.limit * ADMISSION_SHARE
 
     def share_with_other_process(self, shared: bool) -> None:
-        """Use a part of the limit while another process of this scheduler has the same memory."""
+        """Use a part of the limit while another process of this scheduler has the same memory.
+
+        What this one holds beyond that part is shed.
+        """
         self.limit = int(self._full_limit * UPGRADE_SHARE) if shared else self._full_limit
+        self._shed_excess()
 
     def update(self, holder: Holder, held: int, handled: int = 0) -> None:
         """Set what a connection holds now, and which part of it for the request being handled, in bytes.
@@ -103,8 +89,7 @@
         self._holders[holder] = _Share(held, handled)
         self.held += held
         self.handled += handled
-        if self.held > self.limit and not self._shedding:
-            self._shed()
+        self._shed_excess()
         self.peak = max(self.peak, self.held)
 
     def shed_largest(self, count: int) -> None:
@@ -119,14 +104,16 @@
     def metrics(self) -> dict[str, int]:
         """Return the current metrics, in bytes."""
         return {
-            "resident": resident_bytes(),
+            "resident": measure().total,
             "held": self.held,
             "held_peak": self.peak,
             "held_limit": self.limit,
         }
 
-    def _shed(self) -> None:
+    def _shed_excess(self) -> None:
         """Shed the connections that hold most, until the rest fits; those last that would lose an answer."""
+        if self.held <= self.limit or self._shedding:
+            return
         self._shedding = True
         self._shed_by(lambda holder: holder.unhandled_bytes())
         self._shed_by(lambda holder: holder.unread_bytes())
--- a/carthinge/scheduler/program.py
+++ b/carthinge/scheduler/program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import resource
 import signal
 import socket
 import sys
@@ -15,7 +14,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from carthinge.front.frontend import Frontend
-from carthinge.front.operator import MAX_CONNECTIONS, Operator
+from carthinge.front.operator import Operator
 from carthinge.interface import Inherit, Listing, OperatorExclusion, SettingsChange, WorkerList
 from carthinge.net import log
 from carthinge.net.channel import State
@@ -26,7 +25,7 @@
 from carthinge.net.http import Address
 from carthinge.net.listener import bind
 from carthinge.net.loop import MICROSECOND, Loop
-from carthinge.net.memory_budget import MemoryBudget, free_bytes
+from carthinge.net.memory_budget import MemoryBudget
 from carthinge.net.probes import Probes
 from carthinge.net.request_tracker import RequestTracker
 from carthinge.net.tracked_request import Terms
@@ -34,6 +33,7 @@
 from carthinge.net.worker_directory import WorkerDirectory, worker_number
 from carthinge.policy import Dispatcher
 from carthinge.scheduler.handover_peer import HandoverPeer
+from carthinge.scheduler.resources import plan_resources
 from carthinge.scheduler.signal_handlers import install_signal_handlers
 from carthinge.scheduler.upgrade import Upgrade
 from carthinge.settings import positions
@@ -44,12 +44,9 @@
 
 SWITCH_INTERVAL: Final = timedelta(microseconds=250)  # the store's thread needs only short time slices
 GC_THRESHOLDS: Final = (20_000, 50, 100)  # durable jobs are many and long-lived
-RESERVED_SOCKETS: Final = 48  # of the limit, for the listener, discovery, the log and the runtime
 BACKLOG: Final = 1024
-WORKER_CONNECTIONS_SHARE: Final = 0.4  # of the rest; a worker's connection is in use only until the 202
 QUIET_DURATION: Final = timedelta(milliseconds=300)  # without work, before the program ends
 LISTEN_DELAY: Final = timedelta(milliseconds=1)  # throttling of CPU time takes effect during any wait
-DURABLE_SHARE: Final = 0.35  # of the memory that is free at the start, for open durable jobs
 BOOT_ID_PATH: Final = Path("/proc/sys/kernel/random/boot_id")
 
 
@@ -65,10 +62,10 @@
         self.dispatcher = Dispatcher(config.site.dispatcher_settings, config.seed)
         self.tracker = RequestTracker(self.loop, self.dispatcher, self.directory.targets, self.counters)
         self.tracker.outcome_counts.add_classes(config.site.classes)
-        descriptors = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        available = max(16, descriptors - RESERVED_SOCKETS - (MAX_CONNECTIONS if config.operator else 0))
-        outgoing = int(available * WORKER_CONNECTIONS_SHARE)
-        self.worker_client = WorkerClient(self.loop, config.site, self.tracker, self.counters, outgoing)
+        self._resources = resources = plan_resources(config)
+        self.worker_client = WorkerClient(
+            self.loop, config.site, self.tracker, self.counters, resources.outgoing
+        )
         self.upgrade = Upgrade(self.loop, str(config.listen))
         self.frontend = Frontend(
             self.loop,
@@ -76,8 +73,8 @@
             self.tracker,
             self.worker_client,
             self.counters,
-            available - outgoing,
-            MemoryBudget(self.loop, self.counters, free_bytes(config.limits.memory_mb)),
+            resources.incoming,
+            MemoryBudget(self.loop, self.counters, resources.free_memory),
             lambda: bool(self.directory.ready),
             self.upgrade,
         )
@@ -133,7 +130,7 @@
             self._terms_of,
             lambda number: self.dispatcher.fleet.workers[number].entry,
             self.directory.get_or_add,
-            int(free_bytes(self.config.limits.memory_mb) * DURABLE_SHARE),
+            self._resources.durable_memory,
         )
         self.frontend.callbacks.durable = self.durable
         self.worker_client.lease_duration = options.leases.duration
--- a/carthinge/serving.py
+++ b/carthinge/serving.py
@@ -9,6 +9,7 @@
 from carthinge.durable.errors import StoreError
 from carthinge.net import log
 from carthinge.net.config import Config, ConfigError, load, reload
+from carthinge.net.process_memory import return_large_blocks
 from carthinge.scheduler.program import Program
 
 BAD_CONFIG: Final = 2
@@ -31,6 +32,7 @@
     if config is None:
         return BAD_CONFIG
     log.configure_logging(log_level, config.name)
+    return_large_blocks()
     try:
         Program(config, lambda before: reload(os.environ, before)).run()
     except StoreError as error:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -38,7 +38,7 @@
     """Create programs that have not started; the test runs their turns."""
     programs = []
 
-    def make(sockets=1024, settings=SETTINGS, workers=1, file=None):
+    def make(sockets=1024, settings=SETTINGS, workers=1, file=None, inherited=None):
         path = tmp_path / f"config-{len(programs)}.json"
         path.write_text(
             json.dumps(
@@ -58,6 +58,8 @@
             )
         )
         environment = {"RELAY_CONFIG": str(path), **({"CARTHINGE_FILE": str(file)} if file else {})}
+        if inherited is not None:
+            environment["RELAY_FD"] = str(inherited.fileno())
         programs.append(Program(load(environment), lambda before: before))
         return programs[-1]
 
--- a/tests/crowd/bench.py
+++ b/tests/crowd/bench.py
@@ -7,6 +7,7 @@
 import os
 import subprocess
 import sys
+import threading
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
 MEMORY_MB, SOCKETS, CORES = 80, 384, 0.85  # limits of the operators' run
 WORKERS = 20
 PROBE_INTERVAL = 0.1  # seconds
+SAMPLE_INTERVAL = 0.02  # seconds
 KILOBYTES_PER_MB = 1024
 
 
@@ -26,6 +28,7 @@
     """What was seen in a run."""
 
     peak_mb: float = 0.0
+    peak_together_mb: float = 0.0  # of both processes of an upgrade
     answers: Counter = field(default_factory=Counter)  # of the probing client, by status
     latencies: list = field(default_factory=list)  # seconds, of the probing client
     crowd: dict = field(default_factory=dict)
@@ -39,6 +42,29 @@
     return int(status.partition("VmHWM:")[2].split()[0]) / KILOBYTES_PER_MB
 
 
+def resident_mb(process):
+    """Return the resident memory of a process: its own, and that of the files that it has mapped."""
+    try:
+        status = Path(f"/proc/{process.pid}/status").read_text()
+    except OSError:  # it has ended, and its parent has noticed
+        status = ""
+    values = [status.partition(f"{name}:")[2].split() for name in ("RssAnon", "RssFile")]
+    return [int(value[0]) / KILOBYTES_PER_MB if value else 0.0 for value in values]
+
+
+class MemoryMeter(threading.Thread):
+    """Samples the memory of all processes of a scheduler together; they map the same files."""
+
+    def __init__(self, processes):
+        super().__init__(daemon=True)
+        self.processes, self.peak_mb, self.done = processes, 0.0, threading.Event()
+
+    def run(self):
+        while not self.done.wait(SAMPLE_INTERVAL):
+            own, files = zip(*map(resident_mb, self.processes), strict=True)
+            self.peak_mb = max(self.peak_mb, sum(own) + max(files))
+
+
 def _python(*arguments):
     return subprocess.Popen(
         [sys.executable, "-m", *map(str, arguments)],
@@ -66,16 +92,25 @@
         stubs.wait()
 
 
-def run(folder, kind, connections, seconds, behaviour="good", **more):
-    """Run a crowd beside a probing client."""
+def run(folder, kind, connections, seconds, behaviour="good", upgrade_after=None, **more):
+    """Run a crowd beside a probing client, and an upgrade so many seconds after its start, if any."""
     report = Report()
+    more["inherited_socket"] = upgrade_after is not None
     with crowded_world(folder, behaviour, **more) as (world, stubs):
+        meter = MemoryMeter(world.processes)
+        meter.start()
         crowd = _python("crowd.clients", kind, HOST, world.port, seconds, connections)
-        ends, number = time.monotonic() + seconds, 0
-        while time.monotonic() < ends:
+        began, number = time.monotonic(), 0
+        while time.monotonic() < began + seconds:
+            if upgrade_after is not None and time.monotonic() > began + upgrade_after:
+                upgrade_after = None
+                world.upgrade()[0].terminate()
             number += 1
             _probe(world, f"probe-{number}", report)
             time.sleep(PROBE_INTERVAL)
+        meter.done.set()
+        meter.join()
+        report.peak_together_mb = meter.peak_mb
         report.crowd = json.loads(crowd.communicate()[0])
         assert world.process.poll() is None, world.log()
         report.counters = world.counters()
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -1,12 +1,25 @@
 """What all clients together can make the program hold."""
 
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
 import pytest
 from in_process import UP_REQUEST, accept_next, read_next, readable, run_until, set_workers
 from test_peer_limits import let_peers_read
 from world import job, member, settings_with_caps
 
+from carthinge.net.process_memory import (
+    MEBIBYTE,
+    MIN_FREE_BYTES,
+    SUCCESSOR_WORKING_BYTES,
+    free_bytes,
+    measure,
+)
 from carthinge.net.read_timeouts import MAX_PART_INTERVAL
 
+ROOT = Path(__file__).resolve().parent.parent
 KIB = 1024
 HALF_SENT = b"POST /api HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + bytes(50_000)
 
@@ -37,6 +50,49 @@
     assert read_next(served, program)[0].split()[1] == "400"  # complete, and handled: it has no id
 
 
+def test_half_sent_requests_are_refused_at_once_when_an_upgrade_begins(program, dial):
+    """Guards against a predecessor that keeps what it holds beyond its part of the memory."""
+    program.frontend.memory._full_limit = program.frontend.memory.limit
+    clients = [dial(program).send(HALF_SENT) for _ in range(3)]
+    run_until(program, lambda: program.frontend.memory.held > 3 * 50_000)
+    program.handover_peer.set_leaving(True)
+    assert program.frontend.memory.held <= 80 * KIB
+    turns(program)
+    assert [client.status() for client in clients if readable(client.sock)] == [503, 503]
+
+
+@pytest.mark.parametrize("may_have_successor", [False, True])
+def test_free_memory_leaves_room_for_a_successor(may_have_successor):
+    used = measure()
+    taken = used.total + may_have_successor * (used.private + SUCCESSOR_WORKING_BYTES)
+    assert 0 < used.private < used.total
+    assert abs(free_bytes(1000, may_have_successor) - (1000 * MEBIBYTE - taken)) < MEBIBYTE
+    assert free_bytes(1, may_have_successor) == MIN_FREE_BYTES
+
+
+def test_inherited_socket_leaves_room_for_a_successor(make_program):
+    without = make_program().frontend.memory.limit
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        assert make_program(inherited=listening).frontend.memory.limit < without - MEBIBYTE
+
+
+def test_large_blocks_return_to_the_system():
+    """Guards against freed bodies that stay resident behind small objects, while a new process needs room."""
+    code = (
+        "from carthinge.net.process_memory import measure, return_large_blocks\n"
+        "return_large_blocks()\n"
+        "before = measure().private\n"
+        "held = [(bytearray(b'x' * 40_000), bytearray(b'y' * 2_000)) for _ in range(400)]\n"
+        "grown = measure().private - before\n"
+        "held = [small for _, small in held]\n"
+        "print(grown, measure().private - before)"
+    )
+    command = [sys.executable, "-c", code]
+    output = subprocess.run(command, capture_output=True, text=True, check=True, cwd=ROOT).stdout
+    grown, left = map(int, output.split())
+    assert grown > 400 * 40_000 and left < grown / 4
+
+
 def test_small_requests_are_served_beside_a_crowd(program, dial, worker):
     for _ in range(10):
         dial(program).send(HALF_SENT)
