Keep an upgrade's channel in a shortage of buffers: clients' connections were lost

What callers saw: in an upgrade, connections with jobs in progress were closed without an answer.

Cause: the channel took ENOBUFS and ENOMEM, which are temporary, for the end of the other process, and was closed with the connections unread that this process had passed. The log of a run with socket faults alone shows it: the connection is given away, 10 ms later the new process is "alone" and the old one has "taken back", both running.

Change: such a call is made again after 10 ms, as in Stream; ETOOMANYREFS, documented for passing sockets, likewise. Whatever ends a channel, what has arrived on it is received first: after a failed send, a stall, and a state that came too late to be read in time. The log says why a channel ended (upgrade_channel_ended). One method hands over a connection in place of four that did the same.

--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -6,15 +6,17 @@
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from typing import Final
 
 import msgspec
 
 from carthinge.interface import JobMemory, Memory
+from carthinge.net import log
 from carthinge.net.decoding import UndecodableError, decode
 from carthinge.net.loop import READ, WRITE, Loop, Timer
 from carthinge.net.members import Member
-from carthinge.net.sockets import NOT_READY
+from carthinge.net.sockets import NOT_READY, RETRY_DELAY, RETRYABLE_ERRORS
 
 FORMAT: Final = 2  # version of the messages; processes with different versions hand nothing over
 LENGTH_BYTES: Final = 4  # length prefix of a message
@@ -191,6 +193,8 @@
         self._out: deque[tuple[bytearray, Message, socket.socket | None]] = deque()
         self._unsent_bytes = self._sent = 0
         self._stall_timer: Timer | None = None
+        self._send_retry: Timer | None = None  # this and the next are set while buffers are short
+        self._receive_retry: Timer | None = None
         self._interest = READ
         sock.setblocking(False)
         loop.register(sock, READ, self._ready)
@@ -217,36 +221,57 @@
         if not self.closed:
             self.closed = True
             self._loop.unregister(self._sock)
-            if self._stall_timer is not None:
-                self._stall_timer.cancel()
+            for timer in (self._stall_timer, self._send_retry, self._receive_retry):
+                if timer is not None:
+                    timer.cancel()
             for sock in (self._sock, *self._sockets):
                 self._loop.sockets.close(sock)
 
+    def receive_rest(self) -> None:
+        """Receive what has been sent to this end: the peer has given away the connections that it passed."""
+        while not self.closed and self._receive():
+            pass
+
     def _ready(self, mask: int) -> None:
         if mask & WRITE:
             self._flush()
         if mask & READ and not self.closed:
             self._receive()
 
-    def _receive(self) -> None:
+    def _receive(self) -> bool:
+        """Receive once; return whether there may be more to receive."""
         try:
             data, sockets = self._loop.sockets.receive_with_sockets(
                 self._sock, RECEIVE_BYTES, MAX_SOCKETS_PER_RECEIVE
             )
         except NOT_READY:
-            return
-        except OSError:
-            self._end()
-            return
+            return False
+        except OSError as error:
+            if error.errno in RETRYABLE_ERRORS:
+                self._receive_retry = self._loop.call_after(RETRY_DELAY, self._resume_receive)
+                self._update_interest()
+            else:
+                self._end(str(error))
+            return False
         self._sockets.extend(sockets)
         self._in += data
-        if not data or len(self._sockets) > MAX_UNCLAIMED_SOCKETS:
-            self._end()
-            return
+        if not data:
+            self._end("closed by the peer")
+        elif len(self._sockets) > MAX_UNCLAIMED_SOCKETS:
+            self._end("too many sockets without messages")
+        else:
+            self._handle_messages()
+        return not self.closed
+
+    def _resume_receive(self) -> None:
+        self._receive_retry = None
+        self._update_interest()
+
+    def _handle_messages(self) -> None:
         while not self.closed and len(self._in) >= LENGTH_BYTES:
             size = int.from_bytes(self._in[:LENGTH_BYTES], "big")
             if size > MAX_MESSAGE_BYTES:
-                self._end()
+                self._end("a message is too large")
                 return
             if len(self._in) < LENGTH_BYTES + size:
                 return
@@ -255,38 +280,56 @@
             try:
                 message = decode(_DECODER, body)
                 passed = self._sockets.popleft() if isinstance(message, _WITH_SOCKET) else None
-            except (UndecodableError, IndexError):
-                self._end()
+            except (UndecodableError, IndexError) as error:
+                self._end(f"a message cannot be decoded: {error}")
                 return
             self._received(message, passed)
 
     def _flush(self) -> None:
+        if self._send_retry is not None:
+            return
         try:
             while self._out and not self.closed:
-                data, message, passed = self._out[0]
-                if passed is not None:
-                    sent = self._loop.sockets.send_with_socket(self._sock, data, passed)
-                    passed.close()
-                    self._out[0] = (data, message, None)
-                else:
-                    sent = self._loop.sockets.send(self._sock, data)
-                del data[:sent]
-                self._unsent_bytes -= sent
-                self._sent += sent
-                if not data:
-                    self._out.popleft()
+                self._send_first()
         except NOT_READY:
             pass
-        except OSError:
-            self._loop.call_soon(self._end)
-            return
-        interest = READ | (WRITE if self._out else 0)
-        if interest != self._interest and not self.closed:
-            self._interest = interest
-            self._loop.modify(self._sock, interest, self._ready)
+        except OSError as error:
+            if error.errno not in RETRYABLE_ERRORS:
+                self._loop.call_soon(partial(self._end_after_receiving, str(error)))
+                return
+            self._send_retry = self._loop.call_after(RETRY_DELAY, self._resume_flush)
+        self._update_interest()
         if self._out and self._stall_timer is None and not self.closed:
             self._watch_peer()
 
+    def _send_first(self) -> None:
+        """Send as much of the first message as possible."""
+        data, message, passed = self._out[0]
+        if passed is not None:
+            sent = self._loop.sockets.send_with_socket(self._sock, data, passed)
+            passed.close()
+            self._out[0] = (data, message, None)
+        else:
+            sent = self._loop.sockets.send(self._sock, data)
+        del data[:sent]
+        self._unsent_bytes -= sent
+        self._sent += sent
+        if not data:
+            self._out.popleft()
+
+    def _resume_flush(self) -> None:
+        self._send_retry = None
+        self._flush()
+
+    def _update_interest(self) -> None:
+        """Register the events that the channel currently waits for."""
+        writing = bool(self._out) and self._send_retry is None
+        reading = self._receive_retry is None
+        interest = (READ if reading else 0) | (WRITE if writing else 0)
+        if interest != self._interest and not self.closed:
+            self._loop.modify(self._sock, interest, self._ready)
+            self._interest = interest
+
     def _watch_peer(self) -> None:
         """End the channel unless the peer goes on reading."""
         sent = self._sent
@@ -294,15 +337,20 @@
         def check() -> None:
             self._stall_timer = None
             if self._out and self._sent == sent:
-                self._end()
+                self._end_after_receiving("the peer does not read")
             elif self._out:
                 self._watch_peer()
 
         self._stall_timer = self._loop.call_after(STALL_TIMEOUT, check)
 
-    def _end(self) -> None:
+    def _end_after_receiving(self, why: str) -> None:
+        self.receive_rest()
+        self._end(why)
+
+    def _end(self, why: str) -> None:
         if not self.closed:
             self.close()
             unsent = [(message, passed) for _, message, passed in self._out if passed is not None]
             self._out.clear()
+            log.logger().info("upgrade_channel_ended", why=why, unsent=len(unsent))
             self._lost(unsent)
--- a/carthinge/net/sockets.py
+++ b/carthinge/net/sockets.py
@@ -8,6 +8,7 @@
 import errno
 import select
 import socket
+from datetime import timedelta
 from typing import Final
 
 PEEK_BYTES: Final = 1  # enough to see whether there is any data
@@ -27,7 +28,9 @@
     }
 )
 #: A send or receive that failed with these may be retried: no data was transferred, the connection is intact.
-RETRYABLE_ERRORS: Final = frozenset({errno.ENOBUFS, errno.ENOMEM})
+#: ETOOMANYREFS: too many sockets that were passed to other processes have not been received there.
+RETRYABLE_ERRORS: Final = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.ETOOMANYREFS})
+RETRY_DELAY: Final = timedelta(milliseconds=10)  # before such a call is made again
 #: Events of a poll that tell that the peer has closed its side, whatever it sent before that is unread.
 PEER_CLOSED: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 #: The operation would block or was interrupted; the selector reports when the socket is ready.
--- a/carthinge/net/stream.py
+++ b/carthinge/net/stream.py
@@ -11,12 +11,11 @@
 
 from carthinge.net import log
 from carthinge.net.loop import READ, WRITE, Loop, Timer
-from carthinge.net.sockets import NOT_READY, PEER_CLOSED, RETRYABLE_ERRORS
+from carthinge.net.sockets import NOT_READY, PEER_CLOSED, RETRY_DELAY, RETRYABLE_ERRORS
 
 MAX_UNSENT_BYTES: Final = 512 * 1024  # far more than a peer has to read that sends one message at a time
 LINGER_TIMEOUT: Final = timedelta(seconds=2)  # without progress, after the last response
 READ_STALL_TIMEOUT: Final = timedelta(seconds=2)  # without progress, while a peer has something to read
-RETRY_DELAY: Final = timedelta(milliseconds=10)  # while this machine is short of buffers
 
 
 class StreamState(Enum):
--- a/carthinge/scheduler/handover_peer.py
+++ b/carthinge/scheduler/handover_peer.py
@@ -11,7 +11,7 @@
 from carthinge.front.frontend import Frontend
 from carthinge.interface import Leave, Message, Result
 from carthinge.memory import export_memory, job_memory
-from carthinge.net.channel import Heartbeat, Incoming, Open, OpenAttempt, State, Waiting
+from carthinge.net.channel import Heartbeat, Incoming, Open, OpenAttempt, Outgoing, State, Waiting
 from carthinge.net.config import Config
 from carthinge.net.http import Address
 from carthinge.net.loop import MICROSECOND, Loop
@@ -220,12 +220,12 @@
         if self._upgrade.congested:
             return
         for sock, incoming in self._frontend.release_idle():
-            self._upgrade.hand_over_incoming(sock, incoming)
+            self._upgrade.hand_over(sock, incoming)
         if self._durable is not None:
             for sock, incoming in self._frontend.release_deferred():
-                self._upgrade.hand_over_incoming(sock, incoming)
+                self._upgrade.hand_over(sock, incoming)
             for sock, waiting in self._frontend.release_waiting():
-                self._upgrade.hand_over_waiting(sock, waiting)
+                self._upgrade.hand_over(sock, waiting)
         for tracked in list(self._tracker.tracked_requests.values()):
             client = tracked.client
             if not (tracked.pending and isinstance(client, ClientConnection) and client.awaits_answer()):
@@ -236,7 +236,7 @@
             ):
                 self._hand_over(tracked, client)
         for sock, address, idle_since in self._worker_client.release_idle():
-            self._upgrade.hand_over_outgoing(sock, address, idle_since)
+            self._upgrade.hand_over(sock, Outgoing(str(address), idle_since // MICROSECOND))
 
     def _hand_over(self, tracked: TrackedRequest, client: ClientConnection) -> None:
         job = tracked.job
@@ -265,4 +265,4 @@
             job_memory(self._dispatcher, tracked.number),
         )
         self._tracker.hand_over(tracked)
-        self._upgrade.hand_over_open(client.release(), request)
+        self._upgrade.hand_over(client.release(), request)
--- a/carthinge/scheduler/upgrade.py
+++ b/carthinge/scheduler/upgrade.py
@@ -235,26 +235,16 @@
     def _state_timed_out(self) -> None:
         """Start without the state of a predecessor that is stuck."""
         if self._channel is not None and self._taking_over:
-            self._channel.close()
-            self._on_peer_lost([])
+            self._channel.receive_rest()
+            if self._state_timer is not None:  # the state was not among it
+                self._channel.close()
+                self._on_peer_lost([])
 
     # ---- messages -------------------------------------------------------------------------
 
-    def hand_over_incoming(self, sock: socket.socket, incoming: Incoming) -> None:
-        """Hand over a client's connection."""
-        self._send(incoming, sock)
-
-    def hand_over_waiting(self, sock: socket.socket, waiting: Waiting) -> None:
-        """Hand over a connection whose client waits for a durable job."""
-        self._send(waiting, sock)
-
-    def hand_over_open(self, sock: socket.socket, tracked: Open) -> None:
-        """Hand over an open request with its connection."""
-        self._send(tracked, sock)
-
-    def hand_over_outgoing(self, sock: socket.socket, address: Address, idle_since: timedelta) -> None:
-        """Hand over an idle connection to a worker."""
-        self._send(Outgoing(str(address), idle_since // MICROSECOND), sock)
+    def hand_over(self, sock: socket.socket, state: Incoming | Waiting | Open | Outgoing) -> None:
+        """Hand over a connection with its state."""
+        self._send(state, sock)
 
     def forward_callback(self, body: bytes, done: Callable[[bool], None]) -> None:
         """Forward a callback; call ``done`` with whether its job is known at the peer."""
--- a/tests/soak/scheduler.py
+++ b/tests/soak/scheduler.py
@@ -96,6 +96,14 @@
         self._maybe_fail(sock, *TRANSIENT_ERRORS)
         return super().send(sock, data[:SHORT_IO_BYTES] if RNG.random() < magnitude("sockets") else data)
 
+    def receive_with_sockets(self, sock, max_bytes, max_sockets):
+        self._maybe_fail(sock, *TRANSIENT_ERRORS)
+        return super().receive_with_sockets(sock, max_bytes, max_sockets)
+
+    def send_with_socket(self, sock, data, passed):
+        self._maybe_fail(sock, *TRANSIENT_ERRORS, errno.ETOOMANYREFS)
+        return super().send_with_socket(sock, data, passed)
+
     def close(self, sock):
         self.opened.discard(sock.fileno())
         super().close(sock)
