Say what becomes of connections that an upgrade's channel leaves unsent or unread

Receiving the rest of a channel stops at a failed receive, which no page said. No behaviour changes.

--- a/carthinge/net/channel.py
+++ b/carthinge/net/channel.py
@@ -228,7 +228,10 @@
                 self._loop.sockets.close(sock)
 
     def receive_rest(self) -> None:
-        """Receive what has been sent to this end: the peer has given away the connections that it passed."""
+        """Receive what has been sent to this end: the peer has given away the connections that it passed.
+
+        Stops at a receive that fails, even if only for want of buffers.
+        """
         while not self.closed and self._receive():
             pass
 
