Log which requests for a durable job wait for a key, and what each was answered

`key_found` names the stored job that has a request's key and how many requests wait for its outcome; `durable_request_answered` names the status and the connection of each answer. Both at debug level.

With them, five retries at once of a job that was served: one `key_found` with `waiters=5`, then answers 200 on connections 6, 8 and 10, and 504 on connections 7 and 9 at their deadline. So all five were read and waited for the same job, and every second one was passed over.

--- a/carthinge/durable/admission.py
+++ b/carthinge/durable/admission.py
@@ -15,6 +15,7 @@
 from carthinge.durable.limits import Limits, ShedReason
 from carthinge.durable.records import Accepted, FoundJob, JobState
 from carthinge.durable.writer import Writer
+from carthinge.net import log
 from carthinge.net.loop import MICROSECOND, Loop, Timer
 from carthinge.net.request_tracker import RequestTracker
 from carthinge.net.tracked_request import Job, Terms
@@ -114,6 +115,13 @@
         accepted, durable_job.on_disk = durable_job.accepted, True
         if found is not None:  # another job has its key
             self._index.remove(durable_job)
+            log.logger().debug(
+                "key_found",
+                id=accepted.req_id,
+                job=f"{found.number:x}",
+                state=found.state.name,
+                waiters=len(durable_job.waiters),
+            )
             for waiter in durable_job.waiters:
                 self._answer_found(found, accepted.digest, waiter)
             return
--- a/carthinge/front/durable_front.py
+++ b/carthinge/front/durable_front.py
@@ -17,6 +17,7 @@
 from carthinge.durable.limits import ShedReason
 from carthinge.durable.records import FoundJob, JobState
 from carthinge.front.translator import JOBS_PATH, Translator, header_text
+from carthinge.net import log
 from carthinge.net.http import BadRequestError, Request
 from carthinge.net.loop import Loop, Timer
 
@@ -32,6 +33,8 @@
 class Connection(Protocol):
     """The connection of a request."""
 
+    number: int
+
     def reply(self, request: Request, status: int, body: bytes, headers: Headers) -> None:
         """Write the only answer to a request; does nothing if the client has gone."""
 
@@ -306,6 +309,12 @@
     def _reply(self, status: int, body: bytes, headers: Headers) -> None:
         if not self._finished:
             self._finish()
+            log.logger().debug(
+                "durable_request_answered",
+                connection=self._connection.number,
+                job=f"{self.number:x}",
+                status=int(status),
+            )
             self._connection.reply(self._request, status, body, headers)
 
     def _finish(self) -> None:
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -48,6 +48,8 @@
     assert put(world, "a4", prefer=None).read()[2] == b"r"
     assert get(world, path)[1] == b"r"
     assert world.counters()["attempts_written"] == 1
+    world.wait_for_log("key_found id=a4 ")
+    assert world.log().count("durable_request_answered ") == 5
 
 
 def test_same_key_with_other_body_is_422(world):
