Answer every waiter of a durable job whose key a stored job has, not every second one

Cause: such requests join the first of them, whose record is not on disk yet. When the store finds the key, Admission._on_disk went over the job's list of waiters and answered each. An answer ends the request, which removes itself from that very list, so the iteration passed over the next one. The job had left the index, so nothing answered that request later.

Fix: a durable job keeps its waiters to itself. They are taken away before they are notified (take_waiters), or notified from a copy where they go on waiting (notify_accepted), so that no caller can iterate over a list that its calls change. The handover of the store went over the live list too; its calls removed nothing, so nothing was lost there. All other loops in carthinge/ whose calls might change what they go over were read: they go over copies, over what they have taken away, or by popping.

--- a/carthinge/durable/admission.py
+++ b/carthinge/durable/admission.py
@@ -115,14 +115,15 @@
         accepted, durable_job.on_disk = durable_job.accepted, True
         if found is not None:  # another job has its key
             self._index.remove(durable_job)
+            waiters = durable_job.take_waiters()
             log.logger().debug(
                 "key_found",
                 id=accepted.req_id,
                 job=f"{found.number:x}",
                 state=found.state.name,
-                waiters=len(durable_job.waiters),
+                waiters=len(waiters),
             )
-            for waiter in durable_job.waiters:
+            for waiter in waiters:
                 self._answer_found(found, accepted.digest, waiter)
             return
         if durable_job.ending is not None:  # shed in the meantime
@@ -135,8 +136,7 @@
             durable_job.reject()
             return
         durable_job.tracked = self._tracker.take(durable_job.job(), terms, durable_job, durable_job)
-        for waiter in list(durable_job.waiters):
-            waiter.accepted(accepted.number)
+        durable_job.notify_accepted()
 
     def _shed_overdue(self) -> None:
         """Shed jobs that are not on disk in time.  One timer serves all: nearly all are on disk by then."""
@@ -151,8 +151,7 @@
     def _shed_unwritten(self, durable_job: DurableJob) -> None:
         """Shed a job that is not on disk in time, and mark it so that it is not run if written later."""
         durable_job.accepted.cancelled = True
-        waiters, durable_job.waiters = durable_job.waiters, []
-        for waiter in waiters:
+        for waiter in durable_job.take_waiters():
             self._shed(waiter, ShedReason.BACKLOG)
         self._jobs.end(durable_job, Ending(JobState.REFUSED))
 
--- a/carthinge/durable/durable_job.py
+++ b/carthinge/durable/durable_job.py
@@ -69,7 +69,6 @@
 
     jobs: JobRecorder
     accepted: Accepted
-    waiters: list[Waiter] = field(default_factory=list)
     tracked: TrackedRequest | None = None  #: None until it is on disk and, if recovered, readmitted
     on_disk: bool = False
     ending: Ending | None = None
@@ -78,6 +77,7 @@
     result_token: int = 0  #: of the attempt that provided the result, 0 for none
     callbacks: list[Callable[[int], None]] = field(default_factory=list)  #: to be answered at its end
     stored_attempts: list[StoredAttempt] = field(default_factory=list)
+    _waiters: list[Waiter] = field(default_factory=list, init=False)
 
     # ---- the tracker's client ----------------------------------------------------------------
 
@@ -115,17 +115,42 @@
         """Record the end of an attempt."""
         self.jobs.attempt_ended(self, attempt, result)
 
-    # ---- state ----------------------------------------------------------------------------
+    # ---- waiters --------------------------------------------------------------------------
 
-    def has_open_attempt(self) -> bool:
-        """Whether an attempt of the job is open."""
-        return self.tracked is not None and self.tracked.first_open_attempt() is not None
+    # A notified waiter may answer its client at once and then removes itself, so the list is never iterated
+    # over while its waiters are notified.
+
+    @property
+    def has_waiters(self) -> bool:
+        """Whether a client waits for the job."""
+        return bool(self._waiters)
 
     def add_waiter(self, waiter: Waiter) -> None:
         """Add a waiter, which is notified of the job's end."""
-        self.waiters.append(waiter)
+        self._waiters.append(waiter)
         waiter.durable_job = self
 
+    def remove_waiter(self, waiter: Waiter) -> None:
+        """Remove a waiter; does nothing if it was taken already."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+    def take_waiters(self) -> list[Waiter]:
+        """Remove all waiters and return them, each to be notified by the caller."""
+        waiters, self._waiters = self._waiters, []
+        return waiters
+
+    def notify_accepted(self) -> None:
+        """Notify the waiters that the job is accepted; those without an answer still wait for its end."""
+        for waiter in tuple(self._waiters):
+            waiter.accepted(self.accepted.number)
+
+    # ---- state ----------------------------------------------------------------------------
+
+    def has_open_attempt(self) -> bool:
+        """Whether an attempt of the job is open."""
+        return self.tracked is not None and self.tracked.first_open_attempt() is not None
+
     def job(self) -> Job:
         """Return the client's request for the tracker."""
         accepted = self.accepted
--- a/carthinge/durable/jobs.py
+++ b/carthinge/durable/jobs.py
@@ -129,7 +129,7 @@
     def release_all(self) -> None:
         """Drop all open jobs from memory; they continue from the store, in this process or another."""
         for durable_job in list(self.index.by_number.values()):
-            for waiter in durable_job.waiters:
+            for waiter in durable_job.take_waiters():
                 waiter.handed_over(durable_job.accepted.number)
             if durable_job.tracked is not None:
                 self._tracker.hand_over(durable_job.tracked)
@@ -230,8 +230,8 @@
 
     def remove_waiter(self, waiter: Waiter) -> None:
         """Remove a waiter whose client has left or was answered; the job continues."""
-        if waiter.durable_job is not None and waiter in waiter.durable_job.waiters:
-            waiter.durable_job.waiters.remove(waiter)
+        if waiter.durable_job is not None:
+            waiter.durable_job.remove_waiter(waiter)
         waiter.durable_job = None
 
     def give_up(self, durable_job: DurableJob, done: Callable[[], None]) -> bool:
@@ -356,7 +356,7 @@
         durable_job.ending = ending
         self.loader.recovery_queue.remove(durable_job)
         now = self.loop.now
-        collected_at_once = durable_job.waiters and ending.state is JobState.SERVED
+        collected_at_once = durable_job.has_waiters and ending.state is JobState.SERVED
         retention = self._options.keep_collected if collected_at_once else self._options.keep_results
         if self.writer is not None:
             self.writer.write(
@@ -383,8 +383,7 @@
         ending = durable_job.ending
         if not durable_job.notified and ending is not None:
             durable_job.notified = True
-            waiters, durable_job.waiters = durable_job.waiters, []
-            for waiter in waiters:
+            for waiter in durable_job.take_waiters():
                 waiter.ended(ending)
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 
 import hypothesis
 import pytest
+from durable_world import FILE
+from in_process import run_until
 from world import HOST, SETTINGS, Listener, Peer, World, free_port, member
 
 from carthinge.net.config import load
@@ -84,6 +86,18 @@
     return serve
 
 
+@pytest.fixture
+def durable_program(make_program, tmp_path):
+    """A program with a store of durable jobs, which serves; the test runs its turns."""
+    file = tmp_path / "carthinge.toml"
+    file.write_text(FILE.replace("{folder}", str(tmp_path / "store")))
+    program = make_program(file=file, workers=1)
+    program.upgrade.find_predecessor()
+    run_until(program, lambda: program.serving() and program.durable.loaded)
+    yield program
+    program.durable.close()
+
+
 @pytest.fixture
 def dial():
     """Connect clients to a program in the test process."""
--- a/tests/durable_world.py
+++ b/tests/durable_world.py
@@ -2,6 +2,7 @@
 
 import json
 import sqlite3
+import threading
 
 from world import job
 
@@ -59,3 +60,16 @@
     database = sqlite3.connect(world.store / "jobs.db", isolation_level=None)
     database.execute("BEGIN IMMEDIATE")
     return database
+
+
+class BlockedDisk:
+    """Blocks transactions of a store until the test releases them."""
+
+    def __init__(self, store):
+        self.apply, self.released, self.entered = store.apply, threading.Event(), threading.Event()
+        store.apply = self
+
+    def __call__(self, batch, time):
+        self.entered.set()
+        assert self.released.wait(30), "the test did not release the disk"
+        return self.apply(batch, time)
--- a/tests/test_durable_handover.py
+++ b/tests/test_durable_handover.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 import pytest
-from durable_world import FILE, get, put, take_job
+from durable_world import FILE, BlockedDisk, get, put, take_job
 from faults import advance_clock
 from in_process import read_next, readable, run_until
 from store_shorthands import accepted
@@ -20,28 +20,9 @@
 ASYNC = {"kind": "reindex", "deadline": "9000m", "Idempotency_Key": "k1", "Prefer": "respond-async"}
 
 
-class BlockedDisk:
-    """Blocks transactions of a store until the test releases them."""
-
-    def __init__(self, store):
-        self.apply, self.released, self.entered = store.apply, threading.Event(), threading.Event()
-        store.apply = self
-
-    def __call__(self, batch, time):
-        self.entered.set()
-        assert self.released.wait(30), "the test did not release the disk"
-        return self.apply(batch, time)
-
-
 @pytest.fixture
-def program(make_program, tmp_path):
-    file = tmp_path / "carthinge.toml"
-    file.write_text(FILE.replace("{folder}", str(tmp_path / "store")))
-    program = make_program(file=file, workers=1)
-    program.upgrade.find_predecessor()
-    run_until(program, lambda: program.serving() and program.durable.loaded)
-    yield program
-    program.durable.close()
+def program(durable_program):
+    return durable_program
 
 
 def test_handover_on_blocked_disk_does_not_block_loop(program, dial):
