Split the submission of a durable job into its record, its time limit and its answers

Admission.submit had the checks, the record of the job and the timer that sheds it in one function, and Admission._on_disk also answered the waiters of a key that a stored job has. No behaviour changes.

--- a/carthinge/durable/admission.py
+++ b/carthinge/durable/admission.py
@@ -70,22 +70,32 @@
             self._join(existing, digest, waiter)
             return
         writer = self._jobs.writer
-        reason = (
-            ShedReason.FAILING
-            if writer is None or self._jobs.handing_over
-            else self._limits.shed_reason(
-                terms.tenant_name,
-                len(job.body),
-                writer.backlog,
-                writer.usage.bytes_used,
-                bool(writer.failing),
-            )
+        if writer is None or self._jobs.handing_over:
+            self._shed(waiter, ShedReason.FAILING)
+            return
+        reason = self._limits.shed_reason(
+            terms.tenant_name,
+            len(job.body),
+            writer.backlog,
+            writer.usage.bytes_used,
+            bool(writer.failing),
         )
-        if reason is not None or writer is None:
-            self._shed(waiter, reason or ShedReason.FAILING)
+        if reason is not None:
+            self._shed(waiter, reason)
             return
+        accepted = self._record(job, terms, hashed_key, digest, arrived)
+        durable_job = DurableJob(self._jobs, accepted)
+        durable_job.add_waiter(waiter)
+        self._index.add(durable_job)
+        self._limit_write_time(durable_job, arrived + terms.timeout)
+        writer.write(accepted, partial(self._on_disk, durable_job))
+
+    def _record(
+        self, job: Job, terms: Terms, hashed_key: bytes | None, digest: bytes, arrived: timedelta
+    ) -> Accepted:
+        """Return the record of a new job, with a number of its own."""
         hint = None if terms.hint is None else min(terms.hint, MAX_HINT) // MICROSECOND
-        accepted = Accepted(
+        return Accepted(
             self._jobs.next_number(),
             job.id,
             terms.tenant_name,
@@ -99,32 +109,23 @@
             arrived // MICROSECOND,
             (arrived + terms.timeout) // MICROSECOND,
         )
-        durable_job = DurableJob(self._jobs, accepted)
-        durable_job.add_waiter(waiter)
-        self._index.add(durable_job)
+
+    def _limit_write_time(self, durable_job: DurableJob, deadline: timedelta) -> None:
+        """Have a job shed that is not on disk in time; ``deadline`` is its client's."""
         now = self._loop.now
-        timeout_at = now + min(ACCEPT_TIMEOUT, MAX_ACCEPT_TIME_SHARE * (arrived + terms.timeout - now))
-        heappush(self._unwritten, (timeout_at, accepted.number, durable_job))
+        timeout_at = now + min(ACCEPT_TIMEOUT, MAX_ACCEPT_TIME_SHARE * (deadline - now))
+        heappush(self._unwritten, (timeout_at, durable_job.accepted.number, durable_job))
         if self._unwritten_timer is None or self._unwritten[0][2] is durable_job:
             if self._unwritten_timer is not None:
                 self._unwritten_timer.cancel()
             self._unwritten_timer = self._loop.call_at(timeout_at, self._shed_overdue)
-        writer.write(accepted, partial(self._on_disk, durable_job))
 
     def _on_disk(self, durable_job: DurableJob, found: FoundJob | None) -> None:
+        """Go on with a job whose record is written, or with ``found``, the stored job that has its key."""
         accepted, durable_job.on_disk = durable_job.accepted, True
-        if found is not None:  # another job has its key
+        if found is not None:
             self._index.remove(durable_job)
-            waiters = durable_job.take_waiters()
-            log.logger().debug(
-                "key_found",
-                id=accepted.req_id,
-                job=f"{found.number:x}",
-                state=found.state.name,
-                waiters=len(waiters),
-            )
-            for waiter in waiters:
-                self._answer_found(found, accepted.digest, waiter)
+            self._answer_waiters(durable_job, found)
             return
         if durable_job.ending is not None:  # shed in the meantime
             return
@@ -169,6 +170,19 @@
             if durable_job.on_disk:
                 waiter.accepted(durable_job.accepted.number)
 
+    def _answer_waiters(self, durable_job: DurableJob, found: FoundJob) -> None:
+        """Answer all who wait for a job that is not stored, since a stored job has its key."""
+        waiters = durable_job.take_waiters()
+        log.logger().debug(
+            "key_found",
+            id=durable_job.accepted.req_id,
+            job=f"{found.number:x}",
+            state=found.state.name,
+            waiters=len(waiters),
+        )
+        for waiter in waiters:
+            self._answer_found(found, durable_job.accepted.digest, waiter)
+
     def _answer_found(self, found: FoundJob, digest: bytes, waiter: Waiter) -> None:
         """Answer from the stored job that has the same key."""
         if found.digest != digest:
