Keep the old process's watch answered in a test that waits for its successor's

The program did what it should; the test assumed a start within 2 s.

The old process's calls are answered now until the successor has called, on the connection that it has, so that the next connection is the successor's however long its start takes. As strict as before: its first call has to ask for the whole list, and its list has to count.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,7 +1,9 @@
 """The real program and discovery: continued watches, recovery from failures, effect of lists."""
 
+import contextlib
 import json
 import socket
+import threading
 import time
 from datetime import timedelta
 
@@ -170,11 +172,33 @@
             assert world.next_request()[0] == 1
 
 
+@contextlib.contextmanager
+def answered_calls(world, peer):
+    """Answer the calls on a connection meanwhile, so that its process does not time out and open another."""
+    members = [member(name, worker.port) for name, worker in zip(world.names, world.workers, strict=True)]
+    stopped = threading.Event()
+
+    def answer():
+        with contextlib.suppress(EOFError, ConnectionError):  # the process no longer watches
+            while not stopped.wait(0.1):  # the agent's wait for a change
+                peer.answer(200, list_body(7, *members, complete=True))
+                peer.read()
+
+    thread = threading.Thread(target=answer)
+    thread.start()
+    try:
+        yield
+    finally:
+        stopped.set()
+        thread.join()
+
+
 def test_successor_requests_agent_list(tmp_path):
     with World(tmp_path, workers=2, settings=pushed(4_000_000), inherited_socket=True) as world:
         old = world.accept_watch()[0]
-        world.upgrade()
-        peer, line = world.accept_watch()
+        with answered_calls(world, old):  # until the successor calls, however long it takes to start
+            world.upgrade()
+            peer, line = world.accept_watch()
         assert line == "GET /discovery/hosts HTTP/1.1"
         old.close()
         peer.answer(200, list_body(8, member("s-1", world.workers[1].port), complete=True))
