--- a/carthinge/front/durable_front.py
+++ b/carthinge/front/durable_front.py
@@ -33,7 +33,7 @@
 class Connection(Protocol):
     """The connection of a request."""
 
-    number: int
+    number: int  #: of the connection, as the log names it
 
     def reply(self, request: Request, status: int, body: bytes, headers: Headers) -> None:
         """Write the only answer to a request; does nothing if the client has gone."""
